Base: Lay out the libraries, the build and the interfaces

The repository starts from the proposed design: one library per folder of src/, a blackboard of immutable views, sequences over one control thread and several traffic threads, errors that carry step and peer, and the wire interfaces in docs/INTERFACES.md and src/peer/peer.thrift.

--- /dev/null
+++ b/src/base/task_runner.cc
@@ -0,0 +1,95 @@
+// Asio strands and the manual scheduler behind base::TaskRunner.
+
+#include "src/base/task_runner.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace medlarspread::base {
+
+void Timer::Cancel() {
+  if (cancel_) {
+    std::exchange(cancel_, nullptr)();
+  }
+}
+
+std::uint64_t ManualScheduler::Add(MonotonicTime due, Task task) {
+  const std::uint64_t id = next_id_++;
+  tasks_.emplace(std::pair(due.microseconds, id), std::move(task));
+  return id;
+}
+
+void ManualScheduler::Remove(std::uint64_t id) {
+  std::erase_if(tasks_,
+                [id](const auto& row) { return row.first.second == id; });
+}
+
+void ManualScheduler::RunReady() {
+  while (!tasks_.empty() && tasks_.begin()->first.first <= Now().microseconds) {
+    auto node = tasks_.extract(tasks_.begin());
+    node.mapped()();
+  }
+}
+
+void ManualScheduler::Advance(Duration duration) {
+  const MonotonicTime end = Now() + duration;
+  RunReady();
+  while (!tasks_.empty() && tasks_.begin()->first.first <= end.microseconds) {
+    time_->Advance(MonotonicTime{tasks_.begin()->first.first} - Now());
+    RunReady();
+  }
+  time_->Advance(end - Now());
+}
+
+TaskRunner::TaskRunner(boost::asio::io_context& context)
+    : target_(Threads{&context, boost::asio::make_strand(context)}) {}
+
+TaskRunner::TaskRunner(std::shared_ptr<ManualScheduler> scheduler)
+    : target_(std::move(scheduler)) {}
+
+void TaskRunner::Post(Task task) const {
+  if (const auto* threads = std::get_if<Threads>(&target_)) {
+    boost::asio::post(threads->strand, std::move(task));
+    return;
+  }
+  const auto& scheduler = std::get<std::shared_ptr<ManualScheduler>>(target_);
+  scheduler->Add(scheduler->Now(), std::move(task));
+}
+
+Timer TaskRunner::After(Duration delay, Task task) const {
+  if (const auto* manual =
+          std::get_if<std::shared_ptr<ManualScheduler>>(&target_)) {
+    const auto& scheduler = *manual;
+    const auto id = scheduler->Add(scheduler->Now() + delay, std::move(task));
+    return Timer([scheduler, id] { scheduler->Remove(id); });
+  }
+  const auto& threads = std::get<Threads>(target_);
+  auto timer = std::make_shared<boost::asio::steady_timer>(*threads.context);
+  auto cancelled = std::make_shared<std::atomic<bool>>(false);
+  timer->expires_after(delay);
+  // The handler holds the timer alive; it runs on the strand, so a Cancel()
+  // from the same sequence always wins over a handler not yet run.
+  timer->async_wait(boost::asio::bind_executor(
+      threads.strand, [timer, cancelled, task = std::move(task)](
+                          const boost::system::error_code& error) {
+        if (!error && !cancelled->load()) {
+          task();
+        }
+      }));
+  // NOTE: steady_timer is not thread-safe, so the cancel is posted to the
+  // strand; the flag makes it effective at once.
+  return Timer([timer, cancelled, strand = threads.strand] {
+    cancelled->store(true);
+    boost::asio::post(strand, [timer] { timer->cancel(); });
+  });
+}
+
+TaskRunner TaskRunner::MakeSequence() const {
+  if (const auto* threads = std::get_if<Threads>(&target_)) {
+    return TaskRunner(*threads->context);
+  }
+  return TaskRunner(std::get<std::shared_ptr<ManualScheduler>>(target_));
+}
+
+}  // namespace medlarspread::base
--- /dev/null
+++ b/src/blackboard/blackboard.h
@@ -0,0 +1,27 @@
+// The blackboard: what the controllers of one daemon have found out, for each
+// other and for the traffic threads. Each entry has one writer, named here.
+
+#ifndef MEDLARSPREAD_BLACKBOARD_BLACKBOARD_H_
+#define MEDLARSPREAD_BLACKBOARD_BLACKBOARD_H_
+
+#include "src/blackboard/cell.h"
+#include "src/blackboard/views.h"
+
+namespace medlarspread::blackboard {
+
+struct Blackboard {
+  // Written by membership::MembershipController.
+  Cell<MembershipView> membership;
+  // Written by upstream::UpstreamController.
+  Cell<UpstreamsView> upstreams;
+  // Written by targets::TargetsController. The revision never decreases.
+  Cell<TargetsView> targets;
+  // Written by burn::BurnController.
+  Cell<BurnView> burn;
+  // Written by daemon::Daemon.
+  Cell<LifecycleView> lifecycle;
+};
+
+}  // namespace medlarspread::blackboard
+
+#endif  // MEDLARSPREAD_BLACKBOARD_BLACKBOARD_H_
--- /dev/null
+++ b/src/blackboard/views.h
@@ -0,0 +1,140 @@
+// The values on the blackboard. Controllers on the control thread write them;
+// sessions on the traffic threads read them.
+
+#ifndef MEDLARSPREAD_BLACKBOARD_VIEWS_H_
+#define MEDLARSPREAD_BLACKBOARD_VIEWS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+
+namespace medlarspread::blackboard {
+
+// The size of the key space of every collection. Shards are ranges of it.
+constexpr std::int32_t kKeySpace = 65536;
+
+// One region of the key space: [low, high).
+struct KeyRange {
+  std::int32_t low = 0;
+  std::int32_t high = 0;
+
+  std::int32_t width() const { return high - low; }
+  bool is_valid() const { return 0 <= low && low < high && high <= kKeySpace; }
+  friend auto operator<=>(const KeyRange&, const KeyRange&) = default;
+};
+
+// An index version together with the shard layout it is served in.
+struct Snapshot {
+  std::int64_t index_version = 0;
+  std::int64_t layout_version = 0;
+
+  friend auto operator<=>(const Snapshot&, const Snapshot&) = default;
+};
+
+// What one leaf can answer for: a range of the key space in one snapshot.
+struct Holding {
+  Snapshot snapshot;
+  KeyRange range;
+
+  friend auto operator<=>(const Holding&, const Holding&) = default;
+};
+
+enum class MemberState { kLive, kLeaving, kGone };
+
+// One daemon of this system, on its VM.
+struct Member {
+  std::string name;
+  // Where its peer link listens, "ip:port".
+  std::string address;
+  std::string region;
+  std::string failure_domain;
+  std::int64_t incarnation = 0;
+  MemberState state = MemberState::kLive;
+  std::int64_t targets_revision = 0;
+
+  friend bool operator==(const Member&, const Member&) = default;
+};
+
+// The daemons believed to be live or leaving, this one included, by name.
+struct MembershipView {
+  std::string self;
+  std::map<std::string, Member> members;
+};
+
+enum class UpstreamState { kServing, kCold, kDraining, kUnreachable };
+
+// One leaf (a replica of a shard) as this daemon knows it.
+struct Upstream {
+  std::string name;
+  // "ip:port" of its HTTP interface.
+  std::string address;
+  std::string region;
+  std::string failure_domain;
+  std::string collection;
+  UpstreamState state = UpstreamState::kServing;
+  // Requests it works on at once.
+  int slots = 1;
+  // Connections it accepts from all daemons together.
+  int connections = 1;
+  std::vector<Holding> holdings;
+  // When it became cold (kCold): it is brought in slowly from then on.
+  base::MonotonicTime cold_since;
+
+  friend bool operator==(const Upstream&, const Upstream&) = default;
+};
+
+// All leaves by name.
+struct UpstreamsView {
+  std::map<std::string, Upstream> upstreams;
+};
+
+// The targets of one class of work, as operators state them.
+struct ClassTargets {
+  std::string name;
+  std::string collection;
+  // `percentile` of 100 answers must arrive within `latency`.
+  base::Duration latency = base::Milliseconds(100);
+  double percentile = 99.0;
+  // Share of the key space that an answer must cover, 0 to 1.
+  double coverage = 1.0;
+  // Share of answers that must meet the coverage target, out of 100.
+  double coverage_percentile = 99.0;
+
+  friend bool operator==(const ClassTargets&, const ClassTargets&) = default;
+};
+
+// The targets in force. Revision 0 means that none has been learnt yet.
+struct TargetsView {
+  std::int64_t revision = 0;
+  // XXH64 of the stored body; two VMs with one revision must agree on it.
+  std::int64_t digest = 0;
+  std::map<std::string, ClassTargets> classes;
+  // When each revision came into force here is for `status` only.
+  std::int64_t in_force_since_wall_ms = 0;
+};
+
+enum class LifecycleState { kStarting, kReady, kStopping };
+
+struct LifecycleView {
+  LifecycleState state = LifecycleState::kStarting;
+  // Why the daemon is not ready, for the log and the readiness page.
+  std::string reason = "starting";
+};
+
+// How a class did of late, from the counts of this daemon; read by admission.
+struct ClassBurn {
+  // Share of the error budget that is being spent: 1.0 spends it exactly.
+  double short_window_burn = 0.0;
+  double long_window_burn = 0.0;
+};
+
+struct BurnView {
+  std::map<std::string, ClassBurn> classes;
+};
+
+}  // namespace medlarspread::blackboard
+
+#endif  // MEDLARSPREAD_BLACKBOARD_VIEWS_H_
--- /dev/null
+++ b/src/peer/peer.thrift
@@ -0,0 +1,139 @@
+// Messages between the daemons. Each travels as one frame: a four-byte length,
+// then one Envelope in the compact protocol. A link carries many requests at
+// once and in any order; replies are matched by the identifiers they carry,
+// never by their place on the link.
+//
+// Times in messages are durations left or ages, never clock readings, because
+// the clocks of two VMs need not agree.
+
+namespace cpp medlarspread.peer.wire
+
+// One region of the key space of a collection: [low, high).
+struct KeyRange {
+  1: i32 low;
+  2: i32 high;
+}
+
+// An index version together with the shard layout it is served in.
+struct Snapshot {
+  1: i64 index_version;
+  2: i64 layout_version;
+}
+
+// What one VM says of one VM (itself or another).
+struct MemberRecord {
+  1: string name;
+  2: string address;
+  3: string region;
+  4: string failure_domain;
+  // Grows with each start of the VM's process.
+  5: i64 incarnation;
+  // Grows with each heartbeat of one incarnation.
+  6: i64 heartbeat;
+  // 0 live, 1 leaving, 2 gone.
+  7: i32 state;
+  // The highest revision of the targets that this VM has in force.
+  8: i64 targets_revision;
+  9: i64 targets_digest;
+}
+
+struct Heartbeat {
+  1: MemberRecord sender;
+  // Records of other VMs that changed lately or come from other domains.
+  2: list<MemberRecord> others;
+  // Set when the sender asks for the whole table back.
+  3: bool wants_table;
+  // Upstreams that the sender has heard to be draining, by name, with the
+  // age of that news in milliseconds.
+  4: map<string, i32> draining_upstreams;
+}
+
+// Asks the holder of the queues for shards of one collection.
+struct SubQuery {
+  1: i64 sub_query_id;
+  2: string request_id;
+  3: string class_name;
+  4: string collection;
+  5: Snapshot snapshot;
+  6: list<KeyRange> ranges;
+  // Time left until the caller's deadline and until the class's target.
+  7: i32 deadline_left_us;
+  8: i32 target_left_us;
+  9: binary query;
+  // Set for a second send: goes to the head of the queue.
+  10: bool is_hedge;
+  // Set for a non-idempotent request: each range is sent once at most.
+  11: bool is_at_most_once;
+}
+
+// How full the holder's queues are; rides on every reply.
+struct QueueLoad {
+  1: i32 queued;
+  2: i32 running;
+  3: i32 slots;
+  // Expected wait of a new request of median urgency.
+  4: i32 expected_wait_us;
+}
+
+// One shard's outcome. `outcome` is the index of routing::ShardOutcome.
+struct ShardReply {
+  1: i64 sub_query_id;
+  2: string request_id;
+  3: KeyRange range;
+  4: Snapshot snapshot;
+  5: i32 outcome;
+  // A JSON array of the items found; empty unless answered.
+  6: binary items;
+  7: i32 retry_after_ms;
+  8: string detail;
+  // The upstream that answered or failed.
+  9: string upstream;
+  10: i32 sends;
+  11: QueueLoad load;
+  12: i32 service_us;
+}
+
+struct CancelSubQuery {
+  1: i64 sub_query_id;
+}
+
+// Asks for the targets body; sent when a heartbeat shows a higher revision.
+struct TargetsRequest {
+  1: i64 above_revision;
+}
+
+// The whole record of targets as stored, or nothing newer if body is empty.
+struct TargetsBody {
+  1: i64 revision;
+  2: binary body;
+}
+
+// Asks the daemon that groups the claims of a bucket to commit one claim.
+struct ClaimRequest {
+  1: i64 claim_id;
+  2: string request_id;
+  3: string nonce;
+  4: i32 deadline_left_us;
+}
+
+// `outcome` is the index of claims::ClaimOutcome.
+struct ClaimReply {
+  1: i64 claim_id;
+  2: string request_id;
+  3: i32 outcome;
+  4: string detail;
+}
+
+struct Envelope {
+  1: string sender;
+  2: i64 sender_incarnation;
+  // Exactly one of these is set.
+  10: optional Heartbeat heartbeat;
+  11: optional SubQuery sub_query;
+  12: optional ShardReply shard_reply;
+  13: optional CancelSubQuery cancel_sub_query;
+  14: optional TargetsRequest targets_request;
+  15: optional TargetsBody targets_body;
+  16: optional ClaimRequest claim_request;
+  17: optional ClaimReply claim_reply;
+}
--- /dev/null
+++ b/src/platform/store.h
@@ -0,0 +1,85 @@
+// The platform's key-value service as the rest of the daemon sees it: a set of
+// calls that the HTTP client fills in on a daemon and a fake fills in in tests.
+
+#ifndef MEDLARSPREAD_PLATFORM_STORE_H_
+#define MEDLARSPREAD_PLATFORM_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+
+namespace medlarspread::platform {
+
+struct Entry {
+  std::string key;
+  std::string value;
+  // Grows with each write of the key and never repeats.
+  std::int64_t version = 0;
+
+  friend bool operator==(const Entry&, const Entry&) = default;
+};
+
+// The version that CompareAndSwap expects of a key that must not exist yet.
+constexpr std::int64_t kAbsent = 0;
+
+// Every callback runs once, on the sequence that the client was built with.
+// Errors: kUnavailable, kUnreachable and kOverloaded mean that nothing was
+// done; kConflict that the swap was refused; kUnknownOutcome that a write may
+// or may not have taken effect and has to be settled by reading back.
+struct Store {
+  using ReadCallback = std::function<void(base::Result<std::optional<Entry>>)>;
+  using WriteCallback = std::function<void(base::Result<std::int64_t>)>;
+  using ListCallback = std::function<void(base::Result<std::vector<Entry>>)>;
+  using EraseCallback = std::function<void(base::Status)>;
+
+  std::function<void(std::string key, base::Duration timeout, ReadCallback)>
+      read;
+  std::function<void(std::string key,
+                     std::string value,
+                     std::int64_t expected_version,
+                     base::Duration timeout,
+                     WriteCallback)>
+      compare_and_swap;
+  std::function<void(std::string prefix, base::Duration timeout, ListCallback)>
+      list;
+  std::function<void(std::string key,
+                     std::int64_t expected_version,
+                     base::Duration timeout,
+                     EraseCallback)>
+      erase;
+  // Answers once the key's version is above `after_version`, or with nothing
+  // after `wait`.
+  std::function<void(std::string key,
+                     std::int64_t after_version,
+                     base::Duration wait,
+                     ReadCallback)>
+      watch;
+};
+
+enum class VmRole { kEntry, kUpstream };
+
+// One row of the platform's lagging list of VMs.
+struct Vm {
+  std::string name;
+  VmRole role = VmRole::kEntry;
+  std::string address;
+  std::string region;
+  std::string failure_domain;
+  bool is_leaving = false;
+  // Empty for entry VMs.
+  std::string collection;
+
+  friend bool operator==(const Vm&, const Vm&) = default;
+};
+
+using VmListCallback = std::function<void(base::Result<std::vector<Vm>>)>;
+using ReadVmList = std::function<void(base::Duration timeout, VmListCallback)>;
+
+}  // namespace medlarspread::platform
+
+#endif  // MEDLARSPREAD_PLATFORM_STORE_H_
