--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1307,6 +1307,10 @@
 void ShardReply::__set_service_us(const int32_t val) {
   this->service_us = val;
 }
+
+void ShardReply::__set_held_us(const int32_t val) {
+  this->held_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const ShardReply& obj)
 {
   obj.printTo(out);
@@ -1431,6 +1435,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->held_us);
+          this->__isset.held_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1496,6 +1508,10 @@
   xfer += oprot->writeI32(this->service_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("held_us", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->held_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1515,6 +1531,7 @@
   swap(a.sends, b.sends);
   swap(a.load, b.load);
   swap(a.service_us, b.service_us);
+  swap(a.held_us, b.held_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1531,6 +1548,7 @@
   sends = other44.sends;
   load = other44.load;
   service_us = other44.service_us;
+  held_us = other44.held_us;
   __isset = other44.__isset;
 }
 ShardReply::ShardReply(ShardReply&& other45) noexcept {
@@ -1546,6 +1564,7 @@
   sends = other45.sends;
   load = std::move(other45.load);
   service_us = other45.service_us;
+  held_us = other45.held_us;
   __isset = other45.__isset;
 }
 ShardReply& ShardReply::operator=(const ShardReply& other46) {
@@ -1561,6 +1580,7 @@
   sends = other46.sends;
   load = other46.load;
   service_us = other46.service_us;
+  held_us = other46.held_us;
   __isset = other46.__isset;
   return *this;
 }
@@ -1577,6 +1597,7 @@
   sends = other47.sends;
   load = std::move(other47.load);
   service_us = other47.service_us;
+  held_us = other47.held_us;
   __isset = other47.__isset;
   return *this;
 }
@@ -1595,6 +1616,7 @@
   out << ", " << "sends=" << to_string(sends);
   out << ", " << "load=" << to_string(load);
   out << ", " << "service_us=" << to_string(service_us);
+  out << ", " << "held_us=" << to_string(held_us);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -495,7 +495,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
 
 typedef struct _ShardReply__isset {
-  _ShardReply__isset() : sub_query_id(false), request_id(false), range(false), snapshot(false), outcome(false), items(false), retry_after_ms(false), detail(false), upstream(false), sends(false), load(false), service_us(false) {}
+  _ShardReply__isset() : sub_query_id(false), request_id(false), range(false), snapshot(false), outcome(false), items(false), retry_after_ms(false), detail(false), upstream(false), sends(false), load(false), service_us(false), held_us(false) {}
   bool sub_query_id :1;
   bool request_id :1;
   bool range :1;
@@ -508,6 +508,7 @@
   bool sends :1;
   bool load :1;
   bool service_us :1;
+  bool held_us :1;
 } _ShardReply__isset;
 
 class ShardReply : public virtual ::apache::thrift::TBase {
@@ -526,7 +527,8 @@
                detail(),
                upstream(),
                sends(0),
-               service_us(0) {
+               service_us(0),
+               held_us(0) {
   }
 
   virtual ~ShardReply() noexcept;
@@ -542,6 +544,7 @@
   int32_t sends;
   QueueLoad load;
   int32_t service_us;
+  int32_t held_us;
 
   _ShardReply__isset __isset;
 
@@ -569,6 +572,8 @@
 
   void __set_service_us(const int32_t val);
 
+  void __set_held_us(const int32_t val);
+
   bool operator == (const ShardReply & rhs) const
   {
     if (!(sub_query_id == rhs.sub_query_id))
@@ -595,6 +600,8 @@
       return false;
     if (!(service_us == rhs.service_us))
       return false;
+    if (!(held_us == rhs.held_us))
+      return false;
     return true;
   }
   bool operator != (const ShardReply &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -48,7 +48,7 @@
   4: map<string, i32> draining_upstreams;
 }
 
-// Asks the holder of the queues for shards of one collection.
+// Asks the owner of the queues for shards of one collection.
 struct SubQuery {
   1: i64 sub_query_id;
   2: string request_id;
@@ -66,7 +66,7 @@
   11: bool is_at_most_once;
 }
 
-// How full the holder's queues are; rides on every reply.
+// How full the queue of this shard is at its owner; rides on every reply.
 struct QueueLoad {
   1: i32 queued;
   2: i32 running;
@@ -91,6 +91,8 @@
   10: i32 sends;
   11: QueueLoad load;
   12: i32 service_us;
+  // Time from the arrival of the sub-query at the owner to this reply.
+  13: i32 held_us;
 }
 
 struct CancelSubQuery {
