--- /dev/null
+++ b/src/claims/claim_service.h
@@ -0,0 +1,97 @@
+// The part of a daemon that obtains claims for its query sessions and groups
+// the claims of other daemons. Safe to call from any thread; the work is done
+// on one sequence.
+//
+// The protocol, for one claim:
+//  1. The asker checks the identifier's age and picks the daemon that groups
+//     the claims of its key: the first in rendezvous order.
+//  2. That daemon records (identifier, nonce) with other claims of the key by
+//     one compare-and-swap. Two daemons that both group one key conflict on
+//     the swap, and the loser reads again.
+//  3. A swap of unknown outcome is settled by reading back.
+//  4. The asker is told. It grants only if it is still waiting and its deadline
+//     has not passed; only the asker ever sends.
+//  5. If the answer does not come, the asker tries the next in order, then
+//     commits the claim itself. The nonce stays the same, so that a claim that
+//     was recorded twice over is still one claim.
+
+#ifndef MEDLARSPREAD_CLAIMS_CLAIM_SERVICE_H_
+#define MEDLARSPREAD_CLAIMS_CLAIM_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/blackboard.h"
+#include "src/claims/claim_port.h"
+#include "src/claims/claim_settings.h"
+#include "src/peer/message.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::claims {
+
+// Counts since the start, for the metrics page. Calls are calls to the store.
+struct ClaimCounts {
+  std::int64_t swaps = 0;
+  std::int64_t reads = 0;
+  std::int64_t lists = 0;
+  std::int64_t erases = 0;
+  // Swaps whose outcome was not known at first.
+  std::int64_t unknown_swaps = 0;
+  std::int64_t granted = 0;
+  std::int64_t taken = 0;
+  std::int64_t refused = 0;
+  std::int64_t unsettled = 0;
+  std::int64_t expired = 0;
+  // The store was found to have lost writes that it had confirmed.
+  std::int64_t lost_state = 0;
+  // One identifier was found under two nonces: the store lost the first.
+  std::int64_t clashes = 0;
+};
+
+class ClaimService {
+ public:
+  // `random` and `blackboard` must outlive the service.
+  ClaimService(ClaimSettings settings,
+               base::Clock clock,
+               base::Random& random,
+               base::TaskRunner runner,
+               platform::Store store,
+               peer::PeerPort peers,
+               const blackboard::Blackboard& blackboard);
+  ~ClaimService();
+  ClaimService(const ClaimService&) = delete;
+  ClaimService& operator=(const ClaimService&) = delete;
+
+  // Starts the erasing of expired claims.
+  void Start();
+
+  // For the query sessions. Its callbacks run on the service's sequence.
+  ClaimPort port();
+
+  void DidReceive(const peer::Sender& sender,
+                  const peer::wire::ClaimRequest& request);
+  void DidReceive(const peer::Sender& sender,
+                  const peer::wire::ClaimReply& reply);
+  void DidLosePeer(const std::string& peer);
+
+  // Refuses new claims, and calls back once those under way are settled: at
+  // the latest when their deadlines have passed. Call it after the sessions
+  // have ended. Other daemons are told to ask elsewhere.
+  void Stop(std::function<void()> did_stop);
+
+  // Runs `callback` with the counts on the service's sequence.
+  void ReadCounts(std::function<void(ClaimCounts)> callback);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace medlarspread::claims
+
+#endif  // MEDLARSPREAD_CLAIMS_CLAIM_SERVICE_H_
