--- /dev/null
+++ b/src/base/json_string.h
@@ -0,0 +1,18 @@
+// Quoting of text as a JSON string, for the few places that write JSON by hand.
+
+#ifndef MEDLARSPREAD_BASE_JSON_STRING_H_
+#define MEDLARSPREAD_BASE_JSON_STRING_H_
+
+#include <string>
+#include <string_view>
+
+namespace medlarspread::base {
+
+// `text` in double quotes. Control characters are escaped, and so is every
+// byte that is not part of valid UTF-8, as the character U+FFFD: the result is
+// always valid JSON on one line.
+std::string JsonString(std::string_view text);
+
+}  // namespace medlarspread::base
+
+#endif  // MEDLARSPREAD_BASE_JSON_STRING_H_
