Platform: Add the clients of the store and of the VM list

Cause: the daemon needs the platform's key-value service and list of VMs, and callers act on whether a failed write certainly was not made.

Change: StoreClient and VmListClient fill in the ports over src/http. A write counts as not made only if the connection was refused, or if the service answered 429, 413, 400, 404 or 409. Every other failure is kUnknownOutcome.

Ruled out: taking a 503 as "not made". The published interface does not promise it, and a wrong "not made" would let a caller run or change something twice; a wrong "unknown" costs one read.

--- /dev/null
+++ b/src/platform/store_client.h
@@ -0,0 +1,54 @@
+// The client of the platform's key-value service: fills in platform::Store
+// with calls over HTTP. It decides from each failure whether a write certainly
+// was not made or may have been made, because callers act on that difference.
+
+#ifndef MEDLARSPREAD_PLATFORM_STORE_CLIENT_H_
+#define MEDLARSPREAD_PLATFORM_STORE_CLIENT_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "src/base/task_runner.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::platform {
+
+// The service refuses larger values.
+constexpr std::size_t kMaxValueBytes = 1 << 20;
+
+// A watch never waits longer than this, so that the HTTP library's own timeout
+// per read (30 s) can't end it first.
+constexpr base::Duration kMaxWatchWait = base::Milliseconds(20000);
+
+struct StoreClientSettings {
+  // "ip:port" of the service.
+  std::string address;
+  // A list of many entries is larger than one value.
+  std::size_t max_body_bytes = 16 << 20;
+  // How long the reply to a watch may take beyond the wait that was asked for.
+  base::Duration watch_margin = base::Milliseconds(2000);
+};
+
+class StoreClient {
+ public:
+  // Callbacks run on `sequence`.
+  StoreClient(StoreClientSettings settings, base::TaskRunner sequence);
+
+  // Reads fail with what the HTTP client reports, kOverloaded (429),
+  // kUnavailable (any 5xx) or kMalformed. Writes fail with
+  //   kUnreachable, kOverloaded, kTooLarge, kInvalidArgument: not made;
+  //   kConflict, or kNotFound for an erase: refused, so not made;
+  //   kUnknownOutcome: anything else, a 5xx included, because the service
+  //   does not promise that a request answered so was not made.
+  // The calls may outlive this object.
+  Store store() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace medlarspread::platform
+
+#endif  // MEDLARSPREAD_PLATFORM_STORE_CLIENT_H_
--- /dev/null
+++ b/src/platform/vm_list_client.h
@@ -0,0 +1,39 @@
+// The client of the platform's lagging list of VMs: fills in ReadVmList.
+
+#ifndef MEDLARSPREAD_PLATFORM_VM_LIST_CLIENT_H_
+#define MEDLARSPREAD_PLATFORM_VM_LIST_CLIENT_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "src/base/task_runner.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::platform {
+
+struct VmListClientSettings {
+  // "ip:port" of the platform.
+  std::string address;
+  std::size_t max_body_bytes = 16 << 20;
+};
+
+class VmListClient {
+ public:
+  // Callbacks run on `sequence`.
+  VmListClient(VmListClientSettings settings, base::TaskRunner sequence);
+
+  // Fails with what the HTTP client reports, kOverloaded (429), kUnavailable
+  // (any other status) or kMalformed: one row that can't be read fails the
+  // whole list, because a list that lacks a VM reads as the VM's loss. Fields
+  // that are not published are ignored. The call may outlive this object.
+  ReadVmList read_vm_list() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace medlarspread::platform
+
+#endif  // MEDLARSPREAD_PLATFORM_VM_LIST_CLIENT_H_
