--- a/src/blackboard/views.h
+++ b/src/blackboard/views.h
@@ -23,6 +23,7 @@
 
   std::int32_t width() const { return high - low; }
   bool is_valid() const { return 0 <= low && low < high && high <= kKeySpace; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a defaulted <=>.
   friend auto operator<=>(const KeyRange&, const KeyRange&) = default;
 };
 
@@ -31,6 +32,7 @@
   std::int64_t index_version = 0;
   std::int64_t layout_version = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a defaulted <=>.
   friend auto operator<=>(const Snapshot&, const Snapshot&) = default;
 };
 
@@ -39,6 +41,7 @@
   Snapshot snapshot;
   KeyRange range;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a defaulted <=>.
   friend auto operator<=>(const Holding&, const Holding&) = default;
 };
 
