Admission: Add windows, queues, budgets and the entry gate

The first working version of the decisions about who gets a slot of a leaf: an adaptive window per leaf, an urgency queue per bundle of leaves, the delay and budget of second sends, the retry budget with backoff, and the gate at the entry.

--- /dev/null
+++ b/src/admission/entry_gate.h
@@ -0,0 +1,51 @@
+// Decides at the entry whether a request is taken in or refused at once. As the
+// wait for a slot grows, the classes whose targets leave most slack are refused
+// first; a request whose wait alone would outlast its deadline is always
+// refused. A refused request is answered at once and told when to come back.
+
+#ifndef MEDLARSPREAD_ADMISSION_ENTRY_GATE_H_
+#define MEDLARSPREAD_ADMISSION_ENTRY_GATE_H_
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/blackboard/blackboard.h"
+
+namespace medlarspread::admission {
+
+struct Decision {
+  bool is_admitted = true;
+  // When refused: how long the caller should wait before it asks again.
+  base::Duration retry_after{};
+};
+
+// Safe to use from any thread.
+class EntryGate {
+ public:
+  // Reads `targets`. The blackboard must outlive the gate.
+  EntryGate(const blackboard::Blackboard& blackboard, base::Clock clock);
+
+  // `expected_wait` is that of the slowest queue the request needs.
+  Decision Admit(const blackboard::ClassTargets& targets,
+                 base::Duration expected_wait,
+                 base::Duration deadline_left);
+
+ private:
+  // The share of requests of the class to admit, 0 to 1.
+  double AdmitShare(const blackboard::ClassTargets& targets,
+                    base::Duration expected_wait) const;
+  // Admits `share` of the calls for `class_name`, spread evenly.
+  bool TakeTurn(const std::string& class_name, double share);
+
+  const blackboard::Blackboard& blackboard_;
+  const base::Clock clock_;
+  std::mutex mutex_;
+  // Per class the part of an admission that is owed. Invariant: in [0, 1).
+  std::map<std::string, double> owed_;
+};
+
+}  // namespace medlarspread::admission
+
+#endif  // MEDLARSPREAD_ADMISSION_ENTRY_GATE_H_
--- /dev/null
+++ b/src/admission/leaf_window.cc
@@ -0,0 +1,125 @@
+// The adaptive limit: multiplicative decrease, additive increase, and a floor
+// learned from medians so that a few stragglers don't move it.
+
+#include "src/admission/leaf_window.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace medlarspread::admission {
+namespace {
+
+// The lowest limit: one request, then a pause three times as long.
+constexpr double kLowestLimit = 0.25;
+// Growth per answer, relative to the limit: one more after `limit` / 0.1
+// answers.
+constexpr double kGrowth = 0.1;
+constexpr std::size_t kBatch = 16;
+constexpr std::size_t kBatches = 16;
+// Requests wait inside the leaf when the typical one takes this many times the
+// lowest of the earlier medians.
+constexpr double kExcess = 2.0;
+// How long nothing is sent after a shed reply that names no time.
+constexpr base::Duration kShedPause = base::Milliseconds(5);
+
+}  // namespace
+
+LeafWindow::LeafWindow(int slots, int connections)
+    : maximum_(std::min(slots, connections)), limit_(maximum_) {
+  assert(slots >= 1 && connections >= 1);
+}
+
+bool LeafWindow::TryAcquire() {
+  if (!has_room()) {
+    return false;
+  }
+  ++in_flight_;
+  return true;
+}
+
+bool LeafWindow::TryAcquire(base::MonotonicTime now) {
+  return has_room(now) && TryAcquire();
+}
+
+void LeafWindow::Release() {
+  assert(in_flight_ > 0);
+  --in_flight_;
+}
+
+void LeafWindow::DidReply(base::Duration service_time,
+                          bool is_shed,
+                          base::MonotonicTime now) {
+  if (is_shed) {
+    DidShed(now);
+    return;
+  }
+  Learn(service_time);
+  Grow(service_time, now);
+}
+
+void LeafWindow::DidAskToWait(base::Duration retry_after,
+                              base::MonotonicTime now) {
+  not_before_ = std::max(not_before_, now + retry_after);
+}
+
+void LeafWindow::set_cold_since(base::MonotonicTime since) {
+  limit_ = kLowestLimit;
+  last_halved_ = since;
+}
+
+int LeafWindow::limit() const {
+  return std::max(1, static_cast<int>(limit_));
+}
+
+void LeafWindow::DidShed(base::MonotonicTime now) {
+  not_before_ = std::max(not_before_, now + kShedPause);
+  // Several requests of one burst are shed together; that is one event.
+  if (now - last_halved_ < std::max(typical_, kShedPause)) {
+    return;
+  }
+  last_halved_ = now;
+  limit_ = std::max(kLowestLimit, limit_ / 2);
+}
+
+void LeafWindow::Learn(base::Duration service_time) {
+  constexpr int kWeight = 8;
+  typical_ = typical_ == base::Duration{}
+                 ? service_time
+                 : typical_ + (service_time - typical_) / kWeight;
+  batch_.push_back(service_time);
+  if (batch_.size() == kBatch) {
+    CompareWithFloor();
+  }
+}
+
+void LeafWindow::CompareWithFloor() {
+  const auto middle = batch_.begin() + kBatch / 2;
+  std::nth_element(batch_.begin(), middle, batch_.end());
+  const base::Duration median = *middle;
+  batch_.clear();
+  if (!medians_.empty()) {
+    const base::Duration floor =
+        *std::min_element(medians_.begin(), medians_.end());
+    if (base::ToMilliseconds(median) > kExcess * base::ToMilliseconds(floor)) {
+      limit_ = std::max(1.0, limit_ - 1);
+    }
+  }
+  // NOTE: a leaf that stays slow raises the floor once the older medians have
+  // left, so that a lasting change of the work is not taken for waiting.
+  medians_.push_back(median);
+  if (medians_.size() > kBatches) {
+    medians_.pop_front();
+  }
+}
+
+void LeafWindow::Grow(base::Duration service_time, base::MonotonicTime now) {
+  limit_ = std::min<double>(maximum_, limit_ + kGrowth / std::max(1.0, limit_));
+  if (limit_ >= 1.0) {
+    return;
+  }
+  const auto pause = static_cast<std::int64_t>(
+      static_cast<double>(service_time.count()) * (1.0 / limit_ - 1.0));
+  DidAskToWait(base::Duration(pause), now);
+}
+
+}  // namespace medlarspread::admission
--- /dev/null
+++ b/src/admission/retry_budget.cc
@@ -0,0 +1,45 @@
+// A token bucket that successes fill, and backoff with jitter.
+
+#include "src/admission/retry_budget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace medlarspread::admission {
+namespace {
+
+// A quiet class can retry a few times; a blackout uses this up at once and
+// from then on only successes pay.
+constexpr double kMaximumTokens = 10.0;
+constexpr base::Duration kFirstBackoff = base::Milliseconds(2);
+constexpr int kMaximumDoublings = 6;
+
+}  // namespace
+
+RetryBudget::RetryBudget(double share)
+    : share_(share), tokens_(kMaximumTokens) {
+  assert(share >= 0.0 && share < 1.0);
+}
+
+bool RetryBudget::Take() {
+  if (tokens_ < 1.0) {
+    return false;
+  }
+  tokens_ -= 1.0;
+  return true;
+}
+
+void RetryBudget::DidSucceed() {
+  tokens_ = std::min(kMaximumTokens, tokens_ + share_);
+}
+
+base::Duration Backoff(int attempt, base::Random& random) {
+  assert(attempt >= 1);
+  const int doublings = std::min(attempt - 1, kMaximumDoublings);
+  const base::Duration longest = kFirstBackoff * (1 << doublings);
+  // Half is fixed so that a retry never follows at once.
+  const double jitter = random.Unit() * static_cast<double>(longest.count());
+  return longest / 2 + base::Duration(static_cast<std::int64_t>(jitter / 2));
+}
+
+}  // namespace medlarspread::admission
--- /dev/null
+++ b/src/admission/second_send_policy.cc
@@ -0,0 +1,77 @@
+// The delay is a multiple of the typical service time, which is the mean
+// without the slowest answers: stragglers must not raise the delay that is
+// meant to catch them.
+
+#include "src/admission/second_send_policy.h"
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+
+namespace medlarspread::admission {
+namespace {
+
+constexpr std::size_t kSamples = 512;
+// Replies that must have been seen before a delay is given.
+constexpr std::size_t kFirstSamples = 32;
+// The delay is learned anew after so many replies.
+constexpr std::size_t kRelearn = 32;
+// Share of the slowest samples that is left out.
+constexpr double kTrimmed = 0.05;
+constexpr double kMultiple = 3.0;
+constexpr base::Duration kLowestDelay = base::Milliseconds(1);
+// Bounds a burst of second sends after a quiet time.
+constexpr double kMaximumTokens = 20.0;
+
+}  // namespace
+
+SecondSendPolicy::SecondSendPolicy(double share)
+    : share_(std::clamp(share, 0.0, kMaximumShare)),
+      tokens_(share_ > 0 ? 1.0 : 0.0) {}
+
+bool SecondSendPolicy::TakeBudget() {
+  if (tokens_ < 1.0) {
+    return false;
+  }
+  tokens_ -= 1.0;
+  return true;
+}
+
+void SecondSendPolicy::ReturnBudget() {
+  tokens_ = std::min(kMaximumTokens, tokens_ + 1.0);
+}
+
+void SecondSendPolicy::DidFirstSend() {
+  tokens_ = std::min(kMaximumTokens, tokens_ + share_);
+}
+
+void SecondSendPolicy::DidReply(base::Duration service_time) {
+  if (samples_.size() < kSamples) {
+    samples_.push_back(service_time);
+  } else {
+    samples_[next_] = service_time;
+    next_ = (next_ + 1) % kSamples;
+  }
+  ++replies_;
+  if (replies_ >= kFirstSamples && replies_ % kRelearn == 0) {
+    LearnDelay();
+  }
+}
+
+void SecondSendPolicy::LearnDelay() {
+  std::vector<base::Duration> sorted = samples_;
+  std::sort(sorted.begin(), sorted.end());
+  const auto kept = static_cast<std::size_t>(
+      static_cast<double>(sorted.size()) * (1.0 - kTrimmed));
+  assert(kept > 0);
+  const base::Duration sum =
+      std::accumulate(sorted.begin(), sorted.begin() + static_cast<long>(kept),
+                      base::Duration{});
+  const double mean =
+      static_cast<double>(sum.count()) / static_cast<double>(kept);
+  delay_ =
+      std::max(kLowestDelay,
+               base::Duration(static_cast<std::int64_t>(mean * kMultiple)));
+}
+
+}  // namespace medlarspread::admission
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -19,6 +19,9 @@
 struct MonotonicTime {
   std::int64_t microseconds = 0;
 
+  // NOTE: clang-tidy 14 takes the 0 of `a < b`, which is rewritten as
+  // `(a <=> b) < 0`, for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const MonotonicTime&, const MonotonicTime&) = default;
 };
 
--- /dev/null
+++ b/tests/admission/budgets_test.cc
@@ -0,0 +1,78 @@
+// The budgets of second sends and retries hold, whatever is asked of them.
+
+#include <gtest/gtest.h>
+
+#include "src/admission/retry_budget.h"
+#include "src/admission/second_send_policy.h"
+
+namespace medlarspread::admission {
+namespace {
+
+using base::Milliseconds;
+
+TEST(SecondSendPolicyTest, NoDelayBeforeEnoughReplies) {
+  SecondSendPolicy policy;
+  for (int i = 0; i < 31; ++i) {
+    policy.DidReply(Milliseconds(5));
+  }
+  EXPECT_EQ(policy.Delay(), std::nullopt);
+  policy.DidReply(Milliseconds(5));
+  EXPECT_EQ(policy.Delay(), Milliseconds(15));
+}
+
+TEST(SecondSendPolicyTest, StragglersDoNotRaiseTheDelay) {
+  SecondSendPolicy policy;
+  for (int i = 0; i < 1024; ++i) {
+    policy.DidReply(Milliseconds(i % 50 == 0 ? 500 : 5));
+  }
+  EXPECT_EQ(policy.Delay(), Milliseconds(15));
+}
+
+TEST(SecondSendPolicyTest, DelayFollowsTheWork) {
+  SecondSendPolicy policy;
+  for (int i = 0; i < 512; ++i) {
+    policy.DidReply(Milliseconds(5));
+  }
+  for (int i = 0; i < 512; ++i) {
+    policy.DidReply(Milliseconds(10));
+  }
+  EXPECT_EQ(policy.Delay(), Milliseconds(30));
+}
+
+TEST(SecondSendPolicyTest, BudgetIsAShareOfFirstSends) {
+  SecondSendPolicy policy(0.5);
+  int taken = 0;
+  constexpr int kSends = 10'000;
+  for (int i = 0; i < kSends; ++i) {
+    policy.DidFirstSend();
+    taken += policy.TakeBudget() ? 1 : 0;
+  }
+  EXPECT_LE(taken, kSends * SecondSendPolicy::kMaximumShare + 1);
+  EXPECT_GE(taken, kSends * SecondSendPolicy::kMaximumShare - 1);
+}
+
+TEST(RetryBudgetTest, NothingIsLeftInABlackout) {
+  RetryBudget budget(0.1);
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    taken += budget.Take() ? 1 : 0;
+  }
+  EXPECT_EQ(taken, 10);
+  for (int i = 0; i < 20; ++i) {
+    budget.DidSucceed();
+  }
+  EXPECT_TRUE(budget.Take());
+}
+
+TEST(BackoffTest, GrowsWithinBoundsAndSpreads) {
+  base::Random random(7);
+  for (int attempt = 1; attempt < 40; ++attempt) {
+    const base::Duration wait = Backoff(attempt, random);
+    EXPECT_GE(wait, Milliseconds(1));
+    EXPECT_LE(wait, Milliseconds(128));
+  }
+  EXPECT_NE(Backoff(7, random), Backoff(7, random));
+}
+
+}  // namespace
+}  // namespace medlarspread::admission
--- /dev/null
+++ b/tests/admission/entry_gate_test.cc
@@ -0,0 +1,61 @@
+// Who is refused first, and that a refusal says when to come back.
+
+#include "src/admission/entry_gate.h"
+
+#include <gtest/gtest.h>
+
+namespace medlarspread::admission {
+namespace {
+
+using base::Milliseconds;
+
+class EntryGateTest : public testing::Test {
+ protected:
+  EntryGateTest() {
+    blackboard_.targets.Write(
+        {.revision = 1, .classes = {{"desk", desk_}, {"audit", audit_}}});
+  }
+
+  // Of 100 requests with this wait, how many are admitted.
+  int Admitted(const blackboard::ClassTargets& targets, std::int64_t wait_ms) {
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i) {
+      const Decision decision =
+          gate_.Admit(targets, Milliseconds(wait_ms), Milliseconds(10'000));
+      admitted += decision.is_admitted ? 1 : 0;
+      EXPECT_TRUE(decision.is_admitted ||
+                  decision.retry_after > base::Duration{});
+    }
+    return admitted;
+  }
+
+  const blackboard::ClassTargets desk_{.name = "desk",
+                                       .collection = "proofs",
+                                       .latency = Milliseconds(100)};
+  const blackboard::ClassTargets audit_{.name = "audit",
+                                        .collection = "proofs",
+                                        .latency = Milliseconds(2000)};
+  blackboard::Blackboard blackboard_;
+  EntryGate gate_{blackboard_, base::Clock()};
+};
+
+TEST_F(EntryGateTest, AdmitsAllWhileQueuesAreShort) {
+  EXPECT_EQ(Admitted(desk_, 5), 100);
+  EXPECT_EQ(Admitted(audit_, 5), 100);
+}
+
+TEST_F(EntryGateTest, ClassWithMostSlackIsRefusedFirst) {
+  EXPECT_EQ(Admitted(desk_, 45), 100);
+  EXPECT_EQ(Admitted(audit_, 45), 0);
+  EXPECT_EQ(Admitted(desk_, 95), 0);
+}
+
+TEST_F(EntryGateTest, RefusesWhatCannotBeMet) {
+  const Decision decision =
+      gate_.Admit(desk_, Milliseconds(5), Milliseconds(5));
+  EXPECT_FALSE(decision.is_admitted);
+  EXPECT_GT(decision.retry_after, base::Duration{});
+}
+
+}  // namespace
+}  // namespace medlarspread::admission
