Settings: Read the daemon's INI file against one table of keys

A misspelt key that is silently ignored leaves a VM on a default that nobody chose, so unknown, duplicate, malformed and missing keys are all refused, with their lines and the nearest valid name, and all at once.

--- /dev/null
+++ b/src/settings/daemon_settings.h
@@ -0,0 +1,120 @@
+// The settings of one daemon, as typed values: one nested struct per section of
+// the INI file. docs/SETTINGS.md describes each; key_table.cc holds their
+// ranges. The initial values here are the defaults.
+
+#ifndef MEDLARSPREAD_SETTINGS_DAEMON_SETTINGS_H_
+#define MEDLARSPREAD_SETTINGS_DAEMON_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/log.h"
+
+namespace medlarspread::settings {
+
+// This VM.
+struct VmSettings {
+  std::string name;
+  std::string region;
+  std::string failure_domain;
+};
+
+// The listener for callers.
+struct CallersSettings {
+  // "ip:port", as all addresses here.
+  std::string address;
+  std::size_t max_body_bytes = 1 << 20;
+  base::Duration body_timeout = base::Milliseconds(5000);
+  // Requests in flight at once; more are refused.
+  int max_requests = 2000;
+};
+
+// The listener of the administration API.
+struct OperatorsSettings {
+  std::string address;
+  // LoadSettings fills this in from `token_file` if that is set.
+  std::string token;
+  std::string token_file;
+};
+
+// Links to the other daemons.
+struct PeersSettings {
+  std::string address;
+  std::size_t max_frame_bytes = 8 << 20;
+  // Bytes waiting to be sent to one peer; above it messages to it are refused.
+  std::size_t max_queue_bytes = 32 << 20;
+};
+
+// The platform's key-value service and list of VMs.
+struct PlatformSettings {
+  std::string address;
+  base::Duration timeout = base::Milliseconds(1000);
+};
+
+struct TrafficSettings {
+  int threads = 4;
+};
+
+struct StopSettings {
+  // A planned stop ends by then even if requests are still in flight.
+  base::Duration bound = base::Milliseconds(30000);
+};
+
+struct LoggingSettings {
+  base::LogLevel level = base::LogLevel::kInfo;
+  base::LogFormat format = base::LogFormat::kJson;
+};
+
+struct MembershipSettings {
+  base::Duration heartbeat = base::Milliseconds(1000);
+  // Invariant: at least three heartbeats.
+  base::Duration gone_after = base::Milliseconds(5000);
+};
+
+struct TargetsSettings {
+  // Daemons of a failure domain that read the targets from the platform; the
+  // others learn them from their peers.
+  int readers_per_failure_domain = 2;
+};
+
+struct ClaimsSettings {
+  // How long a non-idempotent request is remembered, and how old its identifier
+  // may be.
+  base::Duration retention = std::chrono::hours(1);
+  // How long claims wait for others, to be written together.
+  base::Duration group = base::Milliseconds(5);
+};
+
+struct BurnSettings {
+  base::Duration flush = std::chrono::seconds(10);
+};
+
+// Protective limits of the system, not weights that operators tune.
+struct RoutingSettings {
+  // Holders that the queues of one collection are spread over.
+  int bundles_per_collection = 4;
+  // Second sends in per cent of first sends, at most.
+  int second_send_budget_percent = 5;
+};
+
+struct DaemonSettings {
+  VmSettings vm;
+  CallersSettings callers;
+  OperatorsSettings operators;
+  PeersSettings peers;
+  PlatformSettings platform;
+  TrafficSettings traffic;
+  StopSettings stop;
+  LoggingSettings log;
+  MembershipSettings membership;
+  TargetsSettings targets;
+  ClaimsSettings claims;
+  BurnSettings burn;
+  RoutingSettings routing;
+};
+
+}  // namespace medlarspread::settings
+
+#endif  // MEDLARSPREAD_SETTINGS_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/src/settings/key_table.cc
@@ -0,0 +1,254 @@
+// The rows of the key table.
+
+#include "src/settings/key_table.h"
+
+#include <chrono>
+
+namespace medlarspread::settings {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kKibibyte = 1024;
+constexpr std::int64_t kMebibyte = 1024 * kKibibyte;
+
+template <auto kSection, auto kMember>
+TextValue Text(TextRule rule) {
+  return {[](DaemonSettings& settings) -> std::string& {
+            return settings.*kSection.*kMember;
+          },
+          rule};
+}
+
+template <auto kSection, auto kMember>
+IntegerValue Integer(std::int64_t min, std::int64_t max) {
+  return {[](const DaemonSettings& settings) {
+            return static_cast<std::int64_t>(settings.*kSection.*kMember);
+          },
+          [](DaemonSettings& settings, std::int64_t value) {
+            auto& member = settings.*kSection.*kMember;
+            member = static_cast<std::decay_t<decltype(member)>>(value);
+          },
+          min, max};
+}
+
+// A duration written as a whole number of `Unit`.
+template <typename Unit, auto kSection, auto kMember>
+IntegerValue Time(std::int64_t min, std::int64_t max) {
+  return {[](const DaemonSettings& settings) -> std::int64_t {
+            return std::chrono::duration_cast<Unit>(settings.*kSection.*kMember)
+                .count();
+          },
+          [](DaemonSettings& settings, std::int64_t value) {
+            settings.*kSection.*kMember = Unit(value);
+          },
+          min, max};
+}
+
+ChoiceValue LevelChoice() {
+  return {[](const DaemonSettings& settings) {
+            return base::LogLevelName(settings.log.level);
+          },
+          [](DaemonSettings& settings, std::string_view name) {
+            const auto level = base::LogLevelFromName(name);
+            settings.log.level = level.value_or(settings.log.level);
+            return level.has_value();
+          },
+          {"debug", "info", "warning", "error"}};
+}
+
+ChoiceValue FormatChoice() {
+  return {[](const DaemonSettings& settings) {
+            return base::LogFormatName(settings.log.format);
+          },
+          [](DaemonSettings& settings, std::string_view name) {
+            const auto format = base::LogFormatFromName(name);
+            settings.log.format = format.value_or(settings.log.format);
+            return format.has_value();
+          },
+          {"json", "text"}};
+}
+
+std::vector<Key> VmKeys() {
+  using Settings = DaemonSettings;
+  constexpr auto kVm = &Settings::vm;
+  return {
+      {"vm", "name", Text<kVm, &VmSettings::name>(TextRule::kName), true,
+       "The name of this VM, as in the platform's list of VMs."},
+      {"vm", "region", Text<kVm, &VmSettings::region>(TextRule::kName), true,
+       "The region of this VM."},
+      {"vm", "failure_domain",
+       Text<kVm, &VmSettings::failure_domain>(TextRule::kName), true,
+       "The failure domain of this VM, inside its region."},
+  };
+}
+
+std::vector<Key> CallersKeys() {
+  constexpr auto kCallers = &DaemonSettings::callers;
+  return {
+      {"callers", "address",
+       Text<kCallers, &CallersSettings::address>(TextRule::kListenAddress),
+       true, "Where callers connect."},
+      {"callers", "max_body_bytes",
+       Integer<kCallers, &CallersSettings::max_body_bytes>(kKibibyte,
+                                                           64 * kMebibyte),
+       false, "The largest request body; a larger one is answered with 413."},
+      {"callers", "body_timeout_ms",
+       Time<milliseconds, kCallers, &CallersSettings::body_timeout>(10, 60000),
+       false,
+       "How long a request body may take to arrive; a slower one is answered "
+       "with 408."},
+      {"callers", "max_requests",
+       Integer<kCallers, &CallersSettings::max_requests>(1, 100000), false,
+       "Requests in flight at once on this VM. One more is refused at once, "
+       "with the time to come back. It bounds memory."},
+  };
+}
+
+std::vector<Key> OperatorsKeys() {
+  constexpr auto kOperators = &DaemonSettings::operators;
+  return {
+      {"operators", "address",
+       Text<kOperators, &OperatorsSettings::address>(TextRule::kListenAddress),
+       true, "Where the administration API listens."},
+      {"operators", "token",
+       Text<kOperators, &OperatorsSettings::token>(TextRule::kSecret), false,
+       "The bearer token of the administration API. Exactly one of token and "
+       "token_file must be set."},
+      {"operators", "token_file",
+       Text<kOperators, &OperatorsSettings::token_file>(TextRule::kPath), false,
+       "A file whose first line is the token. A relative path is relative to "
+       "the settings file."},
+  };
+}
+
+std::vector<Key> LinkKeys() {
+  constexpr auto kPeers = &DaemonSettings::peers;
+  constexpr auto kPlatform = &DaemonSettings::platform;
+  return {
+      {"peers", "address",
+       Text<kPeers, &PeersSettings::address>(TextRule::kListenAddress), true,
+       "Where the other daemons connect, as in the platform's list of VMs."},
+      {"peers", "max_frame_bytes",
+       Integer<kPeers, &PeersSettings::max_frame_bytes>(64 * kKibibyte,
+                                                        64 * kMebibyte),
+       false, "The largest message between daemons. The same on all VMs."},
+      {"peers", "max_queue_bytes",
+       Integer<kPeers, &PeersSettings::max_queue_bytes>(64 * kKibibyte,
+                                                        1024 * kMebibyte),
+       false,
+       "Bytes that may wait for one peer. Above it messages to this peer are "
+       "refused. It bounds memory."},
+      {"platform", "address",
+       Text<kPlatform, &PlatformSettings::address>(TextRule::kRemoteAddress),
+       true, "The platform's key-value service and list of VMs."},
+      {"platform", "timeout_ms",
+       Time<milliseconds, kPlatform, &PlatformSettings::timeout>(10, 60000),
+       false, "How long one call to the platform may take."},
+  };
+}
+
+std::vector<Key> ProcessKeys() {
+  return {
+      {"traffic", "threads",
+       Integer<&DaemonSettings::traffic, &TrafficSettings::threads>(1, 64),
+       false, "Threads for requests. One more thread serves control state."},
+      {"stop", "bound_ms",
+       Time<milliseconds, &DaemonSettings::stop, &StopSettings::bound>(100,
+                                                                       600000),
+       false,
+       "How long a planned stop waits for requests in flight. What is cut off "
+       "after that is logged."},
+      {"log", "level", LevelChoice(), false,
+       "The least severe level that is logged. `medlarspread log-level` "
+       "changes "
+       "it without a restart."},
+      {"log", "format", FormatChoice(), false,
+       "One JSON object or one line of text per event, on standard error."},
+  };
+}
+
+std::vector<Key> ControlKeys() {
+  constexpr auto kMembership = &DaemonSettings::membership;
+  return {
+      {"membership", "heartbeat_ms",
+       Time<milliseconds, kMembership, &MembershipSettings::heartbeat>(50,
+                                                                       60000),
+       false, "The time between two heartbeats to a peer."},
+      {"membership", "gone_after_ms",
+       Time<milliseconds, kMembership, &MembershipSettings::gone_after>(150,
+                                                                        600000),
+       false,
+       "The silence after which a peer is taken to be gone. At least three "
+       "heartbeats."},
+      {"targets", "readers_per_failure_domain",
+       Integer<&DaemonSettings::targets,
+               &TargetsSettings::readers_per_failure_domain>(1, 16),
+       false,
+       "Daemons of each failure domain that read the targets from the "
+       "platform. "
+       "The others learn them from their peers."},
+      {"claims", "retention_s",
+       Time<seconds, &DaemonSettings::claims, &ClaimsSettings::retention>(
+           10, 86400),
+       false,
+       "How long a non-idempotent request is remembered. One with an older "
+       "request_id is refused. The same on all VMs."},
+      {"claims", "group_ms",
+       Time<milliseconds, &DaemonSettings::claims, &ClaimsSettings::group>(
+           0, 1000),
+       false,
+       "How long a claim waits for others, so that one write to the platform "
+       "carries them all. It adds to the latency of non-idempotent requests."},
+      {"burn", "flush_s",
+       Time<seconds, &DaemonSettings::burn, &BurnSettings::flush>(1, 600),
+       false,
+       "The time between two writes of this VM's counts. A VM that is lost "
+       "takes up to this much with it; the report shows it as unaccounted."},
+  };
+}
+
+std::vector<Key> RoutingKeys() {
+  constexpr auto kRouting = &DaemonSettings::routing;
+  return {
+      {"routing", "bundles_per_collection",
+       Integer<kRouting, &RoutingSettings::bundles_per_collection>(1, 64),
+       false,
+       "Over how many daemons of a region the queues of one collection are "
+       "spread. A protective limit of the system, not a weight. The same on "
+       "all VMs."},
+      {"routing", "second_send_budget_percent",
+       Integer<kRouting, &RoutingSettings::second_send_budget_percent>(0, 50),
+       false,
+       "Second sends to another replica, in per cent of first sends, at most. "
+       "A protective limit of the system, not a weight."},
+  };
+}
+
+}  // namespace
+
+const std::vector<Key>& Keys() {
+  static const std::vector<Key> keys = [] {
+    std::vector<Key> all;
+    for (const auto& group :
+         {VmKeys(), CallersKeys(), OperatorsKeys(), LinkKeys(), ProcessKeys(),
+          ControlKeys(), RoutingKeys()}) {
+      all.insert(all.end(), group.begin(), group.end());
+    }
+    return all;
+  }();
+  return keys;
+}
+
+const Key* FindKey(std::string_view section, std::string_view name) {
+  for (const Key& key : Keys()) {
+    if (key.section == section && key.name == name) {
+      return &key;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace medlarspread::settings
