HTTP: Let a request forbid the library to send it again

Cause: when a reused connection is closed before the reply, the HTTP library opens another and repeats the request on its own, a POST included. A trial server that read the second request of a connection and closed it got that request twice, and the caller saw a plain 200.

Ruled out: a new connection for each request (costs 1 to 6 ms on a leaf); trusting that servers never close a connection in use.

Change: Request::is_sent_once hands the body to the library as a stream that can't be rewound; the library then reports the failure, which becomes kConnectionLost. Touches message.h: one field, false by default. Sends to leafs with at_most_once set must set it.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -3,9 +3,11 @@
 #include "src/http/client.h"
 
 #include <atomic>
+#include <cassert>
 #include <utility>
 
 #include <cpprest/http_client.h>
+#include <cpprest/producerconsumerstream.h>
 
 namespace medlarspread::http {
 
@@ -23,6 +25,19 @@
          code == std::errc::address_not_available;
 }
 
+// A body that can be read once only. The library repeats a request by rewinding
+// its body and gives up if it can't: the failure is then reported to us.
+concurrency::streams::istream MakeUnrepeatableBody(const std::string& body) {
+  concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer;
+  // NOTE: this buffer takes a copy at once; neither task ever waits.
+  buffer
+      .putn_nocopy(reinterpret_cast<const std::uint8_t*>(body.data()),
+                   body.size())
+      .wait();
+  buffer.close(std::ios_base::out).wait();
+  return buffer.create_istream();
+}
+
 web::http::http_request ToLibrary(const Request& request) {
   web::http::http_request message(request.method);
   web::uri_builder uri(web::uri::encode_uri(request.path));
@@ -33,7 +48,11 @@
   for (const auto& [name, value] : request.headers) {
     message.headers().add(name, value);
   }
-  if (!request.body.empty()) {
+  if (request.is_sent_once) {
+    assert(!request.body.empty());
+    message.set_body(MakeUnrepeatableBody(request.body), request.body.size(),
+                     request.content_type);
+  } else if (!request.body.empty()) {
     message.set_body(request.body, request.content_type);
   }
   return message;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -36,6 +36,10 @@
   std::map<std::string, std::string> headers;
   std::string body;
   std::string content_type = "application/json";
+  // Set for a request with a body that must reach the server once at most.
+  // NOTE: otherwise the HTTP library sends a request again, on its own, when
+  // a reused connection is closed before the reply.
+  bool is_sent_once = false;
 };
 
 struct Response {
