Emulator: Stand in for the platform and the leaves

The product is met only through its published interfaces, so running it at all needs something on the other side of them. medlarspread_emulator plays the platform (key-value service with compare-and-swap, leases, watches and rate limits, and a lagging VM list) and any number of leaves (slots, bounded queue, deadlines, cancellation, draining, wrong replies), each over src/http on loopback. Faults are set by control calls while it runs.

A third-party store or a scripted server was ruled out: neither can lose a reply to a write that took effect, nor say how often a request ran.

--- /dev/null
+++ b/emulator/leaf/reply_faults.h
@@ -0,0 +1,68 @@
+// Wrong replies: which fault befalls a reply, and what the body then says.
+
+#ifndef MEDLARSPREAD_EMULATOR_LEAF_REPLY_FAULTS_H_
+#define MEDLARSPREAD_EMULATOR_LEAF_REPLY_FAULTS_H_
+
+#include <array>
+#include <cstddef>
+#include <string>
+
+#include "emulator/leaf/query_message.h"
+#include "src/base/name_table.h"
+
+namespace medlarspread::emulator {
+
+enum class ReplyFault {
+  // A 200 without a body.
+  kEmpty,
+  // Fewer items than `count` says.
+  kTruncated,
+  // The answer for another range.
+  kWrongRange,
+  // The answer from another index version.
+  kWrongVersion,
+  // The answer to another attempt, an earlier one if there was one.
+  kCrossed,
+  // The body holds the answer twice.
+  kDuplicated,
+  // The whole answer, but only after `late`.
+  kLate,
+  // Never a reply, until the leaf stops.
+  kLost,
+  // No fault.
+  kNone,
+};
+
+constexpr std::size_t kReplyFaultCount = 8;
+constexpr base::NameTable<ReplyFault, kReplyFaultCount> kReplyFaults{
+    {{{ReplyFault::kEmpty, "empty"},
+      {ReplyFault::kTruncated, "truncated"},
+      {ReplyFault::kWrongRange, "wrong_range"},
+      {ReplyFault::kWrongVersion, "wrong_version"},
+      {ReplyFault::kCrossed, "crossed"},
+      {ReplyFault::kDuplicated, "duplicated"},
+      {ReplyFault::kLate, "late"},
+      {ReplyFault::kLost, "lost"}}}};
+
+// The share of replies that each fault befalls, in the order of kReplyFaults.
+class ReplyFaultShares {
+ public:
+  void set_share(ReplyFault fault, double share) {
+    shares_[static_cast<std::size_t>(fault)] = share;
+  }
+  // The fault for one reply; `unit` is uniform in [0, 1).
+  ReplyFault Choose(double unit) const;
+
+ private:
+  std::array<double, kReplyFaultCount> shares_{};
+};
+
+// The body that a 200 carries under `fault`. `previous` is the body of an
+// earlier answer, or empty.
+std::string FaultyBody(ReplyFault fault,
+                       LeafAnswer answer,
+                       const std::string& previous);
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_LEAF_REPLY_FAULTS_H_
--- /dev/null
+++ b/emulator/platform/platform_command.h
@@ -0,0 +1,15 @@
+// The `platform` command: the platform's stand-in as a process.
+
+#ifndef MEDLARSPREAD_EMULATOR_PLATFORM_PLATFORM_COMMAND_H_
+#define MEDLARSPREAD_EMULATOR_PLATFORM_PLATFORM_COMMAND_H_
+
+#include "emulator/support/stop_signal.h"
+
+namespace medlarspread::emulator {
+
+// `arguments` start with the command's name. Returns the exit status.
+int RunPlatform(int count, char** arguments, StopSignal& stop);
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_PLATFORM_PLATFORM_COMMAND_H_
--- /dev/null
+++ b/emulator/platform/platform_service.h
@@ -0,0 +1,106 @@
+// The platform's HTTP service: key-value calls, the VM list and, under
+// /control, what tests do to it. All state lives on one sequence.
+//
+// Control calls (never counted, never failed):
+//   PUT  /control/vms {"vms":[..],"lag_ms"}   replaces the VM list
+//   POST /control/vms {"vms":[..],"lag_ms"}   adds or replaces rows by name;
+//                                             state "gone" removes a row
+//   POST /control/faults {"outage":"none"|"refuse"|"hang","delay_ms",
+//        "reply_delay_ms","lose_write_replies","lost_reply":"hang"|"error",
+//        "fail_writes","key_prefix"}          sets the fields that are given
+//   POST /control/checkpoint, POST /control/restore {"repeats_versions"}
+//   GET  /control/counts
+
+#ifndef MEDLARSPREAD_EMULATOR_PLATFORM_PLATFORM_SERVICE_H_
+#define MEDLARSPREAD_EMULATOR_PLATFORM_PLATFORM_SERVICE_H_
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulator/platform/call_meter.h"
+#include "emulator/platform/key_value_store.h"
+#include "emulator/support/lagged.h"
+#include "src/base/task_runner.h"
+#include "src/http/listener.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::emulator {
+
+enum class Outage { kNone, kRefuse, kHang };
+enum class LostReply { kHang, kError };
+
+constexpr base::NameTable<Outage, 3> kOutages{{{{Outage::kNone, "none"},
+                                                {Outage::kRefuse, "refuse"},
+                                                {Outage::kHang, "hang"}}}};
+constexpr base::NameTable<LostReply, 2> kLostReplies{
+    {{{LostReply::kHang, "hang"}, {LostReply::kError, "error"}}}};
+
+struct PlatformFaults {
+  Outage outage = Outage::kNone;
+  // Passes before the call takes effect, and again before its reply.
+  base::Duration delay{};
+  base::Duration reply_delay{};
+  // So many writes to keys with `key_prefix` take effect without a reply.
+  int lose_write_replies = 0;
+  LostReply lost_reply = LostReply::kHang;
+  // So many writes to such keys fail without effect; the reply is the same 500
+  // as for a lost reply.
+  int fail_writes = 0;
+  std::string key_prefix;
+};
+
+class PlatformService : public std::enable_shared_from_this<PlatformService> {
+ public:
+  PlatformService(CallRates rates, base::Clock clock, base::TaskRunner runner);
+
+  // Called by the listener on any thread.
+  void DidReceive(const http::Request& request, http::Responder respond);
+
+ private:
+  struct Watch {
+    std::string key;
+    std::int64_t after_version = 0;
+    http::Responder respond;
+    base::Timer timeout;
+  };
+  using WatchList = std::list<std::shared_ptr<Watch>>;
+
+  void Handle(const http::Request& request, const http::Responder& respond);
+  void Execute(const http::Request& request, const http::Responder& respond);
+  // Answers a write as the faults in force ask for.
+  void ExecuteWrite(const http::Request& request,
+                    const http::Responder& respond);
+  void ReplyLater(const http::Responder& respond, http::Response response);
+
+  http::Response Get(const std::string& key);
+  http::Response Put(const std::string& key, const std::string& body);
+  http::Response Erase(const http::Request& request, const std::string& key);
+  http::Response List(const std::string& prefix);
+  http::Response Vms();
+  http::Response HandleLease(const http::Request& request);
+  void StartWatch(const http::Request& request, const http::Responder& respond);
+  void WakeWatches();
+
+  http::Response HandleControl(const http::Request& request);
+  http::Response SetVms(const http::Request& request);
+  http::Response SetFaults(const std::string& body);
+  http::Response Counts() const;
+  void DidChangeOutage();
+
+  const base::Clock clock_;
+  const base::TaskRunner runner_;
+  KeyValueStore store_;
+  CallMeter meter_;
+  PlatformFaults faults_;
+  Lagged<std::vector<platform::Vm>> vms_{{}};
+  WatchList watches_;
+  // Calls that came during an outage that hangs; failed when it ends.
+  std::vector<http::Responder> held_;
+};
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_PLATFORM_PLATFORM_SERVICE_H_
