--- /dev/null
+++ b/src/caller_api/answer_renderer.cc
@@ -0,0 +1,122 @@
+// One function per kind of answer. The items are JSON text already and are
+// copied unread; everything else is quoted here.
+
+#include "src/caller_api/answer_renderer.h"
+
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <chrono>
+
+#include "src/base/json_string.h"
+
+namespace medlarspread::caller_api {
+
+namespace {
+
+using base::JsonString;
+
+// The shortest text that reads back as the same number: a share just below 1
+// must not be rounded to 1.
+std::string ShowNumber(double number) {
+  std::array<char, 32> buffer{};
+  const auto [end, code] =
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(), number);
+  assert(code == std::errc());
+  return {buffer.data(), end};
+}
+
+std::string ShowRanges(const std::vector<blackboard::KeyRange>& ranges) {
+  std::string text = "[";
+  for (const blackboard::KeyRange& range : ranges) {
+    text += text.size() > 1 ? "," : "";
+    text += R"({"low":)" + std::to_string(range.low) + R"(,"high":)" +
+            std::to_string(range.high) + "}";
+  }
+  return text + "]";
+}
+
+std::string ShowCoverage(const query::Coverage& coverage) {
+  // A partial answer never passes as complete.
+  assert(coverage.is_partial ||
+         (coverage.share == 1.0 && coverage.missing.empty()));
+  return R"({"share":)" + ShowNumber(coverage.share) +
+         R"(,"shards_answered":)" + std::to_string(coverage.shards_answered) +
+         R"(,"shards_total":)" + std::to_string(coverage.shards_total) +
+         R"(,"missing":)" + ShowRanges(coverage.missing) + R"(,"is_partial":)" +
+         (coverage.is_partial ? "true" : "false") + "}";
+}
+
+std::string ShowSnapshot(const blackboard::Snapshot& snapshot) {
+  return R"({"index_version":)" + std::to_string(snapshot.index_version) +
+         R"(,"layout_version":)" + std::to_string(snapshot.layout_version) +
+         "}";
+}
+
+std::string ShowOrigin(const base::Error& error) {
+  const std::string code = error.code.message();
+  const std::string detail =
+      error.detail.empty() ? code : code + ": " + error.detail;
+  return R"("step":)" + JsonString(base::StepName(error.step)) + R"(,"peer":)" +
+         JsonString(error.peer) + R"(,"detail":)" + JsonString(detail);
+}
+
+std::int64_t ToMillisecondsRoundedUp(base::Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
+struct Renderer {
+  http::Response operator()(const query::Answered& answer) const {
+    http::Response response;
+    response.body = R"({"request_id":)" + JsonString(answer.request_id) +
+                    R"(,"outcome":"answered","snapshot":)" +
+                    ShowSnapshot(answer.snapshot) + R"(,"coverage":)" +
+                    ShowCoverage(answer.coverage) + R"(,"latency_ms":)" +
+                    ShowNumber(base::ToMilliseconds(answer.latency)) +
+                    R"(,"items":)" + answer.items + "}";
+    return response;
+  }
+
+  http::Response operator()(const query::Refused& answer) const {
+    http::Response response;
+    response.status = answer.kind == query::RefusalKind::kOverload
+                          ? http::kTooManyRequests
+                          : http::kServiceUnavailable;
+    response.headers["Retry-After"] = std::to_string(
+        std::chrono::ceil<std::chrono::seconds>(answer.retry_after).count());
+    response.body =
+        R"({"request_id":)" + JsonString(answer.request_id) +
+        R"(,"outcome":"refused","ran":false,)" + ShowOrigin(answer.error) +
+        R"(,"retry_after_ms":)" +
+        std::to_string(ToMillisecondsRoundedUp(answer.retry_after)) + "}";
+    return response;
+  }
+
+  http::Response operator()(const query::Unknown& answer) const {
+    http::Response response;
+    response.status = http::kGatewayTimeout;
+    response.body = R"({"request_id":)" + JsonString(answer.request_id) +
+                    R"(,"outcome":"unknown",)" + ShowOrigin(answer.error) + "}";
+    return response;
+  }
+};
+
+}  // namespace
+
+http::Response RenderAnswer(const query::CallerAnswer& answer) {
+  return std::visit(Renderer{}, answer);
+}
+
+http::Response RenderInvalid(int status,
+                             const std::string& error,
+                             const std::string& field,
+                             const std::string& detail) {
+  http::Response response;
+  response.status = status;
+  response.body = R"({"error":)" + JsonString(error) + R"(,"field":)" +
+                  JsonString(field) + R"(,"detail":)" + JsonString(detail) +
+                  "}";
+  return response;
+}
+
+}  // namespace medlarspread::caller_api
