Upstream: Send shard requests over HTTP and judge every reply

Cause: the query path needs the leaf port filled in. A reply counts only for what it says it answers, never for the connection it came on.

A request that finds no connection free is refused as not sent.

--- /dev/null
+++ b/src/upstream/leaf_connections.h
@@ -0,0 +1,89 @@
+// The HTTP clients towards all leaves: one a leaf address, made on demand and
+// dropped once it has been idle for a while, so that a daemon that no longer
+// holds a leaf's queue gives its connections back. Bounds the requests in
+// flight to each leaf, and with them the connections.
+
+#ifndef MEDLARSPREAD_UPSTREAM_LEAF_CONNECTIONS_H_
+#define MEDLARSPREAD_UPSTREAM_LEAF_CONNECTIONS_H_
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/views.h"
+#include "src/http/client.h"
+
+namespace medlarspread::upstream {
+
+struct LeafConnectionSettings {
+  // Requests in flight to one leaf at most, timed-out ones included: the HTTP
+  // library opens a connection whenever none is idle. The leaf's own number of
+  // connections also bounds it, if lower.
+  int max_in_flight_per_leaf = 8;
+  // Of these, how many are kept from queries, for cancels and health.
+  int reserved_for_control = 1;
+  // A client that has sent nothing for this long is dropped with its
+  // connections.
+  base::Duration idle_time = base::Milliseconds(10'000);
+  std::size_t max_reply_bytes = 4 << 20;
+};
+
+struct LeafConnectionCounters {
+  std::int64_t clients_opened = 0;
+  std::int64_t clients_dropped = 0;
+  // Now: clients kept, and requests in flight over all of them.
+  int clients = 0;
+  int in_flight = 0;
+};
+
+// Safe to use from any thread. Must be held by a shared pointer.
+class LeafConnections : public std::enable_shared_from_this<LeafConnections> {
+ public:
+  enum class Use { kQuery, kControl };
+
+  // `traffic` gives each leaf a sequence, on which its callbacks run.
+  LeafConnections(LeafConnectionSettings settings,
+                  base::Clock clock,
+                  base::TaskRunner traffic);
+
+  // Starts dropping idle clients. Call once.
+  void Start();
+
+  // Sends if the leaf's bound allows it. Returns false, and never calls back,
+  // if it does not. See http::Client::Send for the results.
+  bool TrySend(const blackboard::Upstream& upstream,
+               Use use,
+               const http::Request& message,
+               base::Duration timeout,
+               http::Client::Callback callback);
+
+  LeafConnectionCounters counters() const;
+
+ private:
+  struct Leaf;
+
+  std::shared_ptr<Leaf> FindOrOpen(const std::string& address);
+  int LimitFor(const blackboard::Upstream& upstream, Use use) const;
+  void ScheduleSweep();
+  void DropIdle();
+
+  const LeafConnectionSettings settings_;
+  const base::Clock clock_;
+  const base::TaskRunner traffic_;
+
+  mutable std::mutex mutex_;
+  // By address; guarded by `mutex_`.
+  std::map<std::string, std::shared_ptr<Leaf>> leaves_;
+  std::atomic<std::int64_t> clients_opened_ = 0;
+  std::atomic<std::int64_t> clients_dropped_ = 0;
+};
+
+}  // namespace medlarspread::upstream
+
+#endif  // MEDLARSPREAD_UPSTREAM_LEAF_CONNECTIONS_H_
--- /dev/null
+++ b/src/upstream/upstream_record.h
@@ -0,0 +1,111 @@
+// What one daemon knows of one leaf, and the rules by which it weighs sources
+// that lag, mislead or contradict each other. Pure: time comes in with each
+// call. The order of trust is
+//
+//   1. what the leaf's own replies say,
+//   2. its health, unless a reply that is not clearly older says otherwise,
+//   3. the platform's list, and news from peers.
+//
+// News that a leaf drains is the exception: it counts from any source at once,
+// and only fresh evidence after a hold time undoes it.
+
+#ifndef MEDLARSPREAD_UPSTREAM_UPSTREAM_RECORD_H_
+#define MEDLARSPREAD_UPSTREAM_UPSTREAM_RECORD_H_
+
+#include <limits>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/blackboard/views.h"
+#include "src/platform/store.h"
+#include "src/upstream/leaf_message.h"
+#include "src/upstream/leaf_port.h"
+#include "src/upstream/upstream_settings.h"
+
+namespace medlarspread::upstream {
+
+class UpstreamRecord {
+ public:
+  // `settings` must outlive the record.
+  UpstreamRecord(const UpstreamSettings& settings,
+                 const platform::Vm& vm,
+                 base::MonotonicTime now);
+
+  // The list has a row for this leaf. A row with another address means that
+  // another VM took the name: everything known of the former is dropped.
+  void DidList(const platform::Vm& vm, base::MonotonicTime now);
+  void DidReply(const LeafReply& reply, base::MonotonicTime now);
+  // `asked` is when the health was asked for.
+  void DidReadHealth(const base::Result<LeafHealth>& health,
+                     base::MonotonicTime asked,
+                     base::MonotonicTime now);
+  // A peer heard at `heard` that the leaf drains.
+  void DidHearDraining(base::MonotonicTime heard, base::MonotonicTime now);
+  // Drops old bad news of a leaf whose health this daemon doesn't read, and
+  // which could therefore never be seen to recover.
+  void LapseUnread(base::MonotonicTime now);
+
+  // Whether the leaf left the list and shows no life any more.
+  bool ShouldForget(base::MonotonicTime now) const;
+  // Whether this daemon has news of its own, from reply, health or list, that
+  // the leaf drains and that was not yet passed on. Resets the mark.
+  bool TakeAnnouncement(base::MonotonicTime now);
+
+  const blackboard::Upstream& upstream() const { return upstream_; }
+
+ private:
+  static constexpr base::MonotonicTime kNever{
+      std::numeric_limits<std::int64_t>::min() / 2};
+
+  void DidFailToConnect(base::MonotonicTime now);
+  void DidFailSilently(base::MonotonicTime now);
+  void DidSeeState(blackboard::UpstreamState state, base::MonotonicTime now);
+  void TakeHealth(const LeafHealth& health,
+                  base::MonotonicTime asked,
+                  base::MonotonicTime now);
+  void TakeHealthState(blackboard::UpstreamState state,
+                       base::MonotonicTime asked,
+                       base::MonotonicTime now);
+  void TakeHealthHoldings(const LeafHealth& health, base::MonotonicTime now);
+  void MarkDraining(base::MonotonicTime heard, base::MonotonicTime now);
+  void MarkUnreachable(base::MonotonicTime now);
+  void MarkCold(base::MonotonicTime now);
+  void ClearDrainingIfHeld(base::MonotonicTime seen, base::MonotonicTime now);
+  void UpdateState();
+
+  const UpstreamSettings* settings_;
+  // `state` follows from the members below; see UpdateState().
+  blackboard::Upstream upstream_;
+
+  bool is_listed_leaving_ = false;
+  base::MonotonicTime last_listed_ = kNever;
+  // The last reply or health that came from the leaf itself.
+  base::MonotonicTime last_alive_ = kNever;
+  // The last reply that stated serving or cold.
+  base::MonotonicTime last_working_reply_ = kNever;
+  base::MonotonicTime last_cold_reply_ = kNever;
+
+  bool is_draining_ = false;
+  // Invariant: last_draining_ is the latest time that draining was said.
+  base::MonotonicTime last_draining_ = kNever;
+  base::MonotonicTime draining_cleared_ = kNever;
+  base::Duration draining_hold_;
+  bool has_announcement_ = false;
+  base::MonotonicTime last_announced_ = kNever;
+
+  bool is_unreachable_ = false;
+  base::MonotonicTime unreachable_since_ = kNever;
+  base::Duration unreachable_hold_;
+  int connection_failures_ = 0;
+  int silent_failures_ = 0;
+  base::MonotonicTime first_silent_failure_ = kNever;
+  int health_failures_ = 0;
+
+  bool is_cold_ = false;
+  base::MonotonicTime holdings_replied_ = kNever;
+};
+
+}  // namespace medlarspread::upstream
+
+#endif  // MEDLARSPREAD_UPSTREAM_UPSTREAM_RECORD_H_
--- a/tests/upstream/leaf_client_test.cc
+++ b/tests/upstream/leaf_client_test.cc
@@ -77,7 +77,7 @@
     ASSERT_EQ(reply.outcome, LeafOutcome::kAnswered) << reply.error.ToString();
     EXPECT_EQ(reply.items, "[5]");
   }
-  EXPECT_EQ(client.counters().clients_opened, 1);
+  EXPECT_EQ(client.counters().connections.clients_opened, 1);
   EXPECT_EQ(client.counters().queries_sent, 3);
 }
 
@@ -109,7 +109,7 @@
   EXPECT_EQ(crossed.error.peer, leaf.address);
   // The late reply frees its connection and reaches nobody.
   first.get_future().get()(MakeAnswer("a1"));
-  while (client.counters().in_flight > 0) {
+  while (client.counters().connections.in_flight > 0) {
     std::this_thread::yield();
   }
   EXPECT_EQ(callbacks, 1);
@@ -137,8 +137,9 @@
         const std::lock_guard lock(mutex);
         kept.push_back(respond);
       });
-  LeafClient client({.max_in_flight_per_leaf = 3, .reserved_for_cancel = 1},
-                    base::Clock(), traffic_);
+  LeafClientSettings settings;
+  settings.connections.max_in_flight_per_leaf = 3;
+  LeafClient client(settings, base::Clock(), traffic_);
   auto first = Send(client, leaf, MakeRequest("a1", base::Milliseconds(50)));
   auto second = Send(client, leaf, MakeRequest("a2", base::Milliseconds(50)));
   EXPECT_EQ(first.get().outcome, LeafOutcome::kTimeout);
@@ -149,8 +150,8 @@
   EXPECT_GT(third.retry_after.count(), 0);
   client.port().cancel(leaf, "a1");
   EXPECT_EQ(client.counters().cancels_sent, 1);
-  EXPECT_LE(client.counters().in_flight, 3);
-  while (client.counters().in_flight > 2) {
+  EXPECT_LE(client.counters().connections.in_flight, 3);
+  while (client.counters().connections.in_flight > 2) {
     std::this_thread::yield();
   }
   const std::lock_guard lock(mutex);
@@ -177,14 +178,15 @@
       OpenLeaf([](const http::Request&, const http::Responder& respond) {
         respond(MakeAnswer("a1"));
       });
-  LeafClient client({.idle_time = base::Milliseconds(20)}, base::Clock(),
-                    traffic_);
+  LeafClientSettings settings;
+  settings.connections.idle_time = base::Milliseconds(20);
+  LeafClient client(settings, base::Clock(), traffic_);
   EXPECT_EQ(Send(client, leaf, MakeRequest("a1")).get().outcome,
             LeafOutcome::kAnswered);
-  while (client.counters().clients > 0) {
+  while (client.counters().connections.clients > 0) {
     std::this_thread::yield();
   }
-  EXPECT_EQ(client.counters().clients_dropped, 1);
+  EXPECT_EQ(client.counters().connections.clients_dropped, 1);
   EXPECT_EQ(Send(client, leaf, MakeRequest("a1")).get().outcome,
             LeafOutcome::kAnswered);
 }
