Routing, Query: Bind shard requests late at one queue owner

Each bundle of shards has one queue owner per region, found by rendezvous hashing over the live daemons. The owner binds a request to a replica only when one has room, sends a late shard to a second replica at the head of the queue (another region's owner if there is none near), retries certain refusals elsewhere, and says of every shard whether it was answered, refused (not run) or unknown.

Not yet run end to end.

--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1311,6 +1311,18 @@
 void ShardReply::__set_held_us(const int32_t val) {
   this->held_us = val;
 }
+
+void ShardReply::__set_error_code(const int32_t val) {
+  this->error_code = val;
+}
+
+void ShardReply::__set_error_step(const int32_t val) {
+  this->error_step = val;
+}
+
+void ShardReply::__set_error_peer(const std::string& val) {
+  this->error_peer = val;
+}
 std::ostream& operator<<(std::ostream& out, const ShardReply& obj)
 {
   obj.printTo(out);
@@ -1443,6 +1455,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->error_code);
+          this->__isset.error_code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->error_step);
+          this->__isset.error_step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->error_peer);
+          this->__isset.error_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1512,6 +1548,18 @@
   xfer += oprot->writeI32(this->held_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("error_code", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->error_code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("error_step", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->error_step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("error_peer", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->error_peer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1532,6 +1580,9 @@
   swap(a.load, b.load);
   swap(a.service_us, b.service_us);
   swap(a.held_us, b.held_us);
+  swap(a.error_code, b.error_code);
+  swap(a.error_step, b.error_step);
+  swap(a.error_peer, b.error_peer);
   swap(a.__isset, b.__isset);
 }
 
@@ -1549,6 +1600,9 @@
   load = other44.load;
   service_us = other44.service_us;
   held_us = other44.held_us;
+  error_code = other44.error_code;
+  error_step = other44.error_step;
+  error_peer = other44.error_peer;
   __isset = other44.__isset;
 }
 ShardReply::ShardReply(ShardReply&& other45) noexcept {
@@ -1565,6 +1619,9 @@
   load = std::move(other45.load);
   service_us = other45.service_us;
   held_us = other45.held_us;
+  error_code = other45.error_code;
+  error_step = other45.error_step;
+  error_peer = std::move(other45.error_peer);
   __isset = other45.__isset;
 }
 ShardReply& ShardReply::operator=(const ShardReply& other46) {
@@ -1581,6 +1638,9 @@
   load = other46.load;
   service_us = other46.service_us;
   held_us = other46.held_us;
+  error_code = other46.error_code;
+  error_step = other46.error_step;
+  error_peer = other46.error_peer;
   __isset = other46.__isset;
   return *this;
 }
@@ -1598,6 +1658,9 @@
   load = std::move(other47.load);
   service_us = other47.service_us;
   held_us = other47.held_us;
+  error_code = other47.error_code;
+  error_step = other47.error_step;
+  error_peer = std::move(other47.error_peer);
   __isset = other47.__isset;
   return *this;
 }
@@ -1617,6 +1680,9 @@
   out << ", " << "load=" << to_string(load);
   out << ", " << "service_us=" << to_string(service_us);
   out << ", " << "held_us=" << to_string(held_us);
+  out << ", " << "error_code=" << to_string(error_code);
+  out << ", " << "error_step=" << to_string(error_step);
+  out << ", " << "error_peer=" << to_string(error_peer);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -495,7 +495,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
 
 typedef struct _ShardReply__isset {
-  _ShardReply__isset() : sub_query_id(false), request_id(false), range(false), snapshot(false), outcome(false), items(false), retry_after_ms(false), detail(false), upstream(false), sends(false), load(false), service_us(false), held_us(false) {}
+  _ShardReply__isset() : sub_query_id(false), request_id(false), range(false), snapshot(false), outcome(false), items(false), retry_after_ms(false), detail(false), upstream(false), sends(false), load(false), service_us(false), held_us(false), error_code(false), error_step(false), error_peer(false) {}
   bool sub_query_id :1;
   bool request_id :1;
   bool range :1;
@@ -509,6 +509,9 @@
   bool load :1;
   bool service_us :1;
   bool held_us :1;
+  bool error_code :1;
+  bool error_step :1;
+  bool error_peer :1;
 } _ShardReply__isset;
 
 class ShardReply : public virtual ::apache::thrift::TBase {
@@ -528,7 +531,10 @@
                upstream(),
                sends(0),
                service_us(0),
-               held_us(0) {
+               held_us(0),
+               error_code(0),
+               error_step(0),
+               error_peer() {
   }
 
   virtual ~ShardReply() noexcept;
@@ -545,6 +551,9 @@
   QueueLoad load;
   int32_t service_us;
   int32_t held_us;
+  int32_t error_code;
+  int32_t error_step;
+  std::string error_peer;
 
   _ShardReply__isset __isset;
 
@@ -574,6 +583,12 @@
 
   void __set_held_us(const int32_t val);
 
+  void __set_error_code(const int32_t val);
+
+  void __set_error_step(const int32_t val);
+
+  void __set_error_peer(const std::string& val);
+
   bool operator == (const ShardReply & rhs) const
   {
     if (!(sub_query_id == rhs.sub_query_id))
@@ -602,6 +617,12 @@
       return false;
     if (!(held_us == rhs.held_us))
       return false;
+    if (!(error_code == rhs.error_code))
+      return false;
+    if (!(error_step == rhs.error_step))
+      return false;
+    if (!(error_peer == rhs.error_peer))
+      return false;
     return true;
   }
   bool operator != (const ShardReply &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -93,6 +93,10 @@
   12: i32 service_us;
   // Time from the arrival of the sub-query at the owner to this reply.
   13: i32 held_us;
+  // Where the error arose; see base::Error. Unset when answered.
+  14: i32 error_code;
+  15: i32 error_step;
+  16: string error_peer;
 }
 
 struct CancelSubQuery {
--- /dev/null
+++ b/src/query/query_session.h
@@ -0,0 +1,142 @@
+// One request of a caller, from arrival to its one answer. The session keeps
+// itself alive by the callbacks and timers that refer to it.
+//
+// Steps:
+//   1. Refuse at once what can't be met (admission).
+//   2. Claim the request if it is not idempotent.
+//   3. Choose the snapshot.
+//   4. Ask the owners of the shards' queues.
+//   5. Collect results; ask elsewhere for shards that failed, within budget.
+//   6. Answer: at once when every shard has answered; at the class's latency
+//      target if the coverage target is met; otherwise when nothing more can
+//      come, at the deadline at the latest.
+
+#ifndef MEDLARSPREAD_QUERY_QUERY_SESSION_H_
+#define MEDLARSPREAD_QUERY_QUERY_SESSION_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/admission/entry_gate.h"
+#include "src/admission/retry_budget.h"
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/blackboard.h"
+#include "src/burn/request_record.h"
+#include "src/claims/claim_port.h"
+#include "src/query/answer_builder.h"
+#include "src/query/caller_answer.h"
+#include "src/query/caller_request.h"
+#include "src/query/shared_retry_budget.h"
+#include "src/query/snapshot_chooser.h"
+#include "src/routing/router.h"
+#include "src/routing/sub_query_client.h"
+
+namespace medlarspread::query {
+
+// What the sessions of one daemon share.
+struct SessionDependencies {
+  base::Clock clock;
+  base::TaskRunner runner;
+  std::shared_ptr<base::Random> random;
+  const blackboard::Blackboard& blackboard;
+  std::shared_ptr<routing::Router> router;
+  std::shared_ptr<routing::SubQueryClient> sub_queries;
+  std::shared_ptr<admission::EntryGate> gate;
+  std::shared_ptr<SharedRetryBudget> retries;
+  claims::ClaimPort claim;
+  burn::RecordRequest record;
+};
+
+class QuerySession : public std::enable_shared_from_this<QuerySession> {
+ public:
+  // `done` runs once, on the session's own sequence.
+  QuerySession(std::shared_ptr<const SessionDependencies> dependencies,
+               CallerRequest request,
+               blackboard::ClassTargets targets,
+               std::int64_t targets_revision,
+               AnswerCallback done);
+
+  void Start();
+
+ private:
+  enum class ShardState { kWaiting, kAnswered, kRefused, kUnknown };
+
+  struct Shard {
+    ShardState state = ShardState::kWaiting;
+    routing::Exclusions exclusions;
+    // The daemon that was asked last, and when.
+    std::string owner;
+    base::MonotonicTime asked;
+    int tries = 0;
+  };
+
+  void DoStart();
+  void Claim();
+  void DidClaim(const claims::ClaimResult& result);
+  void ChooseSnapshotAndAsk();
+  void Ask(const std::vector<blackboard::KeyRange>& ranges);
+  void SendSubQuery(routing::SubQueryRequest sub_query);
+  void DidRangeResult(int generation,
+                      const std::string& owner,
+                      const std::string& region,
+                      const blackboard::KeyRange& range,
+                      routing::ShardResult result);
+  void DidRangeFail(const std::string& owner,
+                    const std::string& region,
+                    const blackboard::KeyRange& range,
+                    const routing::ShardResult& result);
+  bool MayAskAgain(const Shard& shard, const routing::ShardResult& result);
+  bool TryOtherSnapshot();
+  void LookForSilentOwners();
+  void TargetIsDue();
+  void DeadlineIsDue();
+  void ConcludeIfSettled();
+  void Conclude();
+  void Refuse(base::Error error, base::Duration retry_after, RefusalKind kind);
+  void Finish(CallerAnswer answer);
+  void Record(const CallerAnswer& answer);
+  base::Duration SlowestExpectedWait() const;
+  bool is_at_most_once() const { return !request_.is_idempotent; }
+  std::function<void()> Guarded(void (QuerySession::*step)());
+
+  const std::shared_ptr<const SessionDependencies> dependencies_;
+  const base::TaskRunner runner_;
+  const CallerRequest request_;
+  const blackboard::ClassTargets targets_;
+  const std::int64_t targets_revision_;
+  const std::shared_ptr<const std::string> query_;
+  AnswerCallback done_;
+  const base::MonotonicTime arrived_;
+  const std::int64_t arrived_wall_ms_;
+  const base::MonotonicTime target_due_;
+  const base::MonotonicTime deadline_;
+
+  // The members below are used on `runner_` only.
+  bool is_finished_ = false;
+  // Results of an earlier snapshot choice carry a lower number and are dropped.
+  int generation_ = 0;
+  std::optional<SnapshotPlan> plan_;
+  std::optional<AnswerBuilder> builder_;
+  // Invariant: has exactly the ranges of `plan_`.
+  std::map<blackboard::KeyRange, Shard> shards_;
+  std::vector<std::uint64_t> sub_queries_;
+  int upstream_sends_ = 0;
+  // Set once a shard may have run without an answer.
+  bool may_have_run_ = false;
+  base::Error last_error_;
+  base::Duration retry_after_{};
+  base::Timer target_timer_;
+  base::Timer deadline_timer_;
+  base::Timer silence_timer_;
+};
+
+}  // namespace medlarspread::query
+
+#endif  // MEDLARSPREAD_QUERY_QUERY_SESSION_H_
--- /dev/null
+++ b/src/query/snapshot_chooser.cc
@@ -0,0 +1,52 @@
+// One plan per snapshot that is held anywhere, then the choice among them.
+
+#include "src/query/snapshot_chooser.h"
+
+#include <utility>
+
+namespace medlarspread::query {
+
+namespace {
+
+using blackboard::KeyRange;
+using blackboard::kKeySpace;
+
+// Rounding must not make a full plan miss a target of 1.
+constexpr double kTolerance = 1e-9;
+
+// NOTE: ranges of one snapshot do not overlap by the upstreams' contract. A
+// leaf that breaks it must not make coverage count twice, so the later of two
+// overlapping ranges is left out.
+void AddRange(SnapshotPlan& plan, const KeyRange& range) {
+  if (!plan.ranges.empty() && range.low < plan.ranges.back().high) {
+    return;
+  }
+  plan.ranges.push_back(range);
+  plan.share += static_cast<double>(range.width()) / kKeySpace;
+}
+
+}  // namespace
+
+std::optional<SnapshotPlan> ChooseSnapshot(const routing::ReplicaIndex& index,
+                                           double coverage_target) {
+  // The shards are ordered by snapshot, oldest first, then by range.
+  std::vector<SnapshotPlan> plans;
+  for (const auto& [shard, replicas] : index.shards()) {
+    if (plans.empty() || plans.back().snapshot != shard.snapshot) {
+      plans.push_back({shard.snapshot, {}, 0.0});
+    }
+    AddRange(plans.back(), shard.range);
+  }
+  std::optional<SnapshotPlan> best;
+  for (auto plan = plans.rbegin(); plan != plans.rend(); ++plan) {
+    if (plan->share + kTolerance >= coverage_target) {
+      return std::move(*plan);
+    }
+    if (!best || plan->share > best->share + kTolerance) {
+      best = std::move(*plan);
+    }
+  }
+  return best;
+}
+
+}  // namespace medlarspread::query
--- /dev/null
+++ b/src/routing/dispatcher.cc
@@ -0,0 +1,513 @@
+// Queueing, binding, second sends and retries of one collection's shards.
+
+#include "src/routing/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarspread::routing {
+
+namespace {
+
+using base::Duration;
+using base::ErrorCode;
+using base::MonotonicTime;
+using base::Step;
+using upstream::LeafOutcome;
+
+// How often a non-empty queue is looked at again when no reply does so: a leaf
+// may have become usable by news from elsewhere.
+constexpr Duration kTick = base::Milliseconds(10);
+// Weight of the newest service time in the running mean.
+constexpr double kMeanWeight = 0.05;
+constexpr int kMostRetries = 3;
+
+// A request stands in the queue at most twice: once for its first send (or a
+// retry) and once for its second send.
+std::uint64_t QueueIdOf(std::uint64_t job, bool is_second_send) {
+  return job * 2 + (is_second_send ? 1 : 0);
+}
+
+bool IsRefusal(LeafOutcome outcome) {
+  return !upstream::MayHaveRun(outcome) && outcome != LeafOutcome::kAnswered;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(std::string collection,
+                       std::string attempt_prefix,
+                       Policy policy,
+                       base::Clock clock,
+                       std::shared_ptr<base::Random> random,
+                       base::TaskRunner runner,
+                       const blackboard::Blackboard& blackboard,
+                       std::shared_ptr<LeafWindows> windows,
+                       DispatcherPorts ports)
+    : collection_(std::move(collection)),
+      attempt_prefix_(std::move(attempt_prefix)),
+      policy_(policy),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      runner_(std::move(runner)),
+      blackboard_(blackboard),
+      windows_(std::move(windows)),
+      ports_(std::move(ports)),
+      queues_(blackboard) {}
+
+std::uint64_t Dispatcher::Submit(ShardRequest request, ShardCallback done) {
+  const std::uint64_t id = next_job_++;
+  runner_.Post([self = shared_from_this(), id, request = std::move(request),
+                done = std::move(done)]() mutable {
+    self->DidSubmit(id, std::move(request), std::move(done));
+  });
+  return id;
+}
+
+void Dispatcher::Cancel(std::uint64_t id) {
+  runner_.Post([self = shared_from_this(), id] {
+    const auto row = self->jobs_.find(id);
+    if (row != self->jobs_.end()) {
+      const ShardKey key = row->second.key();
+      self->Forget(id, row->second);
+      self->Pump(key);
+    }
+  });
+}
+
+// Step 1.
+void Dispatcher::DidSubmit(std::uint64_t id,
+                           ShardRequest request,
+                           ShardCallback done) {
+  const MonotonicTime now = clock_.Now();
+  ShardJob& job = jobs_[id];
+  job.request = std::move(request);
+  job.done = std::move(done);
+  job.arrived = now;
+  if (job.request.deadline <= now) {
+    job.last_error = base::MakeError(ErrorCode::kExpired, Step::kQueue, "",
+                                     "deadline passed on arrival");
+    GiveUp(id, ShardOutcome::kRefused);
+    return;
+  }
+  if (UsableReplicas(job).empty()) {
+    job.last_error =
+        base::MakeError(ErrorCode::kWrongSnapshot, Step::kQueue, "",
+                        "no replica here holds the shard in this snapshot");
+    GiveUp(id, ShardOutcome::kWrongSnapshot);
+    return;
+  }
+  job.deadline = runner_.After(
+      job.request.deadline - now,
+      [self = shared_from_this(), id] { self->DeadlineIsDue(id); });
+  Enqueue(id, job, job.request.is_hedge);
+  Pump(job.key());
+}
+
+void Dispatcher::Enqueue(std::uint64_t id, ShardJob& job, bool is_second_send) {
+  job.is_queued = true;
+  queues_.Push(job.key(), {.id = QueueIdOf(id, is_second_send),
+                           .class_name = job.request.class_name,
+                           .target_due = job.request.target_due,
+                           .deadline = job.request.deadline,
+                           .is_hedge = is_second_send});
+  ScheduleTick();
+}
+
+bool Dispatcher::MayUse(const ShardJob& job,
+                        const blackboard::Upstream& upstream) const {
+  return !job.tried.contains(upstream.name) &&
+         MaySendTo(policy_, *blackboard_.membership.Read(), upstream);
+}
+
+std::vector<const blackboard::Upstream*> Dispatcher::UsableReplicas(
+    const ShardJob& job) {
+  std::vector<const blackboard::Upstream*> usable;
+  for (const auto* replica : Index().ReplicasOf(job.key())) {
+    if (MayUse(job, *replica)) {
+      usable.push_back(replica);
+    }
+  }
+  return usable;
+}
+
+// The replica with the smallest share of its places taken that has room; a tie
+// is broken at random, so that several daemons do not all pick the same one.
+const blackboard::Upstream* Dispatcher::PickReplica(
+    const ShardKey& key,
+    std::set<std::string>& exhausted) {
+  const auto view = blackboard_.membership.Read();
+  const blackboard::Upstream* best = nullptr;
+  double best_score = 0.0;
+  for (const auto* replica : Index().ReplicasOf(key)) {
+    if (exhausted.contains(replica->name) ||
+        !MaySendTo(policy_, *view, *replica) || !windows_->has_room(*replica)) {
+      continue;
+    }
+    const bool ignores_load =
+        std::holds_alternative<RandomReplicaPolicy>(policy_);
+    const double score =
+        random_->Unit() * (ignores_load ? 1.0 : 0.01) +
+        (ignores_load ? 0.0
+                      : static_cast<double>(windows_->in_flight(*replica)) /
+                            windows_->limit(*replica));
+    if (best == nullptr || score < best_score) {
+      best = replica;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+// Step 2.
+void Dispatcher::Pump(const ShardKey& key) {
+  // Leaves that have room but that no queued request may go to.
+  std::set<std::string> exhausted;
+  while (true) {
+    if (queues_.queued(key) == 0) {
+      return;
+    }
+    const blackboard::Upstream* replica = PickReplica(key, exhausted);
+    if (replica == nullptr) {
+      return;
+    }
+    // Sending may replace the index that `replica` points into.
+    const blackboard::Upstream target = *replica;
+    const auto queue_id =
+        queues_.Pop(key, clock_.Now(), [&](const admission::QueueItem& item) {
+          return MayUse(jobs_.at(item.id / 2), target);
+        });
+    if (!queue_id) {
+      exhausted.insert(target.name);
+      continue;
+    }
+    const std::uint64_t id = *queue_id / 2;
+    ShardJob& job = jobs_.at(id);
+    job.is_queued = false;
+    Send(id, job, target);
+  }
+}
+
+void Dispatcher::PumpLeaf(const blackboard::Upstream& upstream) {
+  // NOTE: the leaf's holdings may have changed since it was sent to; the tick
+  // looks after queues that this misses.
+  for (const auto& holding : upstream.holdings) {
+    Pump(holding);
+  }
+}
+
+void Dispatcher::PumpAll() {
+  for (const ShardKey& key : queues_.keys()) {
+    Pump(key);
+  }
+}
+
+void Dispatcher::ScheduleTick() {
+  if (is_tick_armed_) {
+    return;
+  }
+  is_tick_armed_ = true;
+  runner_.After(kTick, [self = shared_from_this()] {
+    self->is_tick_armed_ = false;
+    self->PumpAll();
+    if (self->queues_.total_queued() > 0) {
+      self->ScheduleTick();
+    }
+  });
+}
+
+void Dispatcher::Send(std::uint64_t id,
+                      ShardJob& job,
+                      const blackboard::Upstream& upstream) {
+  const bool did_acquire = windows_->TryAcquire(upstream);
+  if (!did_acquire) {
+    // Another dispatcher took the place in between.
+    Enqueue(id, job, job.sends > 0);
+    return;
+  }
+  const MonotonicTime now = clock_.Now();
+  const std::string attempt_id = attempt_prefix_ + "-" + collection_ + "-" +
+                                 std::to_string(next_attempt_++);
+  job.attempts.push_back({attempt_id, upstream});
+  job.tried.insert(upstream.name);
+  ++job.sends;
+  queues_.DidSend(job.key());
+  if (job.sends == 1) {
+    second_sends_.DidFirstSend();
+    ArmSecondSend(id, job);
+  }
+  upstream::LeafRequest request{.attempt_id = attempt_id,
+                                .request_id = job.request.request_id,
+                                .class_name = job.request.class_name,
+                                .collection = collection_,
+                                .snapshot = job.request.snapshot,
+                                .range = job.request.range,
+                                .deadline_left = job.request.deadline - now,
+                                .is_at_most_once = job.request.is_at_most_once,
+                                .query = *job.request.query};
+  ports_.leaves.send(upstream, std::move(request),
+                     [self = shared_from_this(), id, attempt_id, upstream, now,
+                      key = job.key()](upstream::LeafReply reply) {
+                       // What counts for limits and delays is the time as seen
+                       // from here.
+                       reply.service_time = self->clock_.Now() - now;
+                       self->runner_.Post([self, id, attempt_id, upstream, key,
+                                           reply = std::move(reply)] {
+                         self->DidLeaveLeaf(key, upstream, reply);
+                         self->DidReply(id, attempt_id, upstream, reply);
+                         self->Pump(key);
+                         self->PumpLeaf(upstream);
+                       });
+                     });
+}
+
+// The place at the leaf is freed even if the request is gone by now.
+void Dispatcher::DidLeaveLeaf(const ShardKey& key,
+                              const blackboard::Upstream& upstream,
+                              const upstream::LeafReply& reply) {
+  windows_->Release(upstream.name, reply);
+  queues_.DidFinish(key);
+  ports_.observe(upstream.name, reply);
+}
+
+// Step 3. The delay counts from the send to the leaf, not from the arrival of
+// the request: waiting in the queue is no sign of a slow replica.
+void Dispatcher::ArmSecondSend(std::uint64_t id, ShardJob& job) {
+  if (!HasSecondSends(policy_) || job.request.is_at_most_once ||
+      job.request.is_hedge) {
+    return;
+  }
+  const auto delay = second_sends_.Delay();
+  if (!delay) {
+    return;
+  }
+  job.second_send = runner_.After(
+      *delay, [self = shared_from_this(), id] { self->SecondSendIsDue(id); });
+}
+
+void Dispatcher::SecondSendIsDue(std::uint64_t id) {
+  const auto row = jobs_.find(id);
+  if (row == jobs_.end() || row->second.did_second_send ||
+      row->second.attempts.empty()) {
+    return;
+  }
+  ShardJob& job = row->second;
+  const bool has_other_replica = !UsableReplicas(job).empty();
+  if (!second_sends_.TakeBudget()) {
+    return;
+  }
+  job.did_second_send = true;
+  if (has_other_replica) {
+    const ShardKey key = job.key();
+    Enqueue(id, job, true);
+    Pump(key);
+    return;
+  }
+  ShardRequest request = job.request;
+  request.is_hedge = true;
+  job.is_forwarded = ports_.forward_second_send(
+      request, [self = shared_from_this(), id](ShardResult result) {
+        self->runner_.Post([self, id, result = std::move(result)]() mutable {
+          self->DidForwardedReply(id, std::move(result));
+        });
+      });
+  if (!job.is_forwarded) {
+    second_sends_.ReturnBudget();
+  }
+}
+
+void Dispatcher::DidForwardedReply(std::uint64_t id, ShardResult result) {
+  const auto row = jobs_.find(id);
+  if (row == jobs_.end()) {
+    return;
+  }
+  ShardJob& job = row->second;
+  job.is_forwarded = false;
+  job.sends += result.sends;
+  if (result.outcome == ShardOutcome::kAnswered) {
+    Deliver(id, std::move(result));
+  } else if (!job.is_pending()) {
+    GiveUp(id,
+           job.may_have_run ? ShardOutcome::kUnknown : ShardOutcome::kRefused);
+  }
+}
+
+// Step 4.
+void Dispatcher::DidReply(std::uint64_t id,
+                          const std::string& attempt_id,
+                          const blackboard::Upstream& upstream,
+                          const upstream::LeafReply& reply) {
+  if (reply.outcome == LeafOutcome::kAnswered) {
+    second_sends_.DidReply(reply.service_time);
+    mean_service_ += Duration(static_cast<std::int64_t>(
+        kMeanWeight *
+        static_cast<double>((reply.service_time - mean_service_).count())));
+  }
+  const auto row = jobs_.find(id);
+  if (row == jobs_.end()) {
+    return;
+  }
+  std::erase_if(row->second.attempts, [&](const ShardAttempt& attempt) {
+    return attempt.id == attempt_id;
+  });
+  if (reply.outcome == LeafOutcome::kAnswered) {
+    DidAnswer(id, upstream.name, reply);
+  } else {
+    DidFail(id, reply);
+  }
+}
+
+void Dispatcher::DidAnswer(std::uint64_t id,
+                           const std::string& leaf,
+                           const upstream::LeafReply& reply) {
+  retries_.DidSucceed();
+  ShardResult result;
+  result.outcome = ShardOutcome::kAnswered;
+  result.items = reply.items;
+  result.upstream = leaf;
+  result.service_time = reply.service_time;
+  Deliver(id, std::move(result));
+}
+
+void Dispatcher::DidFail(std::uint64_t id, const upstream::LeafReply& reply) {
+  ShardJob& job = jobs_.at(id);
+  job.last_error = reply.error;
+  job.retry_after = std::max(job.retry_after, reply.retry_after);
+  job.may_have_run = job.may_have_run || upstream::MayHaveRun(reply.outcome);
+  switch (DecideAfterFailure(job, reply)) {
+    case NextStep::kWaitForOthers:
+      return;
+    case NextStep::kRetryNow:
+      ++job.retries;
+      Enqueue(id, job, false);
+      return;
+    case NextStep::kRetryLater:
+      ++job.retries;
+      RetryLater(id, job);
+      return;
+    case NextStep::kGiveUp:
+      break;
+  }
+  if (job.may_have_run) {
+    GiveUp(id, ShardOutcome::kUnknown);
+    return;
+  }
+  GiveUp(id, reply.outcome == LeafOutcome::kWrongSnapshot
+                 ? ShardOutcome::kWrongSnapshot
+                 : ShardOutcome::kRefused);
+}
+
+Dispatcher::NextStep Dispatcher::DecideAfterFailure(
+    ShardJob& job,
+    const upstream::LeafReply& reply) {
+  if (job.is_pending()) {
+    return NextStep::kWaitForOthers;
+  }
+  if (job.request.is_at_most_once && job.may_have_run) {
+    return NextStep::kGiveUp;
+  }
+  const bool has_other_replica = !UsableReplicas(job).empty();
+  if (IsRefusal(reply.outcome) && has_other_replica) {
+    // NOTE: a refusal costs the leaf next to nothing, so another replica is
+    // asked without paying from the budget.
+    return NextStep::kRetryNow;
+  }
+  const bool is_late = job.request.target_due <= clock_.Now();
+  if (job.retries >= kMostRetries || is_late || !retries_.Take()) {
+    return NextStep::kGiveUp;
+  }
+  if (has_other_replica) {
+    return NextStep::kRetryNow;
+  }
+  return reply.outcome == LeafOutcome::kShed ? NextStep::kRetryLater
+                                             : NextStep::kGiveUp;
+}
+
+void Dispatcher::RetryLater(std::uint64_t id, ShardJob& job) {
+  const Duration delay =
+      std::max(job.retry_after, admission::Backoff(job.retries, *random_));
+  if (clock_.Now() + delay >= job.request.deadline) {
+    GiveUp(id, ShardOutcome::kRefused);
+    return;
+  }
+  // Only a leaf that shed may be asked again: it said when.
+  job.tried.clear();
+  Enqueue(id, job, false);
+}
+
+// Step 5.
+void Dispatcher::DeadlineIsDue(std::uint64_t id) {
+  const auto row = jobs_.find(id);
+  if (row == jobs_.end()) {
+    return;
+  }
+  ShardJob& job = row->second;
+  const bool is_pending = !job.attempts.empty() || job.is_forwarded;
+  job.last_error = base::MakeError(
+      is_pending ? ErrorCode::kTimeout : ErrorCode::kExpired, Step::kQueue,
+      job.attempts.empty() ? "" : job.attempts.front().upstream.address,
+      "deadline passed");
+  GiveUp(id, is_pending || job.may_have_run ? ShardOutcome::kUnknown
+                                            : ShardOutcome::kRefused);
+}
+
+void Dispatcher::GiveUp(std::uint64_t id, ShardOutcome outcome) {
+  const ShardJob& job = jobs_.at(id);
+  ShardResult result;
+  result.outcome = outcome;
+  result.error = job.last_error;
+  result.retry_after =
+      std::max(job.retry_after, LoadOf(job.key()).expected_wait);
+  Deliver(id, std::move(result));
+}
+
+void Dispatcher::Deliver(std::uint64_t id, ShardResult result) {
+  ShardJob& job = jobs_.at(id);
+  const ShardKey key = job.key();
+  result.sends = job.sends;
+  result.held = clock_.Now() - job.arrived;
+  ShardCallback done = std::move(job.done);
+  Forget(id, job);
+  result.load = LoadOf(key);
+  done(std::move(result));
+}
+
+void Dispatcher::CancelAttempts(ShardJob& job) {
+  for (const ShardAttempt& attempt : job.attempts) {
+    ports_.leaves.cancel(attempt.upstream, attempt.id);
+  }
+}
+
+void Dispatcher::Forget(std::uint64_t id, ShardJob& job) {
+  CancelAttempts(job);
+  job.second_send.Cancel();
+  job.deadline.Cancel();
+  const ShardKey key = job.key();
+  queues_.Remove(key, QueueIdOf(id, false));
+  queues_.Remove(key, QueueIdOf(id, true));
+  jobs_.erase(id);
+}
+
+ShardLoad Dispatcher::LoadOf(const ShardKey& key) {
+  ShardLoad load;
+  load.queued = static_cast<int>(queues_.queued(key));
+  const auto view = blackboard_.membership.Read();
+  for (const auto* replica : Index().ReplicasOf(key)) {
+    if (MaySendTo(policy_, *view, *replica)) {
+      load.running += windows_->in_flight(*replica);
+      load.slots += windows_->limit(*replica);
+    }
+  }
+  const int ahead = load.queued + std::max(0, load.running - load.slots + 1);
+  load.expected_wait = mean_service_ * ahead / std::max(1, load.slots);
+  return load;
+}
+
+const ReplicaIndex& Dispatcher::Index() {
+  auto view = blackboard_.upstreams.Read();
+  if (!index_ || index_->view() != view) {
+    index_.emplace(std::move(view), collection_);
+  }
+  return *index_;
+}
+
+}  // namespace medlarspread::routing
--- /dev/null
+++ b/src/routing/dispatcher.h
@@ -0,0 +1,146 @@
+// Sends the shard requests of one collection to the leaves that this daemon may
+// use. A request waits in the queue of its shard, most urgent first, and is
+// bound to a leaf only when one of the shard's replicas has room. A shard that
+// is late is asked of a second replica; a leaf's refusal is tried elsewhere as
+// long as budget and time allow.
+//
+// All state belongs to one sequence. Steps of one request:
+//   1. Submit() queues it.
+//   2. Pump() binds it to a replica with room and sends it.
+//   3. If no reply has come after the second-send delay, step 2 runs again for
+//      another replica, at the head of the queue.
+//   4. DidReply() delivers the first whole answer and cancels other attempts;
+//      a refusal goes back to step 1.
+//   5. At the deadline, or when nothing is left to try, the request is given up
+//      at once with what is known: refused if it certainly did not run, unknown
+//      otherwise.
+
+#ifndef MEDLARSPREAD_ROUTING_DISPATCHER_H_
+#define MEDLARSPREAD_ROUTING_DISPATCHER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/admission/retry_budget.h"
+#include "src/admission/second_send_policy.h"
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/blackboard.h"
+#include "src/routing/leaf_windows.h"
+#include "src/routing/policy.h"
+#include "src/routing/replica_index.h"
+#include "src/routing/shard_job.h"
+#include "src/routing/shard_queues.h"
+#include "src/routing/shard_request.h"
+#include "src/upstream/leaf_port.h"
+
+namespace medlarspread::routing {
+
+// What one dispatcher needs from its surroundings.
+struct DispatcherPorts {
+  upstream::LeafPort leaves;
+  // Told of every reply, for the upstream controller.
+  std::function<void(const std::string& upstream, const upstream::LeafReply&)>
+      observe;
+  // Asks the owner in another region for a second send; returns false if no
+  // other region has a replica.
+  std::function<bool(const ShardRequest&, ShardCallback)> forward_second_send;
+};
+
+class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
+ public:
+  Dispatcher(std::string collection,
+             std::string attempt_prefix,
+             Policy policy,
+             base::Clock clock,
+             std::shared_ptr<base::Random> random,
+             base::TaskRunner runner,
+             const blackboard::Blackboard& blackboard,
+             std::shared_ptr<LeafWindows> windows,
+             DispatcherPorts ports);
+
+  // Safe from any thread. `done` runs once, on this dispatcher's sequence,
+  // unless the request is cancelled first.
+  std::uint64_t Submit(ShardRequest request, ShardCallback done);
+  // Safe from any thread. Drops the request and its attempts at the leaves.
+  void Cancel(std::uint64_t job);
+
+  // Requests that are queued or sent; for status pages.
+  int queued() const { return queues_.total_queued(); }
+  int running() const { return queues_.total_running(); }
+
+ private:
+  // What is left to do with a request after an attempt failed.
+  enum class NextStep { kWaitForOthers, kRetryNow, kRetryLater, kGiveUp };
+
+  void DidSubmit(std::uint64_t id, ShardRequest request, ShardCallback done);
+  void Enqueue(std::uint64_t id, ShardJob& job, bool is_second_send);
+  void Pump(const ShardKey& key);
+  void PumpLeaf(const blackboard::Upstream& upstream);
+  void PumpAll();
+  void ScheduleTick();
+  bool MayUse(const ShardJob& job, const blackboard::Upstream& upstream) const;
+  const blackboard::Upstream* PickReplica(const ShardKey& key,
+                                          std::set<std::string>& exhausted);
+  std::vector<const blackboard::Upstream*> UsableReplicas(const ShardJob& job);
+  void Send(std::uint64_t id,
+            ShardJob& job,
+            const blackboard::Upstream& upstream);
+  void ArmSecondSend(std::uint64_t id, ShardJob& job);
+  void SecondSendIsDue(std::uint64_t id);
+  void DidForwardedReply(std::uint64_t id, ShardResult result);
+  void DidLeaveLeaf(const ShardKey& key,
+                    const blackboard::Upstream& upstream,
+                    const upstream::LeafReply& reply);
+  void DidReply(std::uint64_t id,
+                const std::string& attempt_id,
+                const blackboard::Upstream& upstream,
+                const upstream::LeafReply& reply);
+  void DidAnswer(std::uint64_t id,
+                 const std::string& leaf,
+                 const upstream::LeafReply& reply);
+  void DidFail(std::uint64_t id, const upstream::LeafReply& reply);
+  NextStep DecideAfterFailure(ShardJob& job, const upstream::LeafReply& reply);
+  void RetryLater(std::uint64_t id, ShardJob& job);
+  void DeadlineIsDue(std::uint64_t id);
+  void GiveUp(std::uint64_t id, ShardOutcome outcome);
+  void Deliver(std::uint64_t id, ShardResult result);
+  void CancelAttempts(ShardJob& job);
+  void Forget(std::uint64_t id, ShardJob& job);
+  ShardLoad LoadOf(const ShardKey& key);
+  const ReplicaIndex& Index();
+
+  const std::string collection_;
+  // Makes attempt identifiers unique over daemons and incarnations.
+  const std::string attempt_prefix_;
+  const Policy policy_;
+  const base::Clock clock_;
+  const std::shared_ptr<base::Random> random_;
+  const base::TaskRunner runner_;
+  const blackboard::Blackboard& blackboard_;
+  const std::shared_ptr<LeafWindows> windows_;
+  const DispatcherPorts ports_;
+
+  std::atomic<std::uint64_t> next_job_ = 1;
+  // The members below are used on `runner_` only.
+  std::uint64_t next_attempt_ = 1;
+  std::map<std::uint64_t, ShardJob> jobs_;
+  ShardQueues queues_;
+  admission::SecondSendPolicy second_sends_;
+  admission::RetryBudget retries_;
+  base::Duration mean_service_ = base::Milliseconds(1);
+  std::optional<ReplicaIndex> index_;
+  bool is_tick_armed_ = false;
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_DISPATCHER_H_
--- /dev/null
+++ b/src/routing/leaf_windows.cc
@@ -0,0 +1,83 @@
+// A mutex around the windows of all leaves.
+
+#include "src/routing/leaf_windows.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace medlarspread::routing {
+
+namespace {
+
+constexpr int kUnlimited = std::numeric_limits<int>::max();
+
+bool IsShed(const upstream::LeafReply& reply) {
+  return reply.outcome == upstream::LeafOutcome::kShed;
+}
+
+}  // namespace
+
+LeafWindows::LeafWindows(Policy policy, base::Clock clock)
+    : policy_(policy), clock_(std::move(clock)) {}
+
+LeafWindows::Row& LeafWindows::RowOf(const blackboard::Upstream& upstream) {
+  const auto found = rows_.find(upstream.name);
+  if (found != rows_.end()) {
+    return found->second;
+  }
+  const int slots =
+      std::max(1, std::min({InFlightLimit(policy_, upstream), upstream.slots,
+                            upstream.connections}));
+  Row row{admission::LeafWindow(slots, std::max(1, upstream.connections)), 0};
+  if (upstream.state == blackboard::UpstreamState::kCold) {
+    row.window.set_cold_since(upstream.cold_since);
+  }
+  return rows_.emplace(upstream.name, std::move(row)).first->second;
+}
+
+bool LeafWindows::TryAcquire(const blackboard::Upstream& upstream) {
+  const std::lock_guard lock(mutex_);
+  Row& row = RowOf(upstream);
+  if (InFlightLimit(policy_, upstream) == kUnlimited) {
+    ++row.unlimited_in_flight;
+    return true;
+  }
+  return row.window.TryAcquire(clock_.Now());
+}
+
+void LeafWindows::Release(const std::string& upstream,
+                          const upstream::LeafReply& reply) {
+  const std::lock_guard lock(mutex_);
+  const auto found = rows_.find(upstream);
+  if (found == rows_.end()) {
+    return;
+  }
+  Row& row = found->second;
+  if (row.unlimited_in_flight > 0) {
+    --row.unlimited_in_flight;
+    return;
+  }
+  row.window.Release();
+  row.window.DidReply(reply.service_time, IsShed(reply), clock_.Now());
+}
+
+bool LeafWindows::has_room(const blackboard::Upstream& upstream) {
+  const std::lock_guard lock(mutex_);
+  Row& row = RowOf(upstream);
+  return InFlightLimit(policy_, upstream) == kUnlimited ||
+         row.window.has_room(clock_.Now());
+}
+
+int LeafWindows::in_flight(const blackboard::Upstream& upstream) {
+  const std::lock_guard lock(mutex_);
+  Row& row = RowOf(upstream);
+  return row.window.in_flight() + row.unlimited_in_flight;
+}
+
+int LeafWindows::limit(const blackboard::Upstream& upstream) {
+  const std::lock_guard lock(mutex_);
+  return RowOf(upstream).window.limit();
+}
+
+}  // namespace medlarspread::routing
--- /dev/null
+++ b/src/routing/leaf_windows.h
@@ -0,0 +1,51 @@
+// The limits on requests in flight of all leaves that this daemon sends to.
+// Shared by the dispatchers, because a leaf may serve several of them while
+// shards move.
+
+#ifndef MEDLARSPREAD_ROUTING_LEAF_WINDOWS_H_
+#define MEDLARSPREAD_ROUTING_LEAF_WINDOWS_H_
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "src/admission/leaf_window.h"
+#include "src/base/clock.h"
+#include "src/blackboard/views.h"
+#include "src/routing/policy.h"
+#include "src/upstream/leaf_port.h"
+
+namespace medlarspread::routing {
+
+// Safe to use from any thread.
+class LeafWindows {
+ public:
+  LeafWindows(Policy policy, base::Clock clock);
+
+  // Takes one place at the leaf; false if it has none free.
+  bool TryAcquire(const blackboard::Upstream& upstream);
+  // Gives the place back with what the reply said.
+  void Release(const std::string& upstream, const upstream::LeafReply& reply);
+
+  bool has_room(const blackboard::Upstream& upstream);
+  int in_flight(const blackboard::Upstream& upstream);
+  int limit(const blackboard::Upstream& upstream);
+
+ private:
+  struct Row {
+    admission::LeafWindow window;
+    // Only for the baseline without limits, which bypasses the window.
+    int unlimited_in_flight = 0;
+  };
+
+  Row& RowOf(const blackboard::Upstream& upstream);
+
+  const Policy policy_;
+  const base::Clock clock_;
+  std::mutex mutex_;
+  std::map<std::string, Row> rows_;
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_LEAF_WINDOWS_H_
--- /dev/null
+++ b/src/routing/load_table.h
@@ -0,0 +1,57 @@
+// What this daemon has lately heard of the queues in each region, and how far
+// away each region is. Both ride on the replies of the queue owners, so they
+// cost no messages of their own.
+
+#ifndef MEDLARSPREAD_ROUTING_LOAD_TABLE_H_
+#define MEDLARSPREAD_ROUTING_LOAD_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <tuple>
+
+#include "src/base/clock.h"
+#include "src/routing/shard_request.h"
+
+namespace medlarspread::routing {
+
+// Safe to use from any thread.
+class LoadTable {
+ public:
+  explicit LoadTable(base::Clock clock);
+
+  // A reply for the shard at `low` came from `region` after `network` on the
+  // way, both directions together.
+  void DidHear(const std::string& collection,
+               std::int32_t low,
+               const std::string& region,
+               const ShardLoad& load,
+               base::Duration network);
+
+  // Expected wait in the shard's queue. Old news count for less and less: a
+  // queue that was full is likely to have emptied.
+  base::Duration ExpectedWait(const std::string& collection,
+                              std::int32_t low,
+                              const std::string& region) const;
+
+  // Round trip to the owners in `region`.
+  base::Duration NetworkTime(const std::string& region,
+                             bool is_own_region) const;
+
+ private:
+  struct Row {
+    base::Duration wait{};
+    base::MonotonicTime heard;
+  };
+  using Key = std::tuple<std::string, std::int32_t, std::string>;
+
+  const base::Clock clock_;
+  mutable std::mutex mutex_;
+  std::map<Key, Row> rows_;
+  std::map<std::string, base::Duration> network_;
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_LOAD_TABLE_H_
--- /dev/null
+++ b/src/routing/policy.cc
@@ -0,0 +1,113 @@
+// Visitors over the routing policies.
+
+#include "src/routing/policy.h"
+
+#include <limits>
+
+#include "src/base/rendezvous.h"
+
+namespace medlarspread::routing {
+
+namespace {
+
+using blackboard::MembershipView;
+using blackboard::MemberState;
+
+template <typename... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <typename... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+std::vector<std::string> LiveMembersOf(const MembershipView& view,
+                                       const std::string& region) {
+  std::vector<std::string> names;
+  for (const auto& [name, member] : view.members) {
+    if (member.region == region && member.state == MemberState::kLive) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::string RegionOfSelf(const MembershipView& view) {
+  const auto self = view.members.find(view.self);
+  return self == view.members.end() ? std::string() : self->second.region;
+}
+
+}  // namespace
+
+const char* PolicyName(const Policy& policy) {
+  return std::visit(
+      Overloaded{
+          [](const QueueOwnerPolicy&) { return "queue_owner"; },
+          [](const FixedSharePolicy&) { return "fixed_share"; },
+          [](const RandomReplicaPolicy&) { return "random_replica"; },
+      },
+      policy);
+}
+
+std::optional<Policy> PolicyFromName(std::string_view name, int bundles) {
+  for (const Policy& policy :
+       {Policy(QueueOwnerPolicy{bundles}), Policy(FixedSharePolicy{}),
+        Policy(RandomReplicaPolicy{})}) {
+    if (name == PolicyName(policy)) {
+      return policy;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string OwnerKey(const Policy& policy,
+                     const std::string& collection,
+                     const std::string& region,
+                     blackboard::KeyRange range) {
+  const auto* owner_policy = std::get_if<QueueOwnerPolicy>(&policy);
+  const int bundles = owner_policy == nullptr ? 1 : owner_policy->bundles;
+  // NOTE: the bundle depends on the range alone, so that a repartition that
+  // splits a shard leaves the parts with the same owner as far as possible.
+  const auto bundle =
+      static_cast<std::int64_t>(range.low) * bundles / blackboard::kKeySpace;
+  return collection + "/" + region + "/" + std::to_string(bundle);
+}
+
+std::vector<std::string> RankOwners(const Policy& policy,
+                                    const MembershipView& view,
+                                    const std::string& region,
+                                    const std::string& owner_key) {
+  if (!std::holds_alternative<QueueOwnerPolicy>(policy)) {
+    return {view.self};
+  }
+  return base::RankByRendezvous(owner_key, LiveMembersOf(view, region));
+}
+
+bool MaySendTo(const Policy& policy,
+               const MembershipView& view,
+               const blackboard::Upstream& upstream) {
+  return std::visit(Overloaded{
+                        [&](const QueueOwnerPolicy&) {
+                          return upstream.region == RegionOfSelf(view);
+                        },
+                        [](const FixedSharePolicy&) { return true; },
+                        [](const RandomReplicaPolicy&) { return true; },
+                    },
+                    policy);
+}
+
+int InFlightLimit(const Policy& policy, const blackboard::Upstream& upstream) {
+  return std::visit(Overloaded{
+                        [&](const QueueOwnerPolicy&) { return upstream.slots; },
+                        [](const FixedSharePolicy&) { return 1; },
+                        [](const RandomReplicaPolicy&) {
+                          return std::numeric_limits<int>::max();
+                        },
+                    },
+                    policy);
+}
+
+bool HasSecondSends(const Policy& policy) {
+  return std::holds_alternative<QueueOwnerPolicy>(policy);
+}
+
+}  // namespace medlarspread::routing
--- /dev/null
+++ b/src/routing/shard_job.h
@@ -0,0 +1,55 @@
+// The state of one shard request inside a dispatcher.
+
+#ifndef MEDLARSPREAD_ROUTING_SHARD_JOB_H_
+#define MEDLARSPREAD_ROUTING_SHARD_JOB_H_
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/error.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/views.h"
+#include "src/routing/replica_index.h"
+#include "src/routing/shard_request.h"
+
+namespace medlarspread::routing {
+
+// One send to one leaf that has not come back.
+struct ShardAttempt {
+  std::string id;
+  blackboard::Upstream upstream;
+};
+
+struct ShardJob {
+  ShardRequest request;
+  ShardCallback done;
+  base::MonotonicTime arrived;
+  std::vector<ShardAttempt> attempts;
+  // Leaves that this request must not go to again.
+  std::set<std::string> tried;
+  int sends = 0;
+  int retries = 0;
+  bool did_second_send = false;
+  // Invariant: a job stands in the queue at most once at a time.
+  bool is_queued = false;
+  // A second send to another region that has not answered yet.
+  bool is_forwarded = false;
+  // Set once an attempt ended without a reply that excludes a run.
+  bool may_have_run = false;
+  base::Error last_error;
+  base::Duration retry_after{};
+  base::Timer second_send;
+  base::Timer deadline;
+
+  ShardKey key() const { return {request.snapshot, request.range}; }
+  // Whether an answer may still come without anything being done.
+  bool is_pending() const {
+    return !attempts.empty() || is_queued || is_forwarded;
+  }
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_SHARD_JOB_H_
