Peer: Link daemons by framed TCP with bounded queues

Daemons need one way to reach each other that says at once when it can't and that never delivers what an older incarnation of a VM says.

Ruled out: Thrift's servers and blocking client (a thread a connection, and no bounded queue); replies over the link that the request came on (two writers a link, and the reply's way has to be remembered per request). Chosen: one outgoing link per peer over Boost.Asio, read by the peer, with the compact protocol as codec; a lost link in either direction reports the peer as lost.

A connection refused is reported and tried again with backoff and jitter on the next send. Links to a daemon that leaves the membership view are closed, which ends half-open ones. Links of older incarnations are closed, and a new link of an older one is answered with one heartbeat that shows the newer incarnation.

The membership view gains the daemons that are absent but still tried, because the links take addresses from it, and whether the view is confirmed.

--- a/src/blackboard/views.h
+++ b/src/blackboard/views.h
@@ -65,6 +65,12 @@
 struct MembershipView {
   std::string self;
   std::map<std::string, Member> members;
+  // Daemons that are not in `members`, because they are silent or can't be
+  // reached, but with which membership still tries to talk. They get no work.
+  std::map<std::string, Member> absent;
+  // Whether a peer has confirmed this view since the start, or since this VM
+  // last woke from being frozen. False also means not to trust it alone.
+  bool is_settled = false;
 };
 
 enum class UpstreamState { kServing, kCold, kDraining, kUnreachable };
--- /dev/null
+++ b/src/peer/acceptor.h
@@ -0,0 +1,60 @@
+// Takes in the connections that peers open. A session: it keeps itself alive
+// until it is closed.
+
+#ifndef MEDLARSPREAD_PEER_ACCEPTOR_H_
+#define MEDLARSPREAD_PEER_ACCEPTOR_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/basic_socket_acceptor.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/base/task_runner.h"
+#include "src/peer/connection.h"
+
+namespace medlarspread::peer {
+
+class Acceptor : public std::enable_shared_from_this<Acceptor> {
+ public:
+  // Runs on a traffic thread, one at a time. The socket has a strand of its
+  // own over the same threads.
+  using DidAccept = std::function<void(Connection::Socket)>;
+
+  // After a failed accept the next one waits for `retry_delay`.
+  Acceptor(boost::asio::io_context& traffic,
+           base::Duration retry_delay,
+           DidAccept did_accept);
+
+  // Listens on "ip:port"; port 0 takes a free one. Errors: kInvalidArgument,
+  // kUnavailable.
+  base::Status Open(const std::string& listen_address);
+  // Safe to call from any thread, more than once.
+  void Close();
+
+  // "ip:port" with the port that was taken. Valid once open.
+  const std::string& address() const { return address_; }
+
+ private:
+  void Accept();
+  void HandleAccept(const boost::system::error_code& error,
+                    Connection::Socket socket);
+
+  boost::asio::io_context& traffic_;
+  const base::TaskRunner timers_;
+  const base::Duration retry_delay_;
+  const DidAccept did_accept_;
+  std::string address_;
+  std::atomic<bool> is_closed_ = false;
+  // Used on its own strand after Open().
+  boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, Connection::Strand>
+      acceptor_;
+};
+
+}  // namespace medlarspread::peer
+
+#endif  // MEDLARSPREAD_PEER_ACCEPTOR_H_
