Metrics: Count, and estimate latency quantiles by Boost.Accumulators

The extended P2 algorithm keeps four quantiles in constant memory. Two accumulators take turns every minute, since one that is only reset would have forgotten everything at each reset, and the library's rolling window has no quantiles. The number of series is bounded by folding classes above 200 into one.

--- /dev/null
+++ b/src/metrics/registry.h
@@ -0,0 +1,64 @@
+// Holds the values of all metrics of the daemon and renders them as text for
+// GET /metrics.
+
+#ifndef MEDLARSPREAD_METRICS_REGISTRY_H_
+#define MEDLARSPREAD_METRICS_REGISTRY_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "src/base/clock.h"
+#include "src/metrics/metric_names.h"
+#include "src/metrics/windowed_distribution.h"
+
+namespace medlarspread::metrics {
+
+// Safe to use from any thread.
+class Registry {
+ public:
+  explicit Registry(base::Clock clock);
+
+  void Count(Counter counter, std::int64_t by = 1);
+  void Count(ClassCounter counter,
+             const std::string& class_name,
+             std::int64_t by = 1);
+  void Set(Gauge gauge, std::int64_t value);
+  void Observe(Distribution distribution, base::Duration latency);
+  void Observe(ClassDistribution distribution,
+               const std::string& class_name,
+               base::Duration latency);
+
+  // The usual text exposition format, version 0.0.4.
+  std::string Render();
+
+ private:
+  using ClassCounterKey = std::pair<ClassCounter, std::string>;
+  using ClassDistributionKey = std::pair<ClassDistribution, std::string>;
+
+  // The name under which a class is counted: classes come and go, and the
+  // number of series must stay bounded. Call with the mutex held.
+  const std::string& BoundedName(const std::string& class_name);
+  void RenderClassMetrics(std::string& text);
+
+  const base::Clock clock_;
+  // The sets of keys never change after construction.
+  std::map<Counter, std::atomic<std::int64_t>> counters_;
+  std::map<Gauge, std::atomic<std::int64_t>> gauges_;
+  std::map<Distribution, std::unique_ptr<WindowedDistribution>> distributions_;
+
+  // Guards what follows. Distributions stay where they are once made.
+  std::mutex mutex_;
+  std::map<std::string, std::string> class_names_;
+  std::map<ClassCounterKey, std::int64_t> class_counters_;
+  std::map<ClassDistributionKey, std::unique_ptr<WindowedDistribution>>
+      class_distributions_;
+};
+
+}  // namespace medlarspread::metrics
+
+#endif  // MEDLARSPREAD_METRICS_REGISTRY_H_
