Claims: Grant a non-idempotent request at most once

Two daemons, or one that was paused, must never both send one non-idempotent request. A claim is now recorded in the key-value service before anything is sent: per key one compare-and-swap is in flight and the next group gathers meanwhile; a reply that is lost is settled by reading back; only the asker, before its deadline, turns a recorded nonce into a grant.

Ruled out: trusting a lease (a paused holder may wake at any line); a key per claim (one write a claim); waiting out an outage (nothing is sent without a claim, so the caller is told at once and when to come back).

A store that lost confirmed writes is noticed by whoever remembers them: the claims are put back and older identifiers are refused by that daemon.

--- /dev/null
+++ b/src/claims/bucket.h
@@ -0,0 +1,105 @@
+// Commits the claims of one key in groups: one swap is in flight at a time and
+// the next group gathers meanwhile.
+//
+// Nothing here relies on being the only daemon that writes the key. What is
+// answered rests on a value that the store confirmed:
+//  1. A swap that succeeded recorded its group: each claim of the group is
+//     granted, or taken if its identifier stood there under another nonce.
+//  2. A conflict means that another daemon wrote: read, settle what is recorded
+//     and swap the rest.
+//  3. An unknown outcome is read back in the same way. A claim that the read
+//     does not show may still be recorded by the delayed swap, so it is swapped
+//     again with its nonce; the key's version lets only one of the two succeed.
+//  4. A claim that is still in doubt at its deadline, or after too many failed
+//     calls, is unsettled, not refused.
+
+#ifndef MEDLARSPREAD_CLAIMS_BUCKET_H_
+#define MEDLARSPREAD_CLAIMS_BUCKET_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/claims/claim_context.h"
+#include "src/claims/claim_store.h"
+#include "src/claims/pending_claim.h"
+#include "src/claims/recorded_claims.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::claims {
+
+class Bucket : public std::enable_shared_from_this<Bucket> {
+ public:
+  Bucket(std::shared_ptr<ClaimContext> context,
+         std::shared_ptr<ClaimStore> store,
+         std::string key);
+
+  void Add(PendingClaim claim);
+
+  // Whether nothing is waiting and no call is under way.
+  bool is_idle() const { return phase_ == Phase::kIdle && queue_.empty(); }
+  base::MonotonicTime last_used() const { return last_used_; }
+
+ private:
+  enum class Phase { kIdle, kPausing, kSwapping, kReading };
+
+  // Starts the next step if none is under way.
+  void Pump();
+  void Pause(base::Duration duration);
+  void Swap();
+  // Moves the claims that fit into one value from the queue to the group and
+  // returns the lines to be added.
+  RecordedClaims TakeGroup();
+  void DidSwap(const RecordedClaims& added,
+               const base::Result<std::int64_t>& result);
+  void DidFailSwap(const base::Error& error);
+  void Read();
+  void DidRead(const base::Result<std::optional<platform::Entry>>& result);
+  void Adopt(const RecordedClaims& stored, std::int64_t version);
+  // Puts back what was confirmed earlier and is missing from `stored`.
+  void CheckForLostState(const RecordedClaims& stored, std::int64_t version);
+
+  void ReturnGroupToQueue();
+  // Gives up on the claims that met too many failures of the store: nothing is
+  // sent without a claim, so waiting on would only hold the caller.
+  void CountFailure(const base::Error& error);
+  void BackOff();
+  void DropHopeless();
+  // The error for which the claim can't be pursued any longer, if any.
+  std::optional<base::Error> ReasonToDrop(const PendingClaim& claim) const;
+  void SettleRecorded();
+  bool SettleIfRecorded(const PendingClaim& claim);
+  // Refuses the claim, or leaves it unsettled if it may yet be recorded.
+  void GiveUp(const PendingClaim& claim, const base::Error& error);
+  void Settle(const PendingClaim& claim,
+              ClaimOutcome outcome,
+              const base::Error& error);
+  void LogLoss(std::string message, std::string request_id) const;
+  base::Error MakeError(base::ErrorCode code, std::string detail) const;
+
+  const std::shared_ptr<ClaimContext> context_;
+  const std::shared_ptr<ClaimStore> store_;
+  const std::string key_;
+
+  Phase phase_ = Phase::kIdle;
+  // Everything here was in the store at some time, under this key.
+  RecordedClaims claims_;
+  // The key's version when it was last read or swapped.
+  std::int64_t version_ = platform::kAbsent;
+  std::deque<PendingClaim> queue_;
+  // The claims of the swap under way. Invariant: empty unless kSwapping.
+  std::deque<PendingClaim> group_;
+  // The store lacks some of `claims_`: swap even if nobody waits.
+  bool must_rewrite_ = false;
+  int failures_in_a_row_ = 0;
+  base::MonotonicTime next_swap_at_;
+  base::MonotonicTime last_used_;
+};
+
+}  // namespace medlarspread::claims
+
+#endif  // MEDLARSPREAD_CLAIMS_BUCKET_H_
--- /dev/null
+++ b/src/claims/claim_context.h
@@ -0,0 +1,43 @@
+// What all parts of one daemon's claims share. Used on their sequence only.
+
+#ifndef MEDLARSPREAD_CLAIMS_CLAIM_CONTEXT_H_
+#define MEDLARSPREAD_CLAIMS_CLAIM_CONTEXT_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "src/base/clock.h"
+#include "src/base/log.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/claims/claim_counts.h"
+#include "src/claims/claim_protocol.h"
+#include "src/claims/claim_settings.h"
+
+namespace medlarspread::claims {
+
+struct ClaimContext {
+  ClaimSettings settings;
+  base::Clock clock;
+  base::Random& random;
+  base::TaskRunner runner;
+  base::Log log;
+  ClaimCounts counts;
+
+  // Identifiers made before this time are not claimed anew by this daemon.
+  // Invariant: never decreases.
+  std::int64_t floor_ms = 0;
+
+  // Notes that the store lost confirmed writes, as after a restore from an
+  // older copy. Claims made until now may be among the lost, so their
+  // identifiers must not be granted again.
+  void DidFindLostState() {
+    ++counts.lost_states;
+    floor_ms = std::max(floor_ms, clock.WallMilliseconds() +
+                                      kAllowedClockDifferenceMilliseconds);
+  }
+};
+
+}  // namespace medlarspread::claims
+
+#endif  // MEDLARSPREAD_CLAIMS_CLAIM_CONTEXT_H_
--- a/src/claims/claim_service.h
+++ b/src/claims/claim_service.h
@@ -18,15 +18,16 @@
 #ifndef MEDLARSPREAD_CLAIMS_CLAIM_SERVICE_H_
 #define MEDLARSPREAD_CLAIMS_CLAIM_SERVICE_H_
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "src/base/clock.h"
+#include "src/base/log.h"
 #include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/blackboard/blackboard.h"
+#include "src/claims/claim_counts.h"
 #include "src/claims/claim_port.h"
 #include "src/claims/claim_settings.h"
 #include "src/peer/message.h"
@@ -34,35 +35,17 @@
 
 namespace medlarspread::claims {
 
-// Counts since the start, for the metrics page. Calls are calls to the store.
-struct ClaimCounts {
-  std::int64_t swaps = 0;
-  std::int64_t reads = 0;
-  std::int64_t lists = 0;
-  std::int64_t erases = 0;
-  // Swaps whose outcome was not known at first.
-  std::int64_t unknown_swaps = 0;
-  std::int64_t granted = 0;
-  std::int64_t taken = 0;
-  std::int64_t refused = 0;
-  std::int64_t unsettled = 0;
-  std::int64_t expired = 0;
-  // The store was found to have lost writes that it had confirmed.
-  std::int64_t lost_state = 0;
-  // One identifier was found under two nonces: the store lost the first.
-  std::int64_t clashes = 0;
-};
-
 class ClaimService {
  public:
-  // `random` and `blackboard` must outlive the service.
+  // `random` and `blackboard` must outlive the tasks of `runner`.
   ClaimService(ClaimSettings settings,
                base::Clock clock,
                base::Random& random,
                base::TaskRunner runner,
                platform::Store store,
                peer::PeerPort peers,
-               const blackboard::Blackboard& blackboard);
+               const blackboard::Blackboard& blackboard,
+               base::Log log = {});
   ~ClaimService();
   ClaimService(const ClaimService&) = delete;
   ClaimService& operator=(const ClaimService&) = delete;
--- a/src/claims/claim_settings.h
+++ b/src/claims/claim_settings.h
@@ -18,7 +18,7 @@
   base::Duration store_timeout = base::Milliseconds(250);
   // Pause after the store refused a call; doubles with each refusal in a row.
   base::Duration store_backoff = base::Milliseconds(10);
-  // Refusals by the store after which a claim is refused.
+  // Failed calls to the store after which a claim is given up.
   int store_attempts = 3;
   // How long the asker waits for the daemon that groups the claims of a key.
   base::Duration forward_timeout = base::Milliseconds(150);
@@ -28,6 +28,8 @@
   std::size_t cached_buckets = 64;
   // Identifiers known to be claimed that are kept in memory beside those.
   std::size_t remembered_claims = 20'000;
+  // Claims that may wait here at once, this daemon's own and others'.
+  std::size_t open_claims = 10'000;
   // What a refused caller is told to wait.
   base::Duration retry_after = base::Milliseconds(1000);
 };
--- /dev/null
+++ b/src/claims/group_committer.h
@@ -0,0 +1,42 @@
+// The keys of claims that this daemon writes at present, each with its group
+// commit. Claims come from this daemon's sessions and from other daemons.
+
+#ifndef MEDLARSPREAD_CLAIMS_GROUP_COMMITTER_H_
+#define MEDLARSPREAD_CLAIMS_GROUP_COMMITTER_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/claims/bucket.h"
+#include "src/claims/claim_context.h"
+#include "src/claims/claim_store.h"
+#include "src/claims/pending_claim.h"
+
+namespace medlarspread::claims {
+
+class GroupCommitter : public std::enable_shared_from_this<GroupCommitter> {
+ public:
+  GroupCommitter(std::shared_ptr<ClaimContext> context,
+                 std::shared_ptr<ClaimStore> store);
+
+  // Settles the claim at once if the settings allow no more open claims.
+  void Add(PendingClaim claim);
+
+  // Claims added and not yet settled.
+  std::size_t open_claims() const { return open_claims_; }
+
+ private:
+  // Forgets the least recently used idle keys beyond the setting.
+  void Forget();
+
+  const std::shared_ptr<ClaimContext> context_;
+  const std::shared_ptr<ClaimStore> store_;
+  std::map<std::string, std::shared_ptr<Bucket>> buckets_;
+  std::size_t open_claims_ = 0;
+};
+
+}  // namespace medlarspread::claims
+
+#endif  // MEDLARSPREAD_CLAIMS_GROUP_COMMITTER_H_
--- /dev/null
+++ b/tests/claims/claims_world.h
@@ -0,0 +1,111 @@
+// Several daemons' ClaimServices over one fake store, with the links between
+// them, in manual time. Each daemon has its own queue of tasks, so that one can
+// be paused at any moment while time goes on for the others.
+
+#ifndef MEDLARSPREAD_TESTS_CLAIMS_CLAIMS_WORLD_H_
+#define MEDLARSPREAD_TESTS_CLAIMS_CLAIMS_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/blackboard.h"
+#include "src/claims/claim_service.h"
+#include "tests/claims/fake_store.h"
+
+namespace medlarspread::claims {
+
+enum class LinkFault { kNone, kLose, kDuplicate, kLate, kRefuse };
+
+class ClaimsWorld {
+ public:
+  static constexpr std::int64_t kStartMilliseconds = 1'764'691'200'000;
+  static constexpr base::Duration kDeadline = base::Milliseconds(2000);
+
+  explicit ClaimsWorld(int daemons);
+
+  // An identifier made `age_ms` ago.
+  std::string MakeId(const std::string& suffix, std::int64_t age_ms = 0) const;
+
+  // Asks daemon `index` for the claim. Returns the place of its result.
+  std::size_t Ask(int index,
+                  const std::string& request_id,
+                  base::Duration deadline = kDeadline);
+  void Advance(base::Duration duration);
+
+  // Whether any result has arrived for the question.
+  bool is_settled(std::size_t question) const {
+    return questions_[question].answers > 0;
+  }
+  ClaimResult result(std::size_t question) const {
+    return questions_[question].result;
+  }
+  // Invariant to be tested: at most one per identifier.
+  int grants(const std::string& request_id) const;
+  // The largest number of grants of one identifier, and of answers to one
+  // question.
+  int most_grants() const;
+  int most_answers() const;
+
+  // A paused daemon runs nothing; what is sent to it waits.
+  void Pause(int index) { daemons_[Index(index)].is_paused = true; }
+  void Resume(int index) { daemons_[Index(index)].is_paused = false; }
+  // Ends the daemon at once and starts a new incarnation with empty memory.
+  void Restart(int index);
+  void Stop(int index, std::function<void()> did_stop);
+  // The daemons that daemon `index` believes to be live.
+  void SetView(int index, const std::vector<int>& live);
+  // The daemon that groups the claims of this identifier in a full view.
+  int GroupingDaemon(const std::string& request_id) const;
+  ClaimCounts Counts(int index);
+
+  std::function<LinkFault()> next_link_fault = [] { return LinkFault::kNone; };
+  ClaimSettings settings;
+
+  FakeStore& store() { return *store_; }
+
+ private:
+  struct Daemon {
+    std::shared_ptr<base::ManualScheduler> scheduler;
+    std::unique_ptr<blackboard::Blackboard> blackboard;
+    std::unique_ptr<ClaimService> service;
+    bool is_paused = false;
+    int incarnation = 0;
+  };
+  struct Question {
+    std::string request_id;
+    ClaimResult result;
+    int answers = 0;
+    bool was_granted = false;
+  };
+
+  static std::size_t Index(int index) {
+    return static_cast<std::size_t>(index);
+  }
+  static std::string Name(int index) { return "vm" + std::to_string(index); }
+
+  void Boot(int index);
+  base::Status Send(int from, const std::string& to, peer::Message message);
+  void Deliver(int from, int to, const peer::Message& message);
+  void RunReady();
+
+  std::shared_ptr<base::ManualTime> time_;
+  // The scheduler of the store and of the links.
+  std::shared_ptr<base::ManualScheduler> network_;
+  std::shared_ptr<FakeStore> store_;
+  base::Random random_{7};
+  std::vector<Daemon> daemons_;
+  // Ended incarnations: kept, never run again.
+  std::vector<Daemon> ended_;
+  std::vector<Question> questions_;
+};
+
+}  // namespace medlarspread::claims
+
+#endif  // MEDLARSPREAD_TESTS_CLAIMS_CLAIMS_WORLD_H_
--- /dev/null
+++ b/tests/claims/fake_store.h
@@ -0,0 +1,74 @@
+// A key-value service in memory whose replies and effects the test can lose or
+// delay, each on its own, and that can be restored from an older copy.
+
+#ifndef MEDLARSPREAD_TESTS_CLAIMS_FAKE_STORE_H_
+#define MEDLARSPREAD_TESTS_CLAIMS_FAKE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/base/task_runner.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::claims {
+
+// What befalls one call.
+enum class StoreFault {
+  kNone,
+  // A write takes effect, its reply is lost.
+  kLoseReply,
+  // The call is lost on its way.
+  kLoseRequest,
+  // A write takes effect only long after the client has given up on it.
+  kApplyLate,
+  // The service answers that it did nothing.
+  kUnavailable,
+};
+
+class FakeStore : public std::enable_shared_from_this<FakeStore> {
+ public:
+  static constexpr base::Duration kDelay = base::Milliseconds(2);
+  static constexpr base::Duration kLateness = base::Milliseconds(700);
+
+  explicit FakeStore(base::TaskRunner network) : network_(network) {}
+
+  platform::Store store();
+
+  std::function<StoreFault()> next_fault = [] { return StoreFault::kNone; };
+
+  const std::map<std::string, platform::Entry>& entries() const {
+    return entries_;
+  }
+  // NOTE: Versions go on growing after a restore, as the interface promises.
+  void Restore(std::map<std::string, platform::Entry> entries) {
+    entries_ = std::move(entries);
+  }
+  int calls() const { return calls_; }
+
+ private:
+  using Version = base::Result<std::int64_t>;
+
+  void Swap(const platform::Entry& wanted,
+            base::Duration timeout,
+            platform::Store::WriteCallback callback);
+  void Erase(const std::string& key,
+             std::int64_t expected_version,
+             base::Duration timeout,
+             platform::Store::EraseCallback callback);
+  std::optional<platform::Entry> Find(const std::string& key) const;
+  Version Apply(const platform::Entry& wanted);
+
+  base::TaskRunner network_;
+  std::map<std::string, platform::Entry> entries_;
+  std::int64_t last_version_ = 0;
+  int calls_ = 0;
+};
+
+}  // namespace medlarspread::claims
+
+#endif  // MEDLARSPREAD_TESTS_CLAIMS_FAKE_STORE_H_
