Targets: Bring targets into force and make changes of them

Change: one record under one key, with its revision and the latest 128 change identifiers. HeldTargets puts only higher revisions in force and raises the alarms; StoreReader reads and watches on two daemons of a failure domain; PeerExchange learns the rest by heartbeat; ChangeSession makes one change and says accepted only of what is in the store and in force here. A restored store is written back by a reader, by compare-and-swap.

Ruled out: settling a write of unknown outcome by one read that doesn't show it (it may still take effect; only a moved version proves that it will not); calling every lower revision read a restore (a read that was overtaken by a change shows one too, so the revision at the time of asking decides).

The change state machine still lacks its property test; that follows.

--- /dev/null
+++ b/src/targets/peer_exchange.cc
@@ -0,0 +1,152 @@
+// Requests for targets and the answers to them.
+
+#include "src/targets/peer_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarspread::targets {
+
+using blackboard::MemberState;
+
+PeerExchange::PeerExchange(const TargetsSettings& settings,
+                           base::Random& random,
+                           base::TaskRunner control,
+                           peer::PeerPort peers,
+                           blackboard::Blackboard& blackboard,
+                           std::shared_ptr<HeldTargets> held,
+                           base::Log log)
+    : settings_(settings),
+      random_(random),
+      control_(std::move(control)),
+      peers_(std::move(peers)),
+      blackboard_(blackboard),
+      held_(std::move(held)),
+      log_(std::move(log)) {}
+
+void PeerExchange::DidSeeRevision(const std::string& peer,
+                                  std::int64_t revision,
+                                  std::int64_t digest) {
+  if (peer == settings_.self || digest == 0) {
+    return;
+  }
+  has_heard_ = true;
+  revisions_[peer] = revision;
+  highest_seen_ = std::max(highest_seen_, revision);
+  if (revision == 0) {
+    held_->DidLearnAbsence();
+    return;
+  }
+  if (revision == held_->revision() && digest != held_->digest()) {
+    held_->DidSeeOtherDigest(peer);
+    return;
+  }
+  if (revision > held_->revision()) {
+    ScheduleRequest();
+  }
+}
+
+void PeerExchange::DidReceiveRequest(
+    const peer::Sender& sender,
+    const peer::wire::TargetsRequest& request) {
+  peer::wire::TargetsBody reply;
+  reply.revision = held_->revision();
+  if (held_->revision() > request.above_revision) {
+    reply.body = held_->body();
+  }
+  const base::Status status = peers_.send(sender.name, std::move(reply));
+  if (!status.is_ok()) {
+    // The peer asks again, this daemon or another.
+    log_.DidFail(status.error(), "targets were not passed on");
+  }
+}
+
+void PeerExchange::DidReceiveBody(const peer::Sender& sender,
+                                  const peer::wire::TargetsBody& body) {
+  if (body.body.empty()) {
+    return;
+  }
+  held_->Offer(body.body, sender.name);
+}
+
+std::int64_t PeerExchange::HighestLive() const {
+  std::int64_t highest = 0;
+  const auto membership = blackboard_.membership.Read();
+  for (const auto& [name, member] : membership->members) {
+    if (member.state == MemberState::kGone || name == settings_.self) {
+      continue;
+    }
+    const auto seen = revisions_.find(name);
+    const std::int64_t revision = seen == revisions_.end() ? 0 : seen->second;
+    highest = std::max({highest, member.targets_revision, revision});
+  }
+  return highest;
+}
+
+std::int64_t PeerExchange::HighestSeen() const {
+  return std::max(highest_seen_, HighestLive());
+}
+
+void PeerExchange::RequestNow() {
+  if (is_stopped_ || PeersAhead().empty()) {
+    return;
+  }
+  timer_.Cancel();
+  Request();
+}
+
+void PeerExchange::Stop() {
+  is_stopped_ = true;
+  timer_.Cancel();
+}
+
+void PeerExchange::ScheduleRequest() {
+  if (is_scheduled_ || is_stopped_) {
+    return;
+  }
+  is_scheduled_ = true;
+  // A daemon that has nothing yet is starting and asks at once.
+  const base::Duration delay =
+      held_->is_known()
+          ? base::Duration(random_.Below(settings_.request_jitter.count() + 1))
+          : base::Duration(0);
+  timer_ =
+      control_.After(delay, [self = shared_from_this()] { self->Request(); });
+}
+
+void PeerExchange::Request() {
+  is_scheduled_ = false;
+  const std::vector<std::string> ahead = PeersAhead();
+  if (is_stopped_ || ahead.empty()) {
+    return;
+  }
+  const std::string& peer = ahead[random_.Below(ahead.size())];
+  peer::wire::TargetsRequest request;
+  request.above_revision = held_->revision();
+  if (!peers_.send(peer, request).is_ok()) {
+    // Not reachable: its next heartbeat brings it back.
+    revisions_.erase(peer);
+  }
+  is_scheduled_ = true;
+  timer_ = control_.After(settings_.request_timeout,
+                          [self = shared_from_this()] { self->Request(); });
+}
+
+std::vector<std::string> PeerExchange::PeersAhead() const {
+  std::map<std::string, std::int64_t> revisions = revisions_;
+  const auto membership = blackboard_.membership.Read();
+  for (const auto& [name, member] : membership->members) {
+    if (member.state != MemberState::kGone && name != settings_.self) {
+      revisions[name] = std::max(revisions[name], member.targets_revision);
+    }
+  }
+  std::vector<std::string> ahead;
+  for (const auto& [peer, revision] : revisions) {
+    if (revision > held_->revision()) {
+      ahead.push_back(peer);
+    }
+  }
+  return ahead;
+}
+
+}  // namespace medlarspread::targets
--- /dev/null
+++ b/src/targets/store_reader.h
@@ -0,0 +1,79 @@
+// Reading and watching the record of targets in the store. Only a few daemons
+// of each failure domain do so; each works out from the membership view
+// whether it is one of them, so that nobody has to be asked or elected.
+
+#ifndef MEDLARSPREAD_TARGETS_STORE_READER_H_
+#define MEDLARSPREAD_TARGETS_STORE_READER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/blackboard.h"
+#include "src/platform/store.h"
+#include "src/targets/held_targets.h"
+#include "src/targets/targets_settings.h"
+
+namespace medlarspread::targets {
+
+// Used on the control sequence only. Shared, because its timers and calls keep
+// it alive. At any time one call of the store or one timer is pending, besides
+// at most one repair.
+class StoreReader : public std::enable_shared_from_this<StoreReader> {
+ public:
+  StoreReader(const TargetsSettings& settings,
+              base::Random& random,
+              base::TaskRunner control,
+              platform::Store store,
+              blackboard::Blackboard& blackboard,
+              std::shared_ptr<HeldTargets> held);
+
+  void Start();
+  // No call is made from then on; those under way end without effect.
+  void Stop();
+
+  // Whether this daemon is among the readers of its failure domain.
+  bool is_reader() const;
+
+ private:
+  void StepAfter(base::Duration delay);
+  // 1. A daemon that is no reader only looks again later.
+  // 2. The record is read, because a watch does not see a restored store
+  //    whose version went back.
+  // 3. Then it is watched until it changes or the wait is over; go to 1.
+  void Step();
+  void Read();
+  void Watch();
+  void DidRead(base::Result<std::optional<platform::Entry>> result);
+  void DidWatch(base::Result<std::optional<platform::Entry>> result);
+  void DidLearn(const std::optional<platform::Entry>& entry);
+  void DidFail(const base::Error& error);
+
+  // Writes the targets in force over a lower record that a restore of the
+  // store has left, if `lower_version` is still what is there.
+  void ScheduleRepair(std::int64_t lower_version);
+  void Repair(std::int64_t lower_version);
+
+  const TargetsSettings settings_;
+  base::Random& random_;
+  const base::TaskRunner control_;
+  const platform::Store store_;
+  blackboard::Blackboard& blackboard_;
+  const std::shared_ptr<HeldTargets> held_;
+
+  bool is_stopped_ = false;
+  bool should_watch_ = false;
+  bool is_repairing_ = false;
+  // The version last seen; kAbsent if the key does not exist.
+  std::int64_t version_ = platform::kAbsent;
+  // What was in force here when the call under way was made.
+  std::int64_t revision_when_asked_ = 0;
+  // Zero after a call that succeeded.
+  base::Duration backoff_{};
+};
+
+}  // namespace medlarspread::targets
+
+#endif  // MEDLARSPREAD_TARGETS_STORE_READER_H_
--- /dev/null
+++ b/src/targets/targets_record.h
@@ -0,0 +1,82 @@
+// The stored record of all targets: one JSON text under one key. It carries its
+// own revision and the latest changes that led to it, so that a change whose
+// reply was lost is found again instead of being made twice.
+
+#ifndef MEDLARSPREAD_TARGETS_TARGETS_RECORD_H_
+#define MEDLARSPREAD_TARGETS_TARGETS_RECORD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/base/result.h"
+#include "src/blackboard/views.h"
+#include "src/targets/targets_change.h"
+
+namespace medlarspread::targets {
+
+constexpr char kTargetsKey[] = "targets";
+
+// Changes that a record remembers. A change_id that is submitted again after
+// that many others is taken for a new change.
+constexpr std::size_t kMaxChangeMarks = 128;
+// With this bound a record stays far below the store's limit of 1 MB.
+constexpr std::size_t kMaxClasses = 1000;
+
+// A change that was made.
+struct ChangeMark {
+  std::string change_id;
+  std::int64_t revision = 0;
+  std::string class_name;
+  // DigestOf() the change.
+  std::int64_t digest = 0;
+
+  friend bool operator==(const ChangeMark&, const ChangeMark&) = default;
+};
+
+struct TargetsRecord {
+  // 0 is the empty record before the first change; it is never stored.
+  std::int64_t revision = 0;
+  std::map<std::string, blackboard::ClassTargets> classes;
+  // Oldest first. Invariant: revisions increase strictly and the last one is
+  // `revision`; change_ids differ.
+  std::vector<ChangeMark> changes;
+
+  friend bool operator==(const TargetsRecord&, const TargetsRecord&) = default;
+};
+
+// XXH64; never 0, which stands for "nothing learnt yet".
+std::int64_t DigestBody(std::string_view body);
+
+// The digest of the empty record, whose body is the empty text.
+std::int64_t EmptyDigest();
+
+// One class as JSON text; equal for equal targets.
+std::string EncodeClass(const blackboard::ClassTargets& targets);
+
+// Decoding the text gives back an equal record.
+std::string EncodeRecord(const TargetsRecord& record);
+// kMalformed for anything that EncodeRecord can't have written.
+base::Result<TargetsRecord> DecodeRecord(const std::string& body);
+
+// The mark of the change, or null.
+const ChangeMark* FindMark(const TargetsRecord& record,
+                           const std::string& change_id);
+
+// The last change that touched the class, or null.
+const ChangeMark* FindLastMarkOfClass(const TargetsRecord& record,
+                                      const std::string& class_name);
+
+// The record that results from the change on top of `base`. Its revision is
+// above that of `base` and above `floor_revision`.
+TargetsRecord ApplyChange(const TargetsRecord& base,
+                          const TargetsChange& change,
+                          std::int64_t floor_revision);
+
+}  // namespace medlarspread::targets
+
+#endif  // MEDLARSPREAD_TARGETS_TARGETS_RECORD_H_
--- /dev/null
+++ b/tests/targets/fake_store.h
@@ -0,0 +1,95 @@
+// A key-value service that lives on the test's scheduler and fails on demand:
+// outages, lost replies, writes that take effect late, and restores.
+
+#ifndef MEDLARSPREAD_TESTS_TARGETS_FAKE_STORE_H_
+#define MEDLARSPREAD_TESTS_TARGETS_FAKE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/base/task_runner.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::targets {
+
+// What happens to a call.
+enum class StoreFault {
+  kNone,
+  // Refused without effect: kUnavailable for reads, kUnreachable for writes.
+  kDown,
+  // No reply, and no effect.
+  kSilent,
+  // A write takes effect, but its reply is lost. Reads get no reply.
+  kLostReply,
+  // As kLostReply, but the write takes effect only `late_by` after the call.
+  kLate,
+};
+
+// Single-threaded. Must outlive the scheduler's tasks.
+class FakeStore {
+ public:
+  explicit FakeStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
+
+  platform::Store store();
+
+  // Decides the fate of each call; none fails if it is not set.
+  std::function<StoreFault(bool is_write)> choose_fault;
+  // Runs once, just before the next write takes effect or is refused.
+  std::function<void()> before_next_write;
+  base::Duration late_by = base::Milliseconds(2500);
+
+  // The entry, or nothing.
+  std::optional<platform::Entry> Get(const std::string& key) const;
+  // Puts back an older entry, or absence. The versions go on growing unless the
+  // entry's own version is to come back as well.
+  void Restore(const std::string& key,
+               const std::optional<platform::Entry>& entry,
+               bool is_version_restored);
+
+  int reads() const { return reads_; }
+  int writes() const { return writes_; }
+  int watches() const { return watches_; }
+
+ private:
+  struct Waiter {
+    std::string key;
+    std::int64_t after_version;
+    platform::Store::ReadCallback callback;
+  };
+
+  StoreFault ChooseFault(bool is_write);
+  void Read(const std::string& key,
+            base::Duration timeout,
+            const platform::Store::ReadCallback& callback);
+  void Write(const std::string& key,
+             const std::string& value,
+             std::int64_t expected_version,
+             base::Duration timeout,
+             const platform::Store::WriteCallback& callback);
+  void Watch(const std::string& key,
+             std::int64_t after_version,
+             base::Duration wait,
+             const platform::Store::ReadCallback& callback);
+  // The new version, or nothing if the expected one is not there.
+  std::optional<std::int64_t> Swap(const std::string& key,
+                                   const std::string& value,
+                                   std::int64_t expected_version);
+  void WakeWaiters();
+
+  base::TaskRunner runner_;
+  std::map<std::string, platform::Entry> entries_;
+  std::int64_t next_version_ = 1;
+  std::list<std::shared_ptr<Waiter>> waiters_;
+  int reads_ = 0;
+  int writes_ = 0;
+  int watches_ = 0;
+};
+
+}  // namespace medlarspread::targets
+
+#endif  // MEDLARSPREAD_TESTS_TARGETS_FAKE_STORE_H_
