Burn: Count requests, write the counts in groups and report the burn

Cause: operators have to see whether the stated targets were met, and be told truthfully what is not known. Each VM incarnation writes absolute totals, one value per ten minutes that it alone overwrites by compare-and-swap, so that a lost reply counts nothing twice; roll-ups per failure domain and hour, and per day, name what they contain. A VM that dies leaves unaccounted time.

RequestRecord gains the two percentiles: the error budget of a request is that of the targets in force when it was asked.

Ruled out: increments (a lost reply leaves it open whether they were added).

The report is exact against an oracle over the raw records for several VMs, lost replies and a killed VM.

--- /dev/null
+++ b/src/burn/burn_controller.cc
@@ -0,0 +1,261 @@
+// Puts the parts of the burn report together on the control sequence: collect
+// every second, flush and roll up on their own jittered timers, report on
+// demand.
+
+#include "src/burn/burn_controller.h"
+
+#include <utility>
+
+#include "src/burn/burn_view.h"
+#include "src/burn/count_writer.h"
+#include "src/burn/gone_watch.h"
+#include "src/burn/own_counts.h"
+#include "src/burn/report_builder.h"
+#include "src/burn/roll_up_runner.h"
+#include "src/burn/segment_reader.h"
+#include "src/burn/sharded_counts.h"
+
+namespace medlarspread::burn {
+
+namespace {
+
+constexpr int kStopTries = 4;
+constexpr base::Duration kStopRetryDelay = base::Milliseconds(500);
+// A member's counts are overdue after this many flush intervals.
+constexpr int kGraceIntervals = 3;
+
+// Spread from three to five quarters of `mean`, so that VMs that started
+// together do not write together.
+base::Duration Jitter(base::Duration mean, base::Random& random) {
+  constexpr double kLeast = 0.75;
+  constexpr double kSpread = 0.5;
+  const double factor = kLeast + kSpread * random.Unit();
+  return base::Duration(
+      static_cast<std::int64_t>(static_cast<double>(mean.count()) * factor));
+}
+
+}  // namespace
+
+struct BurnController::State {
+  State(BurnSettings settings_in,
+        base::Clock clock_in,
+        base::Random& random_in,
+        base::TaskRunner control_in,
+        platform::Store store_in,
+        blackboard::Blackboard& board_in,
+        base::Log log_in)
+      : settings(std::move(settings_in)),
+        clock(std::move(clock_in)),
+        random(random_in),
+        control(std::move(control_in)),
+        store(std::move(store_in)),
+        board(board_in),
+        log(std::move(log_in)),
+        own(settings, clock),
+        writer(std::make_shared<CountWriter>(settings, store, own, log)),
+        gone_watch(
+            std::make_shared<GoneWatch>(settings, clock, store, board, log)),
+        roll_up(std::make_shared<RollUpRunner>(settings,
+                                               clock,
+                                               store,
+                                               board,
+                                               log)) {}
+
+  const BurnSettings settings;
+  const base::Clock clock;
+  base::Random& random;
+  const base::TaskRunner control;
+  const platform::Store store;
+  blackboard::Blackboard& board;
+  const base::Log log;
+
+  const std::shared_ptr<ShardedCounts> counts =
+      std::make_shared<ShardedCounts>();
+  // This VM's counts of the last hour, for the blackboard.
+  Cells recent;
+  OwnCounts own;
+  const std::shared_ptr<CountWriter> writer;
+  const std::shared_ptr<GoneWatch> gone_watch;
+  const std::shared_ptr<RollUpRunner> roll_up;
+
+  // The counts that the last successful read gave, for reports in an outage.
+  StoredCounts last_read;
+  std::optional<std::int64_t> last_read_wall_ms;
+
+  bool is_stopping = false;
+  int stop_tries = 0;
+  std::function<void()> stopped;
+};
+
+BurnController::BurnController(BurnSettings settings,
+                               base::Clock clock,
+                               base::Random& random,
+                               base::TaskRunner control,
+                               platform::Store store,
+                               blackboard::Blackboard& board,
+                               base::Log log)
+    : state_(std::make_unique<State>(std::move(settings),
+                                     std::move(clock),
+                                     random,
+                                     std::move(control),
+                                     std::move(store),
+                                     board,
+                                     std::move(log))) {}
+
+BurnController::~BurnController() = default;
+
+RecordRequest BurnController::recorder() const {
+  return [counts = state_->counts](const RequestRecord& record) {
+    counts->Record(record);
+  };
+}
+
+void BurnController::Start() {
+  state_->control.Post([self = shared_from_this()] {
+    self->Collect();
+    self->Flush();
+    self->ScheduleRollUp();
+  });
+}
+
+void BurnController::Collect() {
+  State& state = *state_;
+  if (state.is_stopping) {
+    return;
+  }
+  TakeCounts();
+  state.gone_watch->Look();
+  state.gone_watch->WriteMarks();
+  After(state.settings.collect_interval, &BurnController::Collect);
+}
+
+void BurnController::TakeCounts() {
+  State& state = *state_;
+  const Cells cells = state.counts->Take();
+  state.own.Collect(cells);
+  Add(cells, state.recent);
+  const std::int64_t now_minute = MinuteOf(state.clock.WallMilliseconds());
+  ForgetOldCells(state.recent, now_minute);
+  state.board.burn.Write(MakeBurnView(state.recent, now_minute));
+}
+
+void BurnController::After(base::Duration delay,
+                           void (BurnController::*method)()) {
+  state_->control.After(delay, [weak = weak_from_this(), method] {
+    if (const auto self = weak.lock()) {
+      ((*self).*method)();
+    }
+  });
+}
+
+void BurnController::Flush() {
+  State& state = *state_;
+  if (state.is_stopping) {
+    return;
+  }
+  // What is written covers the time up to the moment it is made up.
+  TakeCounts();
+  state.writer->Flush(false, [self = shared_from_this()] {
+    State& state = *self->state_;
+    if (state.is_stopping) {
+      self->FlushLast();
+      return;
+    }
+    self->After(Jitter(state.settings.flush_interval, state.random),
+                &BurnController::Flush);
+  });
+}
+
+void BurnController::ScheduleRollUp() {
+  After(Jitter(state_->settings.roll_up_interval, state_->random),
+        &BurnController::RollUp);
+}
+
+void BurnController::RollUp() {
+  if (state_->is_stopping) {
+    return;
+  }
+  state_->roll_up->Run([self = shared_from_this()] { self->ScheduleRollUp(); });
+}
+
+void BurnController::Stop(std::function<void()> done) {
+  state_->control.Post([self = shared_from_this(), done = std::move(done)] {
+    State& state = *self->state_;
+    state.is_stopping = true;
+    state.stopped = done;
+    // A flush under way goes on with FlushLast() when it ends.
+    if (!state.writer->is_flushing()) {
+      self->FlushLast();
+    }
+  });
+}
+
+void BurnController::FlushLast() {
+  State& state = *state_;
+  TakeCounts();
+  ++state.stop_tries;
+  state.writer->Flush(true, [self = shared_from_this()] {
+    State& state = *self->state_;
+    if (state.own.is_finished() || state.stop_tries >= kStopTries) {
+      if (!state.own.is_finished()) {
+        state.log.Write({.level = base::LogLevel::kError,
+                         .step = base::Step::kStop,
+                         .message = "the last burn counts could not be "
+                                    "written; they will be unaccounted"});
+      }
+      std::exchange(state.stopped, nullptr)();
+      return;
+    }
+    // NOTE: the controller stays alive until it has stopped.
+    state.control.After(kStopRetryDelay, [self] { self->FlushLast(); });
+  });
+}
+
+void BurnController::Report(ReportQuery query, ReportCallback callback) {
+  state_->control.Post([self = shared_from_this(), query = std::move(query),
+                        callback = std::move(callback)] {
+    State& state = *self->state_;
+    ReadCounts(state.store, state.settings,
+               [self, query, callback](base::Result<StoredCounts> read) {
+                 callback(self->MakeReport(query, std::move(read)));
+               });
+  });
+}
+
+BurnReport BurnController::MakeReport(const ReportQuery& query,
+                                      base::Result<StoredCounts> read) {
+  State& state = *state_;
+  if (!state.is_stopping) {
+    TakeCounts();
+  }
+  ReportInput input;
+  input.reporting_vm = state.settings.vm_name;
+  input.now_wall_ms = state.clock.WallMilliseconds();
+  input.class_name = query.class_name;
+  input.pending_grace = kGraceIntervals * state.settings.flush_interval;
+  input.longest_request = state.settings.longest_request;
+  input.members = MembersOf(*state.board.membership.Read());
+  if (read.is_ok()) {
+    state.last_read = std::move(read.value());
+    state.last_read_wall_ms = input.now_wall_ms;
+  } else {
+    input.is_partial = true;
+    input.notes.push_back("the store could not be read: " +
+                          read.error().ToString());
+  }
+  input.others_read_wall_ms = state.last_read_wall_ms;
+  input.segments = state.last_read.segments;
+  input.gone_wall_ms = state.last_read.gone_wall_ms;
+  for (const std::string& key : state.last_read.damaged) {
+    input.is_partial = true;
+    input.notes.push_back("the value at " + key +
+                          " is damaged; its counts are missing");
+  }
+  // What this VM holds in memory is at least what it has written.
+  for (auto& [key, segment] : state.own.Segments()) {
+    input.segments[key] = std::move(segment);
+  }
+  return BuildReport(input);
+}
+
+}  // namespace medlarspread::burn
--- /dev/null
+++ b/src/burn/count_writer.h
@@ -0,0 +1,58 @@
+// Writes this VM's counts to the store: at each flush the current bucket and
+// the oldest ones that are due, one call after another.
+
+#ifndef MEDLARSPREAD_BURN_COUNT_WRITER_H_
+#define MEDLARSPREAD_BURN_COUNT_WRITER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/base/log.h"
+#include "src/burn/burn_settings.h"
+#include "src/burn/own_counts.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::burn {
+
+// Lives on the control sequence, owned by a std::shared_ptr.
+class CountWriter : public std::enable_shared_from_this<CountWriter> {
+ public:
+  CountWriter(BurnSettings settings,
+              platform::Store store,
+              OwnCounts& counts,
+              base::Log log);
+
+  // Runs `done` once nothing more is due, enough is written, or the store has
+  // failed. Must not be called while a flush is under way.
+  void Flush(bool is_stopping, std::function<void()> done);
+
+  bool is_flushing() const { return done_ != nullptr; }
+
+ private:
+  void Step();
+  void Finish();
+  void Write(PendingWrite write);
+  void DidSwap(const std::string& key,
+               const base::Result<std::int64_t>& result);
+  void ReadBack(const std::string& key);
+  void DidRead(const std::string& key,
+               const base::Result<std::optional<platform::Entry>>& result);
+  void FindInRollUp(const std::string& key);
+  void DidList(const std::string& key,
+               const base::Result<std::vector<platform::Entry>>& result);
+
+  const BurnSettings settings_;
+  const platform::Store store_;
+  OwnCounts& counts_;
+  const base::Log log_;
+  // Set while a flush is under way.
+  std::function<void()> done_;
+  bool is_stopping_ = false;
+  int writes_left_ = 0;
+};
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_COUNT_WRITER_H_
--- /dev/null
+++ b/src/burn/counts.h
@@ -0,0 +1,83 @@
+// Exact integer counts of requests, and the cells they are kept in: one cell
+// for each class, minute and set of targets in force when the request was
+// asked. All of the burn report is sums of these cells.
+
+#ifndef MEDLARSPREAD_BURN_COUNTS_H_
+#define MEDLARSPREAD_BURN_COUNTS_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "src/burn/request_record.h"
+
+namespace medlarspread::burn {
+
+constexpr std::int64_t kMillion = 1'000'000;
+constexpr std::int64_t kMillisecondsPerMinute = 60'000;
+constexpr std::int64_t kMinutesPerHour = 60;
+constexpr std::int64_t kMinutesPerDay = 24 * kMinutesPerHour;
+
+// Sums over requests. Invariant: asked == answered + refused + unknown, and
+// both_met <= in_time, coverage_met <= answered.
+struct Counts {
+  std::int64_t asked = 0;
+  std::int64_t answered = 0;
+  // Answered within the latency target.
+  std::int64_t in_time = 0;
+  // Answered with at least the coverage target.
+  std::int64_t coverage_met = 0;
+  std::int64_t both_met = 0;
+  std::int64_t refused = 0;
+  std::int64_t unknown = 0;
+  std::int64_t shard_answers = 0;
+  std::int64_t upstream_sends = 0;
+
+  Counts& operator+=(const Counts& other);
+  Counts& operator-=(const Counts& other);
+  friend bool operator==(const Counts&, const Counts&) = default;
+};
+
+// The targets a request is judged by, in integers so that cells of different
+// VMs compare and add up exactly.
+struct JudgedBy {
+  std::int64_t revision = 0;
+  std::int64_t latency_us = 0;
+  std::int64_t coverage_ppm = 0;
+  // How many of a million requests may miss the target: the error budget.
+  std::int64_t latency_allowed_ppm = 0;
+  std::int64_t coverage_allowed_ppm = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a defaulted <=>.
+  friend auto operator<=>(const JudgedBy&, const JudgedBy&) = default;
+};
+
+struct CellKey {
+  // Minutes since 1970 by the wall clock of the VM that was asked. The first
+  // minute of the hour in cells that were rolled up to hours.
+  std::int64_t minute = 0;
+  std::string class_name;
+  JudgedBy judged_by;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a defaulted <=>.
+  friend auto operator<=>(const CellKey&, const CellKey&) = default;
+};
+
+using Cells = std::map<CellKey, Counts>;
+
+// The cell that `record` belongs to and what it adds there.
+CellKey KeyOf(const RequestRecord& record);
+Counts CountOf(const RequestRecord& record);
+
+void Add(const Cells& from, Cells& to);
+
+// Removes `part`, which must be contained in `from`; empty cells are dropped.
+void Subtract(const Cells& part, Cells& from);
+
+// The floor of `wall_ms` in minutes, also for times before 1970.
+std::int64_t MinuteOf(std::int64_t wall_ms);
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_COUNTS_H_
--- /dev/null
+++ b/src/burn/gone_watch.h
@@ -0,0 +1,54 @@
+// Watches the list of members and marks in the store when one is gone, so that
+// the time it may have worked without its counts being written has an end.
+
+#ifndef MEDLARSPREAD_BURN_GONE_WATCH_H_
+#define MEDLARSPREAD_BURN_GONE_WATCH_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/base/log.h"
+#include "src/blackboard/blackboard.h"
+#include "src/burn/burn_settings.h"
+#include "src/burn/keys.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::burn {
+
+// Lives on the control sequence, owned by a std::shared_ptr.
+class GoneWatch : public std::enable_shared_from_this<GoneWatch> {
+ public:
+  GoneWatch(BurnSettings settings,
+            base::Clock clock,
+            platform::Store store,
+            const blackboard::Blackboard& board,
+            base::Log log);
+
+  // Compares the members with those of the last call. One VM, computed from
+  // the list, writes the mark; marks that the store did not take are kept and
+  // tried again with the next call of WriteMarks().
+  void Look();
+  void WriteMarks();
+
+  std::size_t unwritten_count() const { return unwritten_.size(); }
+
+ private:
+  void DidWriteMark(const std::string& key,
+                    const base::Result<std::int64_t>& result);
+
+  const BurnSettings settings_;
+  const base::Clock clock_;
+  const platform::Store store_;
+  const blackboard::Blackboard& board_;
+  const base::Log log_;
+  std::shared_ptr<const blackboard::MembershipView> last_view_;
+  // Values by key.
+  std::map<std::string, std::string> unwritten_;
+  bool is_writing_ = false;
+};
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_GONE_WATCH_H_
--- /dev/null
+++ b/src/burn/own_counts.cc
@@ -0,0 +1,356 @@
+// Bookkeeping of what was counted against what is known to be in the store.
+
+#include "src/burn/own_counts.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdlib>
+#include <utility>
+
+#include "src/platform/store.h"
+
+namespace medlarspread::burn {
+
+namespace {
+
+constexpr std::int64_t kMillisecondsPerBucket =
+    kMinutesPerBucket * kMillisecondsPerMinute;
+// A roll-up of an hour lists its sources for longer than this after a write.
+constexpr std::int64_t kSourcesKeptMs =
+    6 * kMinutesPerHour * kMillisecondsPerMinute;
+
+std::int64_t ToMs(base::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::int64_t BucketOf(std::int64_t minute) {
+  const std::int64_t bucket = minute / kMinutesPerBucket;
+  return minute % kMinutesPerBucket < 0 ? bucket - 1 : bucket;
+}
+
+WallRange RangeOfBucket(std::int64_t bucket) {
+  return {bucket * kMillisecondsPerBucket,
+          (bucket + 1) * kMillisecondsPerBucket};
+}
+
+void CountAsked(const Cells& cells, std::map<std::string, std::int64_t>& sums) {
+  for (const auto& [key, counts] : cells) {
+    sums[key.class_name] += counts.asked;
+  }
+}
+
+}  // namespace
+
+OwnCounts::OwnCounts(const BurnSettings& settings, base::Clock clock)
+    : settings_(settings),
+      clock_(std::move(clock)),
+      start_wall_ms_(clock_.WallMilliseconds()),
+      clock_difference_ms_(start_wall_ms_ -
+                           ToMs(clock_.Now() - base::MonotonicTime{})) {
+  Cover(start_wall_ms_);
+}
+
+std::int64_t OwnCounts::CurrentBucket() const {
+  return BucketOf(MinuteOf(clock_.WallMilliseconds()));
+}
+
+void OwnCounts::NoteClockStep() {
+  const std::int64_t difference_ms =
+      clock_.WallMilliseconds() - ToMs(clock_.Now() - base::MonotonicTime{});
+  const std::int64_t step_ms = std::abs(difference_ms - clock_difference_ms_);
+  clock_step_ms_ = std::max(clock_step_ms_, step_ms);
+  clock_difference_ms_ = difference_ms;
+}
+
+void OwnCounts::Collect(const Cells& cells) {
+  NoteClockStep();
+  for (const auto& [key, counts] : cells) {
+    Part& part = PartFor(BucketOf(key.minute));
+    part.cells[key] += counts;
+    part.is_changed = true;
+  }
+  Cover(clock_.WallMilliseconds());
+  LimitMemory();
+}
+
+OwnCounts::Part& OwnCounts::PartFor(std::int64_t bucket) {
+  const auto found = buckets_.find(bucket);
+  if (found != buckets_.end()) {
+    return found->second;
+  }
+  const auto next = next_parts_.find(bucket);
+  const std::int64_t number = next == next_parts_.end() ? 0 : next->second;
+  Part part;
+  part.key = {settings_.failure_domain,
+              {settings_.vm_name, settings_.incarnation},
+              bucket,
+              number};
+  const WallRange whole = RangeOfBucket(bucket);
+  part.range.from_ms =
+      number == 0 ? std::clamp(start_wall_ms_, whole.from_ms, whole.until_ms)
+                  : whole.until_ms;
+  part.range.until_ms = part.range.from_ms;
+  part.is_after_seal = was_sealed_;
+  part.version = platform::kAbsent;
+  return buckets_.emplace(bucket, std::move(part)).first->second;
+}
+
+void OwnCounts::Cover(std::int64_t wall_ms) {
+  PartFor(BucketOf(MinuteOf(wall_ms)));
+  for (auto& [bucket, part] : buckets_) {
+    const WallRange whole = RangeOfBucket(bucket);
+    const std::int64_t until =
+        std::clamp(wall_ms, whole.from_ms, whole.until_ms);
+    if (until > part.range.until_ms) {
+      part.range.until_ms = until;
+      part.is_changed = true;
+    }
+  }
+}
+
+void OwnCounts::LimitMemory() {
+  const auto limit = static_cast<std::size_t>(settings_.maximum_buckets);
+  while (buckets_.size() > limit) {
+    auto oldest = buckets_.begin();
+    if (oldest->first == CurrentBucket()) {
+      ++oldest;
+    }
+    const Part part = std::move(oldest->second);
+    next_parts_[oldest->first] = part.key.part + 1;
+    buckets_.erase(oldest);
+    // What is not known to be in the store is given up, all of it.
+    Cells lost = part.cells;
+    Subtract(part.acknowledged.cells, lost);
+    const bool is_stored = part.version != platform::kAbsent;
+    GiveUp(lost,
+           {is_stored ? part.acknowledged.range.until_ms : part.range.from_ms,
+            part.range.until_ms});
+  }
+}
+
+void OwnCounts::GiveUp(const Cells& lost, WallRange range) {
+  // NOTE: a gap of no length would vanish from every window.
+  range.until_ms = std::max(range.until_ms, range.from_ms + 1);
+  Part& current = PartFor(CurrentBucket());
+  Gap gap{current.key.writer, range, {}};
+  CountAsked(lost, gap.requests);
+  current.gaps.push_back(std::move(gap));
+  current.is_changed = true;
+}
+
+OwnCounts::Part* OwnCounts::FindPart(const std::string& key) {
+  for (auto& [bucket, part] : buckets_) {
+    if (part.key.ToString() == key) {
+      return &part;
+    }
+  }
+  return nullptr;
+}
+
+bool OwnCounts::IsOnlyPartLeft(const Part& part) const {
+  return buckets_.size() == 1 &&
+         buckets_.begin()->second.key.bucket == part.key.bucket;
+}
+
+// An open part must stay in the store as long as the incarnation lives, so that
+// its death cannot go unnoticed. So the current part is closed last of all, and
+// another only once the current one is written.
+bool OwnCounts::MayClose(const Part& part, bool is_stopping) const {
+  const std::int64_t current = CurrentBucket();
+  if (part.key.bucket == current) {
+    return is_stopping && IsOnlyPartLeft(part);
+  }
+  const auto found = buckets_.find(current);
+  if (found == buckets_.end() || found->second.version == platform::kAbsent) {
+    return is_stopping && found == buckets_.end() && IsOnlyPartLeft(part);
+  }
+  const std::int64_t end_ms = RangeOfBucket(part.key.bucket).until_ms;
+  return is_stopping ||
+         clock_.WallMilliseconds() >= end_ms + ToMs(settings_.longest_request);
+}
+
+Segment OwnCounts::MakeSegment(const Part& part, bool is_stopping) const {
+  Segment segment;
+  segment.writer = part.key.writer;
+  segment.sequence = part.sequence + 1;
+  segment.range = part.range;
+  segment.is_closed = MayClose(part, is_stopping);
+  segment.is_last = segment.is_closed && is_stopping && IsOnlyPartLeft(part);
+  segment.is_after_seal = part.is_after_seal;
+  segment.clock_step_ms = clock_step_ms_;
+  segment.cells = part.cells;
+  segment.gaps = part.gaps;
+  return segment;
+}
+
+std::optional<PendingWrite> OwnCounts::NextWrite(bool is_stopping) {
+  const auto is_due = [&](const Part& part) {
+    const bool is_wanted = part.is_changed || MayClose(part, is_stopping);
+    return is_wanted && !part.is_in_doubt;
+  };
+  // The current part goes first: it tells that this incarnation lives. Then
+  // the oldest.
+  Part* next = nullptr;
+  const auto current = buckets_.find(CurrentBucket());
+  if (current != buckets_.end() && is_due(current->second)) {
+    next = &current->second;
+  }
+  for (auto& [bucket, part] : buckets_) {
+    if (next == nullptr && is_due(part)) {
+      next = &part;
+    }
+  }
+  if (next == nullptr) {
+    return std::nullopt;
+  }
+  next->attempted = MakeSegment(*next, is_stopping);
+  next->attempted_wall_ms = clock_.WallMilliseconds();
+  next->sequence = next->attempted->sequence;
+  next->is_changed = false;
+  return PendingWrite{next->key.ToString(), *next->attempted, next->version};
+}
+
+std::optional<std::string> OwnCounts::NextDoubt() const {
+  for (const auto& [bucket, part] : buckets_) {
+    if (part.is_in_doubt) {
+      return part.key.ToString();
+    }
+  }
+  return std::nullopt;
+}
+
+void OwnCounts::DidWrite(const std::string& key, std::int64_t version) {
+  Part* const part = FindPart(key);
+  if (part == nullptr || !part->attempted) {
+    return;
+  }
+  part->version = version;
+  part->acknowledged = *std::exchange(part->attempted, std::nullopt);
+  if (part->acknowledged.is_closed) {
+    const Segment final = part->acknowledged;
+    DidEnd(*part, final, false);
+  }
+}
+
+void OwnCounts::DidNotWrite(const std::string& key) {
+  Part* const part = FindPart(key);
+  if (part != nullptr) {
+    part->attempted.reset();
+    part->is_changed = true;
+  }
+}
+
+void OwnCounts::DidDoubt(const std::string& key) {
+  Part* const part = FindPart(key);
+  if (part != nullptr) {
+    part->is_in_doubt = true;
+  }
+}
+
+void OwnCounts::DidReadBack(const std::string& key,
+                            const Segment& found,
+                            std::int64_t version) {
+  Part* const part = FindPart(key);
+  if (part == nullptr) {
+    return;
+  }
+  part->is_in_doubt = false;
+  part->attempted.reset();
+  part->version = version;
+  part->acknowledged = found;
+  part->is_changed = true;
+  if (found.is_closed) {
+    DidEnd(*part, Segment(found), found.is_sealed);
+  }
+}
+
+void OwnCounts::DidReadAbsent(const std::string& key,
+                              std::optional<std::int64_t> rolled_up) {
+  Part* const part = FindPart(key);
+  if (part == nullptr) {
+    return;
+  }
+  part->is_in_doubt = false;
+  part->is_changed = true;
+  if (rolled_up && part->attempted && part->attempted->sequence == *rolled_up) {
+    DidEnd(*part, Segment(*part->attempted), true);
+    return;
+  }
+  if (rolled_up) {
+    DidEnd(*part, Segment(part->acknowledged), true);
+    return;
+  }
+  const bool was_never_written = part->version == platform::kAbsent;
+  const bool is_recent =
+      clock_.WallMilliseconds() - part->attempted_wall_ms < kSourcesKeptMs;
+  if (was_never_written && is_recent) {
+    part->attempted.reset();
+    return;
+  }
+  DidEndUnseen(*part);
+}
+
+// From now on every segment says what time it covers, because the VM that made
+// the seal has noted a gap that was none.
+void OwnCounts::DidFindSeal() {
+  was_sealed_ = true;
+  for (auto& [bucket, part] : buckets_) {
+    part.is_after_seal = true;
+    part.is_changed = true;
+  }
+}
+
+// What the last attempt added may or may not be contained in the roll-up: it is
+// given up, so that it is neither counted twice nor taken for good.
+void OwnCounts::DidEndUnseen(Part& part) {
+  if (!part.attempted) {
+    DidEnd(part, Segment(part.acknowledged), true);
+    return;
+  }
+  const Segment final = *part.attempted;
+  Cells lost = final.cells;
+  Subtract(part.acknowledged.cells, lost);
+  const bool is_stored = part.version != platform::kAbsent;
+  const WallRange range{
+      is_stored ? part.acknowledged.range.until_ms : final.range.from_ms,
+      final.range.until_ms};
+  DidEnd(part, final, true);
+  GiveUp(lost, range);
+}
+
+void OwnCounts::DidEnd(Part& part, const Segment& final, bool is_sealed) {
+  if (is_sealed) {
+    DidFindSeal();
+  }
+  // 1. What the store holds is done with.
+  Subtract(final.cells, part.cells);
+  part.range.from_ms = std::min(final.range.until_ms, part.range.until_ms);
+  next_parts_[part.key.bucket] = part.key.part + 1;
+  // 2. Without anything left to say, the bucket is forgotten.
+  const bool is_covered = !is_sealed || part.range.length_ms() == 0;
+  const bool is_current = part.key.bucket == CurrentBucket();
+  if (part.cells.empty() && is_covered && (!is_current || final.is_last)) {
+    buckets_.erase(part.key.bucket);
+    return;
+  }
+  // 3. The rest is the next part.
+  part.key.part += 1;
+  part.gaps.clear();
+  part.sequence = 0;
+  part.version = platform::kAbsent;
+  part.acknowledged = Segment{};
+  part.attempted.reset();
+  part.is_in_doubt = false;
+  part.is_changed = true;
+}
+
+std::map<std::string, Segment> OwnCounts::Segments() const {
+  std::map<std::string, Segment> segments;
+  for (const auto& [bucket, part] : buckets_) {
+    segments[part.key.ToString()] = MakeSegment(part, false);
+  }
+  return segments;
+}
+
+}  // namespace medlarspread::burn
--- /dev/null
+++ b/src/burn/report_builder.h
@@ -0,0 +1,57 @@
+// Computes the burn report from segments. Pure: the same input gives the same
+// report on every VM.
+
+#ifndef MEDLARSPREAD_BURN_REPORT_BUILDER_H_
+#define MEDLARSPREAD_BURN_REPORT_BUILDER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/burn/report.h"
+#include "src/burn/segment.h"
+
+namespace medlarspread::burn {
+
+struct ReportInput {
+  std::string reporting_vm;
+  std::int64_t now_wall_ms = 0;
+  // By identifier. A segment that another one names as its source is ignored.
+  std::map<std::string, Segment> segments;
+  // When members were seen to be gone, by the clock of the VM that saw it.
+  std::map<VmIncarnation, std::int64_t> gone_wall_ms;
+  // The incarnations that are members now.
+  std::set<VmIncarnation> members;
+  // Counts that are younger than this are not overdue.
+  base::Duration pending_grace{};
+  // Requests may have been asked this long before they are recorded.
+  base::Duration longest_request{};
+  bool is_partial = false;
+  std::optional<std::int64_t> others_read_wall_ms;
+  std::vector<std::string> notes;
+  // Only this class; empty for all.
+  std::string class_name;
+};
+
+BurnReport BuildReport(const ReportInput& input);
+
+// Start of the calendar quarter (UTC) that `wall_ms` lies in, and of the next.
+WallRange QuarterOf(std::int64_t wall_ms);
+
+// Bad over allowed. Absent when nothing is allowed although something was bad.
+std::optional<double> BurnRate(std::int64_t bad,
+                               std::int64_t allowed_millionths);
+
+// Bad requests that the targets of `cells`' requests allow, in millionths.
+struct Allowance {
+  std::int64_t latency_millionths = 0;
+  std::int64_t coverage_millionths = 0;
+};
+Allowance AllowanceOf(const JudgedBy& judged_by, const Counts& counts);
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_REPORT_BUILDER_H_
--- /dev/null
+++ b/src/burn/report_writers.h
@@ -0,0 +1,37 @@
+// The three writers behind FormatReport, and what they share.
+
+#ifndef MEDLARSPREAD_BURN_REPORT_WRITERS_H_
+#define MEDLARSPREAD_BURN_REPORT_WRITERS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "src/burn/report.h"
+
+namespace medlarspread::burn {
+
+std::string WriteText(const BurnReport& report);
+std::string WriteJson(const BurnReport& report);
+std::string WriteHtml(const BurnReport& report);
+
+// "2026-12-02T16:00:00Z".
+std::string WriteTime(std::int64_t wall_ms);
+// "2026-12-02 16:00", for people.
+std::string WriteShortTime(std::int64_t wall_ms);
+// "99.2%", with the digits that tell it from the target; "-" if absent.
+std::string WriteShare(const std::optional<double>& share);
+// "1.25"; "no budget" if absent.
+std::string WriteBurn(const std::optional<double>& burn_rate);
+// "99% within 91 ms, 99% with coverage 0.98 or more".
+std::string WriteTargets(const JudgedBy& targets);
+// Whole requests, rounded down, so that no budget is shown that is not there.
+std::int64_t WholeRequests(std::int64_t millionths);
+// "spent", "2026-12-02 18:10 at the rate of the last hour", or that it lasts.
+std::string WriteRunsOut(const BudgetReport& budget, const BurnReport& report);
+// "2 min 5 s".
+std::string WriteDuration(std::int64_t milliseconds);
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_REPORT_WRITERS_H_
--- a/src/burn/request_record.h
+++ b/src/burn/request_record.h
@@ -22,6 +22,9 @@
   std::int64_t targets_revision = 0;
   base::Duration latency_target{};
   double coverage_target = 0.0;
+  // Out of 100: how many requests must meet the latency and coverage targets.
+  double latency_percentile = 99.0;
+  double coverage_percentile = 99.0;
 
   RequestOutcome outcome = RequestOutcome::kRefused;
   base::Duration latency{};
--- /dev/null
+++ b/src/burn/segment_reader.h
@@ -0,0 +1,36 @@
+// Reads all segments and marks from the store for one report.
+
+#ifndef MEDLARSPREAD_BURN_SEGMENT_READER_H_
+#define MEDLARSPREAD_BURN_SEGMENT_READER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/burn/burn_settings.h"
+#include "src/burn/segment.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::burn {
+
+struct StoredCounts {
+  std::map<std::string, Segment> segments;
+  std::map<VmIncarnation, std::int64_t> gone_wall_ms;
+  // Keys of values that could not be decoded: what they count is missing.
+  std::vector<std::string> damaged;
+};
+
+using ReadCountsCallback = std::function<void(base::Result<StoredCounts>)>;
+
+// Four calls, from the finest segments to the coarsest: what is rolled up and
+// erased meanwhile is then found in the coarser list, and what is found in both
+// is recognised by the sources.
+void ReadCounts(const platform::Store& store,
+                const BurnSettings& settings,
+                ReadCountsCallback callback);
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_SEGMENT_READER_H_
--- /dev/null
+++ b/tests/burn/fake_store.h
@@ -0,0 +1,60 @@
+// The platform's key-value service in memory, with the failures that the burn
+// report has to live with: outages, lost replies, refused writes.
+
+#ifndef MEDLARSPREAD_TESTS_BURN_FAKE_STORE_H_
+#define MEDLARSPREAD_TESTS_BURN_FAKE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "src/base/task_runner.h"
+#include "src/platform/store.h"
+
+namespace medlarspread::burn {
+
+class FakeStore {
+ public:
+  explicit FakeStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
+
+  // The store as the VM called `vm` reaches it.
+  platform::Store PortFor(const std::string& vm);
+
+  void set_available(bool is_available) { is_available_ = is_available; }
+  void CutOff(const std::string& vm, bool is_cut) { is_cut_[vm] = is_cut; }
+  // The next writes take effect, but their replies are lost.
+  void LoseReplies(int count) { replies_to_lose_ = count; }
+  // The next writes are lost before they take effect; their outcome is not
+  // known either.
+  void LoseWrites(int count) { writes_to_lose_ = count; }
+
+  // Runs for each write that takes effect.
+  std::function<void(const std::string& key)> did_write;
+
+  std::map<std::string, platform::Entry>& entries() { return entries_; }
+  std::int64_t write_calls() const { return write_calls_; }
+  std::int64_t read_calls() const { return read_calls_; }
+
+ private:
+  bool IsReachable(const std::string& vm) const;
+  base::Result<std::int64_t> Swap(const std::string& key,
+                                  const std::string& value,
+                                  std::int64_t expected_version);
+  base::Result<std::vector<platform::Entry>> List(const std::string& prefix);
+  base::Status Erase(const std::string& key, std::int64_t expected_version);
+
+  const base::TaskRunner runner_;
+  std::map<std::string, platform::Entry> entries_;
+  std::int64_t last_version_ = 0;
+  bool is_available_ = true;
+  std::map<std::string, bool> is_cut_;
+  int replies_to_lose_ = 0;
+  int writes_to_lose_ = 0;
+  std::int64_t write_calls_ = 0;
+  std::int64_t read_calls_ = 0;
+};
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_TESTS_BURN_FAKE_STORE_H_
