--- /dev/null
+++ b/src/daemon/graceful_stop.cc
@@ -0,0 +1,56 @@
+// Waits step by step, within the bound.
+
+#include "src/daemon/graceful_stop.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace medlarspread::daemon {
+
+namespace {
+
+constexpr auto kPollInterval = std::chrono::milliseconds(5);
+
+}  // namespace
+
+GracefulStop::GracefulStop(base::Clock clock,
+                           base::Log log,
+                           base::Duration bound)
+    : clock_(std::move(clock)), log_(std::move(log)), bound_(bound) {}
+
+bool GracefulStop::Run(const std::vector<StopStep>& steps,
+                       const std::atomic<bool>& should_end_now) {
+  const base::MonotonicTime end = clock_.Now() + bound_;
+  bool is_whole = true;
+  for (const StopStep& step : steps) {
+    step.start();
+    // After an early end the later steps are still started, but not waited
+    // for: what they would write is worth an attempt.
+    is_whole = is_whole && RunStep(step, end, should_end_now);
+  }
+  return is_whole;
+}
+
+bool GracefulStop::RunStep(const StopStep& step,
+                           base::MonotonicTime end,
+                           const std::atomic<bool>& should_end_now) const {
+  const base::MonotonicTime earliest = clock_.Now() + step.at_least;
+  while (clock_.Now() < earliest || step.left() > 0) {
+    if (should_end_now || clock_.Now() >= end) {
+      log_.Write({.level = base::LogLevel::kError,
+                  .step = base::Step::kStop,
+                  .message = "stop ended early in step '" + step.name +
+                             "': cut off " + std::to_string(step.left()) +
+                             " in flight"});
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kStop,
+              .message = "stop step '" + step.name + "' is done"});
+  return true;
+}
+
+}  // namespace medlarspread::daemon
--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -256,7 +256,7 @@
   } else {
     shard.exclusions.regions.insert(region);
   }
-  if (MayAskAgain(shard, result)) {
+  if (MayAskAgain(range, shard, result)) {
     shard.state = ShardState::kWaiting;
     Ask({range});
     return;
@@ -267,10 +267,13 @@
   ConcludeIfSettled();
 }
 
-bool QuerySession::MayAskAgain(const Shard& shard, const ShardResult& result) {
+bool QuerySession::MayAskAgain(const KeyRange& range,
+                               const Shard& shard,
+                               const ShardResult& result) {
   const bool is_unknown = result.outcome == ShardOutcome::kUnknown;
   if (shard.tries >= kMostTries || (is_unknown && is_at_most_once()) ||
-      dependencies_->clock.Now() >= deadline_) {
+      dependencies_->clock.Now() >= deadline_ ||
+      !HasDestination(range, shard)) {
     return false;
   }
   // A shard that certainly did not run costs no upstream anything, and a lost
@@ -279,6 +282,13 @@
   return is_free || dependencies_->retries->Take(targets_.name);
 }
 
+bool QuerySession::HasDestination(const KeyRange& range,
+                                  const Shard& shard) const {
+  return dependencies_->router
+      ->Choose(targets_.collection, {plan_->snapshot, range}, shard.exclusions)
+      .has_value();
+}
+
 // Starts again when the snapshot has gone from under the query. Never for a
 // request that may run only once, because its other shards have run already.
 bool QuerySession::TryOtherSnapshot() {
@@ -311,12 +321,8 @@
       continue;
     }
     shard.exclusions.owners.insert(shard.owner);
-    const bool has_other =
-        dependencies_->router
-            ->Choose(targets_.collection, {plan_->snapshot, range},
-                     shard.exclusions)
-            .has_value();
-    if (has_other && dependencies_->retries->Take(targets_.name)) {
+    if (HasDestination(range, shard) &&
+        dependencies_->retries->Take(targets_.name)) {
       may_have_run_ = true;
       again.push_back(range);
     }
--- a/src/query/query_session.h
+++ b/src/query/query_session.h
@@ -92,7 +92,11 @@
                     const std::string& region,
                     const blackboard::KeyRange& range,
                     const routing::ShardResult& result);
-  bool MayAskAgain(const Shard& shard, const routing::ShardResult& result);
+  bool MayAskAgain(const blackboard::KeyRange& range,
+                   const Shard& shard,
+                   const routing::ShardResult& result);
+  bool HasDestination(const blackboard::KeyRange& range,
+                      const Shard& shard) const;
   bool TryOtherSnapshot();
   void LookForSilentOwners();
   void TargetIsDue();
