Admission: Let class slack decide order, and refuse by a class's own wait

Cause: earliest due first sinks every class at 1.3 times what the leaves can do, because old requests of loose classes become as urgent as new ones of tight classes; and a gate that compares one common wait with the tightest target refused 58% of audit and 23% of reconciliation already at 0.8.

Change: the queue adds the class's latency target as slack to the due time, puts requests whose target has passed last, and tells how long a request of a given class would wait (what is ahead, and the share of slots its class gets). The gate compares that wait with the class's own target.

--- /dev/null
+++ b/bench/policy/replay_options.h
@@ -0,0 +1,41 @@
+// What one replay runs with.
+
+#ifndef MEDLARSPREAD_BENCH_POLICY_REPLAY_OPTIONS_H_
+#define MEDLARSPREAD_BENCH_POLICY_REPLAY_OPTIONS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "src/admission/second_send_policy.h"
+#include "src/admission/urgency_queue.h"
+#include "src/blackboard/views.h"
+
+namespace medlarspread::bench {
+
+struct ReplayClass {
+  blackboard::ClassTargets targets;
+  // Its part of the offered load; the parts add up to 1.
+  double share = 0.0;
+};
+
+struct ReplayOptions {
+  std::uint64_t seed = 1;
+  // Offered load as a share of what the slots can do.
+  double load = 0.8;
+  double seconds = 30.0;
+  int shards = 10;
+  int replicas = 3;
+  int slots = 2;
+  double mean_service_ms = 5.0;
+  // Share of requests that take ten times as long.
+  double straggler_share = 0.01;
+  admission::UrgencyOrder order = admission::UrgencyOrder::kClassSlack;
+  // 0 sends nothing a second time.
+  double second_send_share = admission::SecondSendPolicy::kDefaultShare;
+  bool has_gate = true;
+  std::vector<ReplayClass> classes;
+};
+
+}  // namespace medlarspread::bench
+
+#endif  // MEDLARSPREAD_BENCH_POLICY_REPLAY_OPTIONS_H_
--- a/src/admission/entry_gate.cc
+++ b/src/admission/entry_gate.cc
@@ -1,36 +1,22 @@
-// The gate compares the expected wait with the tightest target of the
-// collection: a class admits less and less while the wait grows from its lower
-// to its upper bound, and the bounds are lower the more slack the class has.
+// A class admits less and less while its expected wait grows from the lower to
+// the upper bound. A sharp bound would admit and refuse in bursts, because the
+// wait that the gate sees is a little old.
 
 #include "src/admission/entry_gate.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace medlarspread::admission {
 namespace {
 
-// Bounds of the wait as shares of the tightest latency target: those of a class
-// with unlimited slack, and those of the class with the tightest target.
-constexpr double kLooseLower = 0.15;
-constexpr double kLooseUpper = 0.40;
-constexpr double kTightLower = 0.50;
-constexpr double kTightUpper = 0.90;
+// All requests of a class are admitted while the expected wait is below the
+// lower share of its latency target, none above the upper share: the rest of
+// the target is needed for the work itself.
+constexpr double kLower = 0.5;
+constexpr double kUpper = 0.9;
 constexpr base::Duration kShortestRetryAfter = base::Milliseconds(50);
 constexpr base::Duration kLongestRetryAfter = base::Milliseconds(2000);
 
-// The tightest latency target among the classes of `collection`.
-base::Duration TightestLatency(const blackboard::TargetsView& view,
-                               const blackboard::ClassTargets& targets) {
-  base::Duration tightest = targets.latency;
-  for (const auto& [name, row] : view.classes) {
-    if (row.collection == targets.collection) {
-      tightest = std::min(tightest, row.latency);
-    }
-  }
-  return tightest;
-}
-
 }  // namespace
 
 EntryGate::EntryGate(const blackboard::Blackboard& blackboard,
@@ -52,19 +38,12 @@
 
 double EntryGate::AdmitShare(const blackboard::ClassTargets& targets,
                              base::Duration expected_wait) const {
-  const base::Duration tightest =
-      TightestLatency(*blackboard_.targets.Read(), targets);
   if (targets.latency.count() <= 0) {
     return 1.0;
   }
-  const double pressure =
-      base::ToMilliseconds(expected_wait) / base::ToMilliseconds(tightest);
-  // 1 for the tightest class, towards 0 with growing slack.
-  const double tightness =
-      base::ToMilliseconds(tightest) / base::ToMilliseconds(targets.latency);
-  const double lower = std::lerp(kLooseLower, kTightLower, tightness);
-  const double upper = std::lerp(kLooseUpper, kTightUpper, tightness);
-  return std::clamp((upper - pressure) / (upper - lower), 0.0, 1.0);
+  const double pressure = base::ToMilliseconds(expected_wait) /
+                          base::ToMilliseconds(targets.latency);
+  return std::clamp((kUpper - pressure) / (kUpper - kLower), 0.0, 1.0);
 }
 
 bool EntryGate::TakeTurn(const std::string& class_name, double share) {
--- a/src/admission/entry_gate.h
+++ b/src/admission/entry_gate.h
@@ -1,7 +1,9 @@
-// Decides at the entry whether a request is taken in or refused at once. As the
-// wait for a slot grows, the classes whose targets leave most slack are refused
-// first; a request whose wait alone would outlast its deadline is always
-// refused. A refused request is answered at once and told when to come back.
+// Decides at the entry whether a request is taken in or refused at once. A
+// request is refused when it would wait too long in the queues to meet its
+// latency target or its deadline. The queues let classes with little slack go
+// first, so under load the wait grows first for the classes with most slack,
+// and those are refused first. A refused request is answered at once and told
+// when to come back.
 
 #ifndef MEDLARSPREAD_ADMISSION_ENTRY_GATE_H_
 #define MEDLARSPREAD_ADMISSION_ENTRY_GATE_H_
@@ -27,7 +29,8 @@
   // Reads `targets`. The blackboard must outlive the gate.
   EntryGate(const blackboard::Blackboard& blackboard, base::Clock clock);
 
-  // `expected_wait` is that of the slowest queue the request needs.
+  // `expected_wait` is that of a request of this class in the slowest queue it
+  // needs.
   Decision Admit(const blackboard::ClassTargets& targets,
                  base::Duration expected_wait,
                  base::Duration deadline_left);
--- a/src/admission/urgency_queue.cc
+++ b/src/admission/urgency_queue.cc
@@ -9,22 +9,41 @@
 namespace medlarspread::admission {
 namespace {
 
-// A burning class counts as due earlier by at most this share of its target.
-// More would let a class with a loose target, once it gives way and burns,
-// overtake those it gave way to.
-constexpr double kMaximumAdvance = 0.25;
-// The burn at which the advance is half of the maximum.
+// The slack of a class as a multiple of its latency target.
+constexpr double kSlackMultiple = 1.0;
+// Burn takes away at most this share of the slack. More would let a class with
+// a loose target, once it gives way and burns, overtake those it gave way to.
+constexpr double kMaximumBurnShare = 0.5;
+// The excess of burn over 1 that takes half of that share.
 constexpr double kHalfBurn = 2.0;
+// Slots that are remembered to learn the share of each class, and the lowest
+// share that is assumed.
+constexpr double kRememberedPops = 1000.0;
+constexpr double kLowestShare = 0.01;
+// Puts the lines of two classes apart whatever the age of their items.
+constexpr double kStrictMultiple = 1e4;
+
+// The part of the slack that burn leaves, 0 to 1.
+double SlackLeft(const blackboard::BurnView& burn,
+                 const std::string& class_name) {
+  const auto row = burn.classes.find(class_name);
+  if (row == burn.classes.end()) {
+    return 1.0;
+  }
+  const double excess = std::max(0.0, row->second.short_window_burn - 1.0);
+  return 1.0 - kMaximumBurnShare * excess / (excess + kHalfBurn);
+}
 
 }  // namespace
 
-UrgencyQueue::UrgencyQueue(const blackboard::Blackboard& blackboard)
-    : blackboard_(blackboard) {}
+UrgencyQueue::UrgencyQueue(const blackboard::Blackboard& blackboard,
+                           UrgencyOrder order)
+    : blackboard_(blackboard), order_(order) {}
 
 void UrgencyQueue::Push(QueueItem item) {
   assert(!items_.contains(item.id));
   Line& line = item.is_hedge ? hedges_ : lines_[item.class_name];
-  line.emplace(item.target_due, item.id);
+  line.emplace(PlaceOf(item), item.id);
   deadlines_.emplace(item.deadline, item.id);
   items_.emplace(item.id, std::move(item));
 }
@@ -39,6 +58,7 @@
     found = FindInLines(LinesLate(now), predicate);
   }
   if (found) {
+    DidPop(items_.at(*found).class_name);
     Remove(*found);
   }
   return found;
@@ -52,10 +72,10 @@
   const QueueItem& item = found->second;
   deadlines_.erase({item.deadline, id});
   if (item.is_hedge) {
-    hedges_.erase({item.target_due, id});
+    hedges_.erase({PlaceOf(item), id});
   } else {
     const auto line = lines_.find(item.class_name);
-    line->second.erase({item.target_due, id});
+    line->second.erase({PlaceOf(item), id});
     if (line->second.empty()) {
       lines_.erase(line);
     }
@@ -76,19 +96,44 @@
 base::Duration UrgencyQueue::ExpectedWait(const QueueItem& item,
                                           double completions_per_second) const {
   assert(completions_per_second > 0);
-  std::size_t ahead = hedges_.size();
-  if (!item.is_hedge) {
-    const base::MonotonicTime due =
-        item.target_due - AdvanceOf(item.class_name);
-    for (const auto& [class_name, line] : lines_) {
-      const auto bound = line.lower_bound({due + AdvanceOf(class_name), 0});
-      ahead += static_cast<std::size_t>(std::distance(line.begin(), bound));
-    }
+  double wait = static_cast<double>(CountAhead(item)) / completions_per_second;
+  const auto line = lines_.find(item.class_name);
+  const auto pops = pops_by_class_.find(item.class_name);
+  if (!item.is_hedge && line != lines_.end() && pops_ > 0) {
+    const double popped = pops == pops_by_class_.end() ? 0.0 : pops->second;
+    const double share = std::max(kLowestShare, popped / pops_);
+    wait = std::max(wait, static_cast<double>(line->second.size()) /
+                              (share * completions_per_second));
   }
   constexpr double kMicrosecondsPerSecond = 1e6;
-  return base::Duration(static_cast<std::int64_t>(static_cast<double>(ahead) *
-                                                  kMicrosecondsPerSecond /
-                                                  completions_per_second));
+  return base::Duration(
+      static_cast<std::int64_t>(wait * kMicrosecondsPerSecond));
+}
+
+std::size_t UrgencyQueue::CountAhead(const QueueItem& item) const {
+  std::size_t ahead = hedges_.size();
+  if (item.is_hedge) {
+    return ahead;
+  }
+  const base::MonotonicTime place = PlaceOf(item) + OffsetOf(item.class_name);
+  for (const auto& [class_name, line] : lines_) {
+    const auto bound =
+        line.lower_bound({place - OffsetOf(class_name), item.id});
+    ahead += static_cast<std::size_t>(std::distance(line.begin(), bound));
+  }
+  return ahead;
+}
+
+void UrgencyQueue::DidPop(const std::string& class_name) {
+  pops_by_class_[class_name] += 1.0;
+  pops_ += 1.0;
+  if (pops_ < kRememberedPops) {
+    return;
+  }
+  pops_ /= 2;
+  for (auto& [name, pops] : pops_by_class_) {
+    pops /= 2;
+  }
 }
 
 std::optional<std::uint64_t> UrgencyQueue::FindHedge(
@@ -110,8 +155,8 @@
       if (cursor.position == cursor.end) {
         continue;
       }
-      if (!first || cursor.position->first - cursor.advance <
-                        first->position->first - first->advance) {
+      if (!first || cursor.position->first + cursor.offset <
+                        first->position->first + first->offset) {
         first = &cursor;
       }
     }
@@ -128,28 +173,39 @@
 
 std::vector<UrgencyQueue::Cursor> UrgencyQueue::LinesInTime(
     base::MonotonicTime now) const {
+  const base::MonotonicTime bound = LateBound(now);
   std::vector<Cursor> cursors;
   for (const auto& [class_name, line] : lines_) {
-    cursors.push_back(
-        {&line, line.lower_bound({now, 0}), line.end(), AdvanceOf(class_name)});
+    cursors.push_back({&line, line.lower_bound({bound, 0}), line.end(),
+                       OffsetOf(class_name)});
   }
   return cursors;
 }
 
 std::vector<UrgencyQueue::Cursor> UrgencyQueue::LinesLate(
     base::MonotonicTime now) const {
+  const base::MonotonicTime bound = LateBound(now);
   std::vector<Cursor> cursors;
   for (const auto& [class_name, line] : lines_) {
-    cursors.push_back({&line, line.begin(), line.lower_bound({now, 0}),
-                       AdvanceOf(class_name)});
+    cursors.push_back({&line, line.begin(), line.lower_bound({bound, 0}),
+                       OffsetOf(class_name)});
   }
   return cursors;
 }
 
-base::Duration UrgencyQueue::AdvanceOf(const std::string& class_name) const {
-  const auto burn = blackboard_.burn.Read();
-  const auto row = burn->classes.find(class_name);
-  if (row == burn->classes.end()) {
+base::MonotonicTime UrgencyQueue::LateBound(base::MonotonicTime now) const {
+  return order_ == UrgencyOrder::kArrival ? base::MonotonicTime{} : now;
+}
+
+base::MonotonicTime UrgencyQueue::PlaceOf(const QueueItem& item) const {
+  if (order_ == UrgencyOrder::kArrival) {
+    return {static_cast<std::int64_t>(item.id)};
+  }
+  return item.target_due;
+}
+
+base::Duration UrgencyQueue::OffsetOf(const std::string& class_name) const {
+  if (order_ == UrgencyOrder::kArrival || order_ == UrgencyOrder::kTargetDue) {
     return base::Duration{};
   }
   const auto targets = blackboard_.targets.Read();
@@ -157,10 +213,12 @@
   if (target == targets->classes.end()) {
     return base::Duration{};
   }
-  const double excess = std::max(0.0, row->second.short_window_burn - 1.0);
-  const double share = kMaximumAdvance * excess / (excess + kHalfBurn);
+  const double multiple =
+      order_ == UrgencyOrder::kTightestClass
+          ? kStrictMultiple
+          : kSlackMultiple * SlackLeft(*blackboard_.burn.Read(), class_name);
   return base::Duration(static_cast<std::int64_t>(
-      static_cast<double>(target->second.latency.count()) * share));
+      static_cast<double>(target->second.latency.count()) * multiple));
 }
 
 }  // namespace medlarspread::admission
--- a/src/admission/urgency_queue.h
+++ b/src/admission/urgency_queue.h
@@ -2,9 +2,8 @@
 //
 // 1. Second sends come first: each stands for a request that already waits for
 //    a straggler, and their number is bounded by a budget.
-// 2. Then requests that can still meet the latency target of their class, the
-//    earliest due first. A class that spends its error budget too fast counts
-//    as due earlier, so the class whose promise has most slack gives way.
+// 2. Then requests that can still meet the latency target of their class, in
+//    the order that UrgencyOrder names.
 // 3. Last come requests whose target has passed: they can't save the target and
 //    must not make others miss theirs.
 //
@@ -26,16 +25,40 @@
 
 #include "src/admission/queue_item.h"
 #include "src/base/clock.h"
+#include "src/base/name_table.h"
 #include "src/blackboard/blackboard.h"
 
 namespace medlarspread::admission {
 
+// How requests that can still meet their target are ordered. All orders come
+// from the stated targets alone; the first three are baselines.
+enum class UrgencyOrder {
+  // First come, first served; late ones are not put back.
+  kArrival,
+  // The earliest target due time first.
+  kTargetDue,
+  // The class with the lowest latency target first, whatever its items' age.
+  kTightestClass,
+  // The target due time plus the slack of the class, a multiple of its latency
+  // target, less what the burn of the class takes away: the class whose promise
+  // has most slack gives way.
+  kClassSlack,
+};
+
+constexpr base::NameTable<UrgencyOrder, 4> kUrgencyOrderNames{{{
+    {UrgencyOrder::kArrival, "arrival"},
+    {UrgencyOrder::kTargetDue, "target_due"},
+    {UrgencyOrder::kTightestClass, "tightest_class"},
+    {UrgencyOrder::kClassSlack, "class_slack"},
+}}};
+
 class UrgencyQueue {
  public:
   using Predicate = std::function<bool(const QueueItem&)>;
 
   // Reads `targets` and `burn`. The blackboard must outlive the queue.
-  explicit UrgencyQueue(const blackboard::Blackboard& blackboard);
+  explicit UrgencyQueue(const blackboard::Blackboard& blackboard,
+                        UrgencyOrder order = UrgencyOrder::kClassSlack);
 
   // The item's identifier must not be in the queue.
   void Push(QueueItem item);
@@ -48,20 +71,23 @@
   std::vector<std::uint64_t> TakeExpired(base::MonotonicTime now);
   std::size_t size() const { return items_.size(); }
 
-  // How long `item` would wait if it were pushed now and the leaves completed
-  // `completions_per_second`, which must be positive.
+  // How long `item`, whose identifier is that of a newcomer, would wait if it
+  // were pushed now and the leaves completed `completions_per_second`, which
+  // must be positive. Takes into account what is ahead now and how many of the
+  // latest slots went to the item's class, because others may still overtake
+  // it.
   base::Duration ExpectedWait(const QueueItem& item,
                               double completions_per_second) const;
 
  private:
-  // By due time, then by identifier.
+  // By due time (by place of arrival under kArrival), then by identifier.
   using Line = std::set<std::pair<base::MonotonicTime, std::uint64_t>>;
   // A place in one line while Pop() merges the lines.
   struct Cursor {
     const Line* line;
     Line::const_iterator position;
     Line::const_iterator end;
-    base::Duration advance;
+    base::Duration offset;
   };
 
   std::optional<std::uint64_t> FindHedge(const Predicate& predicate) const;
@@ -69,16 +95,28 @@
                                            const Predicate& predicate) const;
   std::vector<Cursor> LinesInTime(base::MonotonicTime now) const;
   std::vector<Cursor> LinesLate(base::MonotonicTime now) const;
-  // By how much a class counts as due earlier than its target says.
-  base::Duration AdvanceOf(const std::string& class_name) const;
+  // The place before which an item of a line counts as late.
+  base::MonotonicTime LateBound(base::MonotonicTime now) const;
+  // Where an item stands in its line.
+  base::MonotonicTime PlaceOf(const QueueItem& item) const;
+  std::size_t CountAhead(const QueueItem& item) const;
+  // Remembers which class a slot went to.
+  void DidPop(const std::string& class_name);
+  // What is added to the due times of a class when lines are merged.
+  base::Duration OffsetOf(const std::string& class_name) const;
 
   const blackboard::Blackboard& blackboard_;
+  const UrgencyOrder order_;
   // Invariant: each item is in deadlines_ and in exactly one of hedges_ and
   // the line of its class.
   std::unordered_map<std::uint64_t, QueueItem> items_;
   Line hedges_;
   std::map<std::string, Line> lines_;
   Line deadlines_;
+  // How many of the latest slots went to each class. Invariant: pops_ is their
+  // sum and at most kRememberedPops.
+  std::map<std::string, double> pops_by_class_;
+  double pops_ = 0.0;
 };
 
 }  // namespace medlarspread::admission
--- a/tests/admission/urgency_queue_test.cc
+++ b/tests/admission/urgency_queue_test.cc
@@ -52,6 +52,7 @@
 
 TEST_F(UrgencyQueueTest, BurningClassGoesForward) {
   blackboard::TargetsView targets;
+  targets.classes["desk"].latency = Milliseconds(100);
   targets.classes["site"].latency = Milliseconds(100);
   blackboard_.targets.Write(targets);
   queue_.Push(Item(1, "desk", 90));
@@ -63,6 +64,31 @@
   EXPECT_EQ(Pop(), 3u);
 }
 
+// Three items, each of which another order would put first.
+TEST_F(UrgencyQueueTest, EachOrderPutsItsOwnFirst) {
+  blackboard::TargetsView targets;
+  targets.classes["counter"].latency = Milliseconds(100);
+  targets.classes["audit"].latency = Milliseconds(3000);
+  blackboard_.targets.Write(targets);
+  const std::vector<std::pair<UrgencyOrder, std::vector<std::uint64_t>>> cases =
+      {{UrgencyOrder::kArrival, {1, 2, 3}},
+       {UrgencyOrder::kTargetDue, {2, 3, 1}},
+       {UrgencyOrder::kTightestClass, {3, 2, 1}},
+       {UrgencyOrder::kClassSlack, {3, 2, 1}}};
+  for (const auto& [order, expected] : cases) {
+    UrgencyQueue queue(blackboard_, order);
+    queue.Push(Item(1, "audit", 3000));
+    queue.Push(Item(2, "audit", 20));
+    queue.Push(Item(3, "counter", 90));
+    std::vector<std::uint64_t> popped;
+    while (const auto id =
+               queue.Pop(kStart, [](const QueueItem&) { return true; })) {
+      popped.push_back(*id);
+    }
+    EXPECT_EQ(popped, expected) << kUrgencyOrderNames.NameOf(order);
+  }
+}
+
 TEST_F(UrgencyQueueTest, PredicateSkipsItems) {
   queue_.Push(Item(1, "desk", 10));
   queue_.Push(Item(2, "desk", 20));
@@ -93,5 +119,21 @@
   EXPECT_EQ(queue_.ExpectedWait(Item(11, "site", 5), 1000.0), Milliseconds(0));
 }
 
+// Nothing is ahead of the newcomer, but its class gets one slot in ten.
+TEST_F(UrgencyQueueTest, ExpectedWaitKnowsTheShareOfTheClass) {
+  for (std::uint64_t id = 1; id <= 9; ++id) {
+    queue_.Push(Item(id, "desk", 10));
+  }
+  queue_.Push(Item(10, "audit", 20));
+  for (int i = 0; i < 10; ++i) {
+    Pop();
+  }
+  for (std::uint64_t id = 11; id <= 30; ++id) {
+    queue_.Push(Item(id, "audit", 500));
+  }
+  EXPECT_EQ(queue_.ExpectedWait(Item(31, "audit", 400), 1000.0),
+            Milliseconds(200));
+}
+
 }  // namespace
 }  // namespace medlarspread::admission
