Admission: Send a second time after four times the typical time

Cause: at three times the mean 3% of requests qualify when service times follow a gamma distribution of shape 2; the budget ran out on requests that were not stragglers.

Change: four times, growing by 2% with each second send that the budget refuses and shrinking again while it lasts.

Conclusion: 4x; it would flip to 3x if service times varied less.

--- a/src/admission/second_send_policy.cc
+++ b/src/admission/second_send_policy.cc
@@ -18,7 +18,12 @@
 constexpr std::size_t kRelearn = 32;
 // Share of the slowest samples that is left out.
 constexpr double kTrimmed = 0.05;
-constexpr double kMultiple = 3.0;
+// The delay as a multiple of the typical service time. It grows while the
+// budget runs out, so that what there is goes to the slowest requests, and
+// falls back while the budget lasts.
+constexpr double kLowestMultiple = 4.0;
+constexpr double kHighestMultiple = 16.0;
+constexpr double kMultipleGrowth = 1.02;
 constexpr base::Duration kLowestDelay = base::Milliseconds(1);
 // Bounds a burst of second sends after a quiet time.
 constexpr double kMaximumTokens = 20.0;
@@ -27,10 +32,12 @@
 
 SecondSendPolicy::SecondSendPolicy(double share)
     : share_(std::clamp(share, 0.0, kMaximumShare)),
-      tokens_(share_ > 0 ? 1.0 : 0.0) {}
+      tokens_(share_ > 0 ? 1.0 : 0.0),
+      multiple_(kLowestMultiple) {}
 
 bool SecondSendPolicy::TakeBudget() {
   if (tokens_ < 1.0) {
+    multiple_ = std::min(kHighestMultiple, multiple_ * kMultipleGrowth);
     return false;
   }
   tokens_ -= 1.0;
@@ -59,6 +66,9 @@
 }
 
 void SecondSendPolicy::LearnDelay() {
+  if (tokens_ >= 1.0) {
+    multiple_ = std::max(kLowestMultiple, multiple_ / kMultipleGrowth);
+  }
   std::vector<base::Duration> sorted = samples_;
   std::sort(sorted.begin(), sorted.end());
   const auto kept = static_cast<std::size_t>(
@@ -71,7 +81,7 @@
       static_cast<double>(sum.count()) / static_cast<double>(kept);
   delay_ =
       std::max(kLowestDelay,
-               base::Duration(static_cast<std::int64_t>(mean * kMultiple)));
+               base::Duration(static_cast<std::int64_t>(mean * multiple_)));
 }
 
 }  // namespace medlarspread::admission
--- a/src/admission/second_send_policy.h
+++ b/src/admission/second_send_policy.h
@@ -43,6 +43,8 @@
   const double share_;
   // Invariant: 0 <= tokens_ <= kMaximumTokens.
   double tokens_;
+  // The delay as a multiple of the typical service time.
+  double multiple_;
   std::optional<base::Duration> delay_;
   // The latest service times, a ring of at most kSamples.
   std::vector<base::Duration> samples_;
