Peer: Log through the daemon's log and name the lost connection

The links logged through spdlog's default logger, past the level and the format that the operators set. They now take a base::Log.

A test expected the first send to a closed port to be queued; on two threads the refusal may come first, and the send then says kConnectionLost.

--- a/src/peer/acceptor.cc
+++ b/src/peer/acceptor.cc
@@ -4,7 +4,6 @@
 
 #include <utility>
 
-#include <spdlog/spdlog.h>
 #include <boost/asio/post.hpp>
 
 #include "src/peer/endpoint.h"
@@ -21,10 +20,12 @@
 
 Acceptor::Acceptor(boost::asio::io_context& traffic,
                    base::Duration retry_delay,
+                   base::Log log,
                    DidAccept did_accept)
     : traffic_(traffic),
       timers_(traffic),
       retry_delay_(retry_delay),
+      log_(std::move(log)),
       did_accept_(std::move(did_accept)),
       acceptor_(boost::asio::make_strand(traffic)) {}
 
@@ -77,9 +78,9 @@
     Accept();
     return;
   }
-  spdlog::warn("{}", base::MakeError(ErrorCode::kUnavailable, Step::kListen,
-                                     address_, error.message())
-                         .ToString());
+  log_.DidFail(base::MakeError(ErrorCode::kUnavailable, Step::kListen, address_,
+                               error.message()),
+               "the next connection is accepted after a pause");
   // Out of file descriptors, most likely: waits for some to come free.
   timers_.After(retry_delay_, [self = shared_from_this()] {
     boost::asio::post(self->acceptor_.get_executor(),
--- a/src/peer/acceptor.h
+++ b/src/peer/acceptor.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "src/base/clock.h"
+#include "src/base/log.h"
 #include "src/base/result.h"
 #include "src/base/task_runner.h"
 #include "src/peer/connection.h"
@@ -28,6 +29,7 @@
   // After a failed accept the next one waits for `retry_delay`.
   Acceptor(boost::asio::io_context& traffic,
            base::Duration retry_delay,
+           base::Log log,
            DidAccept did_accept);
 
   // Listens on "ip:port"; port 0 takes a free one. Errors: kInvalidArgument,
@@ -47,6 +49,7 @@
   boost::asio::io_context& traffic_;
   const base::TaskRunner timers_;
   const base::Duration retry_delay_;
+  const base::Log log_;
   const DidAccept did_accept_;
   std::string address_;
   std::atomic<bool> is_closed_ = false;
--- a/src/peer/peer_network.cc
+++ b/src/peer/peer_network.cc
@@ -5,7 +5,6 @@
 #include <atomic>
 #include <utility>
 
-#include <spdlog/spdlog.h>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "src/base/task_runner.h"
@@ -24,15 +23,11 @@
 
 // A peer that sends what can't be read needs somebody's attention; one that
 // goes away is an everyday event.
-void LogClosed(base::Error reason, const std::string& peer) {
-  if (!peer.empty()) {
-    reason.peer = peer;
-  }
+base::LogLevel LevelOf(const base::Error& reason) {
   const bool is_fault = reason.code == ErrorCode::kMalformed ||
                         reason.code == ErrorCode::kTooLarge ||
                         reason.code == ErrorCode::kConflict;
-  spdlog::log(is_fault ? spdlog::level::warn : spdlog::level::info, "{}",
-              reason.ToString());
+  return is_fault ? base::LogLevel::kWarning : base::LogLevel::kInfo;
 }
 
 // The heartbeat that tells an older incarnation of `name` of the newer one.
@@ -54,7 +49,8 @@
        const blackboard::Blackboard& blackboard,
        DidReceive did_receive,
        DidLosePeer did_lose_peer,
-       const base::Clock& clock);
+       const base::Clock& clock,
+       base::Log log);
 
   base::Status Open();
   base::Status Send(const std::string& peer, Message message);
@@ -89,6 +85,7 @@
   const DidLosePeer did_lose_peer_;
   const std::shared_ptr<const Codec> codec_;
   const base::TaskRunner timers_;
+  const base::Log log_;
   std::atomic<bool> is_closed_ = false;
 
   // Set by Open().
@@ -105,7 +102,8 @@
                         const blackboard::Blackboard& blackboard,
                         DidReceive did_receive,
                         DidLosePeer did_lose_peer,
-                        const base::Clock& clock)
+                        const base::Clock& clock,
+                        base::Log log)
     : settings_(std::move(settings)),
       traffic_(traffic),
       blackboard_(blackboard),
@@ -115,6 +113,7 @@
           Sender{settings_.self_name, settings_.incarnation},
           settings_.max_frame_bytes)),
       timers_(traffic),
+      log_(std::move(log)),
       links_({settings_.initial_backoff, settings_.max_backoff},
              clock,
              std::hash<std::string>()(settings_.self_name) ^
@@ -123,7 +122,7 @@
 
 base::Status PeerNetwork::Impl::Open() {
   acceptor_ = std::make_shared<Acceptor>(
-      traffic_, settings_.initial_backoff,
+      traffic_, settings_.initial_backoff, log_,
       [weak = weak_from_this()](Connection::Socket socket) {
         if (const auto self = weak.lock()) {
           self->DidAccept(std::move(socket));
@@ -260,7 +259,7 @@
     // A full queue can't be: nothing else is written on an incoming link.
     const base::Status status = connection.Send(std::move(notice.value()));
     if (!status.is_ok()) {
-      spdlog::info("{}", status.error().ToString());
+      log_.DidFail(status.error(), "an older incarnation is not told");
     }
   }
   connection.CloseAfterFlush(reason);
@@ -271,7 +270,10 @@
   const bool is_failure = reason.code != ErrorCode::kStopping;
   const std::string peer = links_.Remove(connection, is_failure);
   if (is_failure) {
-    LogClosed(reason, peer);
+    log_.Write({.level = LevelOf(reason),
+                .step = reason.step,
+                .peer = peer.empty() ? reason.peer : peer,
+                .message = "link closed: " + reason.ToString()});
   }
   if (!is_closed_ && !peer.empty()) {
     did_lose_peer_(peer);
@@ -334,7 +336,8 @@
   if (links_.WaitUntilEmpty(settings_.flush_timeout)) {
     return;
   }
-  spdlog::warn("{} links not flushed in time", links_.size());
+  log_.DidFail(reason, std::to_string(links_.size()) +
+                           " links were not written out in time");
   for (const ConnectionPointer& link : links) {
     link->Close(reason);
   }
@@ -346,13 +349,15 @@
                          const blackboard::Blackboard& blackboard,
                          DidReceive did_receive,
                          DidLosePeer did_lose_peer,
-                         base::Clock clock)
+                         base::Clock clock,
+                         base::Log log)
     : impl_(std::make_shared<Impl>(std::move(settings),
                                    traffic,
                                    blackboard,
                                    std::move(did_receive),
                                    std::move(did_lose_peer),
-                                   clock)) {}
+                                   clock,
+                                   std::move(log))) {}
 
 PeerNetwork::~PeerNetwork() {
   impl_->Close();
--- a/src/peer/peer_network.h
+++ b/src/peer/peer_network.h
@@ -27,6 +27,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "src/base/clock.h"
+#include "src/base/log.h"
 #include "src/base/result.h"
 #include "src/blackboard/blackboard.h"
 #include "src/peer/message.h"
@@ -63,7 +64,8 @@
               const blackboard::Blackboard& blackboard,
               DidReceive did_receive,
               DidLosePeer did_lose_peer,
-              base::Clock clock = base::Clock());
+              base::Clock clock = base::Clock(),
+              base::Log log = base::Log());
   // Closes if Close() was not called.
   ~PeerNetwork();
 
@@ -79,7 +81,8 @@
   // May be copied and outlives this object; sends fail once it is closed.
   // Errors of send: kNotFound (peer not in the view), kInvalidArgument (this
   // daemon itself, or an address that can't be read), kUnreachable (in
-  // backoff), kOverloaded, kTooLarge, kStopping.
+  // backoff), kConnectionLost (the link ended just now), kOverloaded,
+  // kTooLarge, kStopping.
   PeerPort port();
 
   // Refuses new messages, writes what is queued and closes all links. No
