--- /dev/null
+++ b/emulator/load/answer_checker.h
@@ -0,0 +1,60 @@
+// Checks a caller's answer against what the system promises, from the outside:
+// the leaves' items name their snapshot, range and query.
+
+#ifndef MEDLARSPREAD_EMULATOR_LOAD_ANSWER_CHECKER_H_
+#define MEDLARSPREAD_EMULATOR_LOAD_ANSWER_CHECKER_H_
+
+#include <string>
+
+#include "src/base/name_table.h"
+
+namespace medlarspread::emulator {
+
+enum class Violation {
+  kNone,
+  // Not the JSON that docs/INTERFACES.md describes.
+  kMalformed,
+  // The answer to another request, or items of another query.
+  kForeign,
+  // Items of another snapshot than the answer states.
+  kMixedSnapshots,
+  // The stated coverage is not that of the items.
+  kFalseCoverage,
+  // The same item twice.
+  kDoubled,
+  // A refusal that does not say when to come back, or says it ran.
+  kBadRefusal,
+};
+
+constexpr base::NameTable<Violation, 7> kViolations{
+    {{{Violation::kNone, "none"},
+      {Violation::kMalformed, "malformed"},
+      {Violation::kForeign, "foreign"},
+      {Violation::kMixedSnapshots, "mixed_snapshots"},
+      {Violation::kFalseCoverage, "false_coverage"},
+      {Violation::kDoubled, "doubled"},
+      {Violation::kBadRefusal, "bad_refusal"}}}};
+
+// What the caller asked.
+struct AskedQuery {
+  std::string request_id;
+  // JSON text.
+  std::string query;
+};
+
+struct CheckedAnswer {
+  Violation violation = Violation::kNone;
+  // The coverage that the answer states.
+  double coverage = 0.0;
+  bool is_partial = true;
+};
+
+// Checks the body of a 200. Every leaf must give at least one item per range.
+CheckedAnswer CheckAnswer(const AskedQuery& asked, const std::string& body);
+
+// Checks the body of a 429 or 503.
+Violation CheckRefusal(const AskedQuery& asked, const std::string& body);
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_LOAD_ANSWER_CHECKER_H_
--- /dev/null
+++ b/emulator/load/class_report.h
@@ -0,0 +1,70 @@
+// What became of the requests of one class in a load run.
+
+#ifndef MEDLARSPREAD_EMULATOR_LOAD_CLASS_REPORT_H_
+#define MEDLARSPREAD_EMULATOR_LOAD_CLASS_REPORT_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "emulator/load/answer_checker.h"
+#include "emulator/load/class_load.h"
+#include "src/http/message.h"
+
+namespace medlarspread::emulator {
+
+class ClassReport {
+ public:
+  explicit ClassReport(ClassLoad load) : load_(std::move(load)) {}
+
+  void DidAsk() { ++asked_; }
+  // A response came `latency` after the request was due to be asked.
+  void DidReceive(const AskedQuery& asked,
+                  const http::Response& response,
+                  base::Duration latency);
+  // No response came at all.
+  void DidFail() { ++failed_; }
+
+  // Whether every request has been accounted for.
+  bool is_complete() const {
+    return asked_ == answered_ + refused_ + unknown_ + rejected_ + failed_;
+  }
+  std::int64_t violations() const;
+
+  // One line of text, and one JSON object.
+  std::string ToText() const;
+  std::string ToJson() const;
+
+ private:
+  void Note(Violation violation) {
+    ++violations_[static_cast<std::size_t>(violation)];
+  }
+  // Share `share` of the answers took this or less, in milliseconds; 0 if
+  // there are none.
+  double Percentile(double share) const;
+  double ShareOfAsked(std::int64_t count) const;
+  double MeanCoverage() const;
+
+  ClassLoad load_;
+  std::int64_t asked_ = 0;
+  std::int64_t answered_ = 0;
+  std::int64_t refused_ = 0;
+  std::int64_t unknown_ = 0;
+  // 400, 404, 405, 408, 413 and anything unforeseen.
+  std::int64_t rejected_ = 0;
+  std::int64_t failed_ = 0;
+  // Answers within the latency target, and those that met both targets.
+  std::int64_t in_time_ = 0;
+  std::int64_t covered_ = 0;
+  std::int64_t good_ = 0;
+  std::int64_t after_deadline_ = 0;
+  double coverage_sum_ = 0.0;
+  // Of answers only, in no order.
+  std::vector<base::Duration> latencies_;
+  std::array<std::int64_t, kViolations.rows.size()> violations_{};
+};
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_LOAD_CLASS_REPORT_H_
--- /dev/null
+++ b/emulator/load/load_command.h
@@ -0,0 +1,16 @@
+// The `load` command: an open-loop load run as a process.
+
+#ifndef MEDLARSPREAD_EMULATOR_LOAD_LOAD_COMMAND_H_
+#define MEDLARSPREAD_EMULATOR_LOAD_LOAD_COMMAND_H_
+
+#include "emulator/support/stop_signal.h"
+
+namespace medlarspread::emulator {
+
+// `arguments` start with the command's name. Returns the exit status: 0 unless
+// an answer broke a promise (3) or the options are wrong (1).
+int RunLoad(int count, char** arguments, StopSignal& stop);
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_LOAD_LOAD_COMMAND_H_
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "emulator/leaf/leaf_command.h"
+#include "emulator/load/load_command.h"
 #include "emulator/platform/platform_command.h"
 #include "emulator/support/stop_signal.h"
 
@@ -18,9 +19,9 @@
   int (*run)(int count, char** arguments, StopSignal& stop);
 };
 
-constexpr std::array kCommands{Command{"platform", RunPlatform},
-                               Command{"leaf", RunLeaf},
-                               Command{"leaves", RunLeaves}};
+constexpr std::array kCommands{
+    Command{"platform", RunPlatform}, Command{"leaf", RunLeaf},
+    Command{"leaves", RunLeaves}, Command{"load", RunLoad}};
 constexpr int kUsageError = 2;
 
 int Usage() {
