Upstream: Bound connections exactly and drop those out of step

Cause: in a test with a bound of 4 requests in flight to a stand-in leaf, up to 6 connections were open: the HTTP library gives a connection back only after it has completed the request, and opens another for a request sent in between. And a late duplicate of an answer would be read as the answer to the next request.

Ruled out: a pool of clients of one connection each (the same gap in each); lowering the bound by the number of threads (wastes a leaf's connections).

Change: http::Client counts a request as in flight until the library destroys it, which comes after its connection is idle again. A mismatched reply replaces the leaf's client, so that no connection then open is used again; the replaced one still counts. At-most-once requests forbid the library to repeat them. ObservationFilter passes on at most 16 failures a leaf and interval.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -101,6 +101,20 @@
   int in_flight() const { return in_flight_.load(); }
 
  private:
+  // Counts one request for as long as it lives.
+  class InFlightMark {
+   public:
+    explicit InFlightMark(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {
+      ++impl_->in_flight_;
+    }
+    ~InFlightMark() { --impl_->in_flight_; }
+    InFlightMark(const InFlightMark&) = delete;
+    InFlightMark& operator=(const InFlightMark&) = delete;
+
+   private:
+    const std::shared_ptr<Impl> impl_;
+  };
+
   static web::http::client::http_client_config MakeConfig() {
     web::http::client::http_client_config config;
     // NOTE: this is the library's timeout per read; the deadline of a request
@@ -165,13 +179,20 @@
                         Callback callback) {
   auto exchange =
       std::make_shared<Exchange>(std::move(callback), self->timers_);
-  ++self->in_flight_;
+  // NOTE: the library gives the connection back after it has completed the
+  // task and before it destroys the request, so the request counts as in
+  // flight until then: only so does the count bound the connections. The
+  // progress handler is the one thing of ours that lives as long.
+  const auto mark = std::make_shared<InFlightMark>(self);
+  web::http::http_request message = ToLibrary(request);
+  message.set_progress_handler(
+      [mark](web::http::message_direction::direction, std::uint64_t) {});
   exchange->deadline = self->timers_.After(timeout, [self, exchange] {
     exchange->Finish(self->MakeError(ErrorCode::kTimeout, "no reply in time"));
   });
   // NOTE: every exception of the task chain is observed in the last step; an
   // unobserved one would end the process.
-  self->client_.request(ToLibrary(request))
+  self->client_.request(message)
       .then([](web::http::http_response response) {
         return response.extract_vector().then(
             [response](std::vector<unsigned char> body) {
@@ -181,7 +202,6 @@
       .then([self,
              exchange](pplx::task<std::pair<web::http::http_response,
                                             std::vector<unsigned char>>> task) {
-        --self->in_flight_;
         exchange->deadline.Cancel();
         try {
           const auto [response, body] = task.get();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,7 +1,8 @@
 // An HTTP client towards one address. It keeps connections open for reuse.
 // NOTE: the library opens a connection whenever none is idle, so the number of
 // connections is bounded only by the number of requests the caller keeps in
-// flight; in_flight() counts them, timed-out ones included until they end.
+// flight; in_flight() counts them, timed-out ones included until they end. A
+// request ends shortly after its callback, when its connection is idle again.
 
 #ifndef MEDLARSPREAD_HTTP_CLIENT_H_
 #define MEDLARSPREAD_HTTP_CLIENT_H_
--- a/src/upstream/leaf_client.cc
+++ b/src/upstream/leaf_client.cc
@@ -18,6 +18,7 @@
  public:
   Impl(LeafClientSettings settings, base::Clock clock, base::TaskRunner traffic)
       : settings_(settings),
+        clock_(clock),
         traffic_(traffic),
         connections_(std::make_shared<LeafConnections>(settings.connections,
                                                        std::move(clock),
@@ -41,6 +42,7 @@
               const LeafPort::Callback& callback);
 
   const LeafClientSettings settings_;
+  const base::Clock clock_;
   const base::TaskRunner traffic_;
   const std::shared_ptr<LeafConnections> connections_;
 
@@ -64,14 +66,16 @@
   // Shared because the HTTP client may copy its callback.
   const auto shared_request =
       std::make_shared<const LeafRequest>(std::move(request));
-  const auto on_reply = [self = shared_from_this(), address, shared_request,
-                         callback](const base::Result<http::Response>& result) {
-    LeafReply reply = DecodeReply(*shared_request, address, result);
-    if (reply.outcome == LeafOutcome::kMismatch) {
-      ++self->mismatches_;
-    }
-    callback(std::move(reply));
-  };
+  const auto on_reply =
+      [self = shared_from_this(), address, shared_request, callback,
+       sent = clock_.Now()](const base::Result<http::Response>& result) {
+        LeafReply reply = DecodeReply(*shared_request, address, result);
+        if (reply.outcome == LeafOutcome::kMismatch) {
+          ++self->mismatches_;
+          self->connections_->DidCrossReplies(address, sent);
+        }
+        callback(std::move(reply));
+      };
   if (connections_->TrySend(upstream, LeafConnections::Use::kQuery, message,
                             timeout, on_reply)) {
     ++queries_sent_;
--- a/src/upstream/leaf_connections.cc
+++ b/src/upstream/leaf_connections.cc
@@ -18,12 +18,24 @@
 
 // The mutex makes the check of the bound and the send one step.
 struct LeafConnections::Leaf {
-  Leaf(http::ClientSettings settings, base::TaskRunner runner)
-      : client(std::move(settings), std::move(runner)) {}
+  // Requests in flight, those on replaced clients included. Drops replaced
+  // clients that have none left. Call with `mutex` held.
+  int CountInFlight() {
+    std::erase_if(replaced,
+                  [](const auto& old) { return old->in_flight() == 0; });
+    int count = client->in_flight();
+    for (const auto& old : replaced) {
+      count += old->in_flight();
+    }
+    return count;
+  }
 
   std::mutex mutex;
-  http::Client client;
-  // Monotonic microseconds.
+  // Never null.
+  std::unique_ptr<http::Client> client;
+  base::MonotonicTime opened;
+  std::vector<std::unique_ptr<http::Client>> replaced;
+  // Monotonic microseconds; not guarded by `mutex`.
   std::atomic<std::int64_t> last_used = 0;
 };
 
@@ -48,24 +60,46 @@
                               http::Client::Callback callback) {
   const auto leaf = FindOrOpen(upstream.address);
   const std::lock_guard lock(leaf->mutex);
-  if (leaf->client.in_flight() >= LimitFor(upstream, use)) {
+  if (leaf->CountInFlight() >= LimitFor(upstream, use)) {
     return false;
   }
-  leaf->client.Send(message, timeout, std::move(callback));
+  leaf->client->Send(message, timeout, std::move(callback));
   return true;
 }
 
+std::unique_ptr<http::Client> LeafConnections::MakeClient(
+    const std::string& address) {
+  ++clients_opened_;
+  return std::make_unique<http::Client>(
+      http::ClientSettings{.address = address,
+                           .step = base::Step::kSendUpstream,
+                           .max_body_bytes = settings_.max_reply_bytes},
+      traffic_.MakeSequence());
+}
+
+void LeafConnections::DidCrossReplies(const std::string& address,
+                                      base::MonotonicTime sent) {
+  const auto leaf = FindOrOpen(address);
+  const std::lock_guard lock(leaf->mutex);
+  if (leaf->opened > sent) {
+    // The client was replaced since.
+    return;
+  }
+  leaf->replaced.push_back(std::move(leaf->client));
+  leaf->client = MakeClient(address);
+  // NOTE: a request sent at this very moment used the former client.
+  leaf->opened = clock_.Now() + base::Duration(1);
+  ++clients_replaced_;
+}
+
 std::shared_ptr<LeafConnections::Leaf> LeafConnections::FindOrOpen(
     const std::string& address) {
   const std::lock_guard lock(mutex_);
   auto& leaf = leaves_[address];
   if (!leaf) {
-    leaf = std::make_shared<Leaf>(
-        http::ClientSettings{.address = address,
-                             .step = base::Step::kSendUpstream,
-                             .max_body_bytes = settings_.max_reply_bytes},
-        traffic_.MakeSequence());
-    ++clients_opened_;
+    leaf = std::make_shared<Leaf>();
+    leaf->client = MakeClient(address);
+    leaf->opened = clock_.Now();
   }
   // Marked under the lock of the map: a client that is about to send is never
   // dropped, so two clients never share one leaf's bound.
@@ -98,8 +132,10 @@
   const base::MonotonicTime oldest = clock_.Now() - settings_.idle_time;
   const std::lock_guard lock(mutex_);
   for (auto row = leaves_.begin(); row != leaves_.end();) {
-    const Leaf& leaf = *row->second;
-    if (leaf.client.in_flight() > 0 || leaf.last_used > oldest.microseconds) {
+    Leaf& leaf = *row->second;
+    const bool is_recent = leaf.last_used > oldest.microseconds;
+    const std::lock_guard leaf_lock(leaf.mutex);
+    if (is_recent || leaf.CountInFlight() > 0) {
       ++row;
       continue;
     }
@@ -113,10 +149,12 @@
   LeafConnectionCounters counters;
   counters.clients_opened = clients_opened_;
   counters.clients_dropped = clients_dropped_;
+  counters.clients_replaced = clients_replaced_;
   const std::lock_guard lock(mutex_);
   counters.clients = static_cast<int>(leaves_.size());
   for (const auto& [address, leaf] : leaves_) {
-    counters.in_flight += leaf->client.in_flight();
+    const std::lock_guard leaf_lock(leaf->mutex);
+    counters.in_flight += leaf->CountInFlight();
   }
   return counters;
 }
--- a/src/upstream/leaf_connections.h
+++ b/src/upstream/leaf_connections.h
@@ -37,6 +37,8 @@
 struct LeafConnectionCounters {
   std::int64_t clients_opened = 0;
   std::int64_t clients_dropped = 0;
+  // Clients replaced because a reply was for another request.
+  std::int64_t clients_replaced = 0;
   // Now: clients kept, and requests in flight over all of them.
   int clients = 0;
   int in_flight = 0;
@@ -63,11 +65,17 @@
                base::Duration timeout,
                http::Client::Callback callback);
 
+  // A reply to a request sent at `sent` was not for that request: one of the
+  // connections then open is out of step, and every later reply on it would
+  // be wrong too. None of them is used again.
+  void DidCrossReplies(const std::string& address, base::MonotonicTime sent);
+
   LeafConnectionCounters counters() const;
 
  private:
   struct Leaf;
 
+  std::unique_ptr<http::Client> MakeClient(const std::string& address);
   std::shared_ptr<Leaf> FindOrOpen(const std::string& address);
   int LimitFor(const blackboard::Upstream& upstream, Use use) const;
   void ScheduleSweep();
@@ -82,6 +90,7 @@
   std::map<std::string, std::shared_ptr<Leaf>> leaves_;
   std::atomic<std::int64_t> clients_opened_ = 0;
   std::atomic<std::int64_t> clients_dropped_ = 0;
+  std::atomic<std::int64_t> clients_replaced_ = 0;
 };
 
 }  // namespace medlarspread::upstream
--- a/src/upstream/leaf_message.cc
+++ b/src/upstream/leaf_message.cc
@@ -255,6 +255,7 @@
   http::Request message;
   message.method = "POST";
   message.path = "/v1/query";
+  message.is_sent_once = request.is_at_most_once;
   std::string& body = message.body;
   body.reserve(request.query.size() + 512);
   body += R"({"attempt_id":)" + QuoteJson(request.attempt_id);
--- a/src/upstream/observation_filter.cc
+++ b/src/upstream/observation_filter.cc
@@ -4,8 +4,13 @@
 
 namespace medlarspread::upstream {
 
+using blackboard::UpstreamState;
+
 namespace {
 
+// More than enough for UpstreamRecord's rows of failures.
+constexpr int kMaxPassedPerInterval = 16;
+
 bool IsFailure(LeafOutcome outcome) {
   switch (outcome) {
     case LeafOutcome::kUnreachable:
@@ -37,15 +42,24 @@
                                const LeafReply& reply,
                                base::MonotonicTime now) {
   const bool is_failure = IsFailure(reply.outcome);
+  const bool is_draining = reply.state == UpstreamState::kDraining &&
+                           known.state != UpstreamState::kDraining;
   const bool is_contradiction = Contradicts(known, reply);
   const std::lock_guard lock(mutex_);
-  const auto [row, is_new] = rows_.try_emplace(known.name);
-  Row& state = row->second;
-  const bool is_news = is_new || is_failure || is_contradiction ||
-                       state.has_failed || now >= state.last_passed + interval_;
+  const auto [entry, is_new] = rows_.try_emplace(known.name);
+  Row& row = entry->second;
+  if (is_new || now >= row.interval_started + interval_) {
+    row.interval_started = now;
+    row.passed = 0;
+  }
+  const bool is_due = is_new || now >= row.last_passed + interval_;
+  const bool is_change = is_failure || is_contradiction || row.has_failed;
+  const bool is_news = is_due || is_draining ||
+                       (is_change && row.passed < kMaxPassedPerInterval);
   if (is_news) {
-    state.last_passed = now;
-    state.has_failed = is_failure;
+    ++row.passed;
+    row.last_passed = now;
+    row.has_failed = is_failure;
   }
   return is_news;
 }
--- a/src/upstream/observation_filter.h
+++ b/src/upstream/observation_filter.h
@@ -22,7 +22,9 @@
 
   // Whether `reply` of `known`, a leaf as it is published now, is news: it
   // contradicts what is known, it is a failure, it ends a row of failures, or
-  // nothing was passed on for the interval.
+  // nothing was passed on for the interval. Of one leaf's failures and
+  // contradictions a few an interval are passed on, the first word that it
+  // drains always.
   bool IsNews(const blackboard::Upstream& known,
               const LeafReply& reply,
               base::MonotonicTime now);
@@ -31,6 +33,9 @@
  private:
   struct Row {
     base::MonotonicTime last_passed;
+    // Passed on since `interval_started`.
+    int passed = 0;
+    base::MonotonicTime interval_started;
     bool has_failed = false;
   };
 
--- /dev/null
+++ b/tests/upstream/raw_leaf.h
@@ -0,0 +1,121 @@
+// A stand-in leaf at the level of bytes: it writes what a script says for each
+// request, well-formed or not, and counts connections. Runs on one thread.
+
+#ifndef MEDLARSPREAD_TESTS_UPSTREAM_RAW_LEAF_H_
+#define MEDLARSPREAD_TESTS_UPSTREAM_RAW_LEAF_H_
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+namespace medlarspread::upstream {
+
+// Requests must have a body of one line of JSON that ends with "}}" and has
+// no such pair before, as those of LeafClient for the query "{}" do.
+class RawLeaf {
+ public:
+  struct Reply {
+    std::string bytes;
+    bool should_close = false;
+  };
+  // `index` counts requests over all connections, from 1.
+  using Script = std::function<Reply(int index)>;
+
+  explicit RawLeaf(Script script)
+      : script_(std::move(script)),
+        acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~RawLeaf() {
+    context_.stop();
+    thread_.join();
+  }
+  RawLeaf(const RawLeaf&) = delete;
+  RawLeaf& operator=(const RawLeaf&) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int requests() const { return requests_; }
+  int open_connections() const { return open_; }
+  int most_connections() const { return most_; }
+
+  // A whole 200 with the body.
+  static std::string Ok(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+  struct Connection {
+    explicit Connection(Socket accepted) : socket(std::move(accepted)) {}
+    Socket socket;
+    boost::asio::streambuf buffer;
+    std::string reply;
+  };
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, Socket socket) {
+          if (!error) {
+            most_ = std::max(most_.load(), ++open_);
+            Read(std::make_shared<Connection>(std::move(socket)));
+            Accept();
+          }
+        });
+  }
+
+  void Read(const std::shared_ptr<Connection>& connection) {
+    boost::asio::async_read_until(
+        connection->socket, connection->buffer, "}}",
+        [this, connection](const boost::system::error_code& error,
+                           std::size_t size) {
+          if (error) {
+            --open_;
+            return;
+          }
+          connection->buffer.consume(size);
+          Answer(connection, script_(++requests_));
+        });
+  }
+
+  void Answer(const std::shared_ptr<Connection>& connection,
+              const Reply& reply) {
+    connection->reply = reply.bytes;
+    boost::asio::async_write(
+        connection->socket, boost::asio::buffer(connection->reply),
+        [this, connection, reply](const boost::system::error_code& error,
+                                  std::size_t) {
+          if (error || reply.should_close) {
+            --open_;
+            return;
+          }
+          Read(connection);
+        });
+  }
+
+  const Script script_;
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> requests_ = 0;
+  std::atomic<int> open_ = 0;
+  std::atomic<int> most_ = 0;
+  std::thread thread_;
+};
+
+}  // namespace medlarspread::upstream
+
+#endif  // MEDLARSPREAD_TESTS_UPSTREAM_RAW_LEAF_H_
