Routing, Admission: Tell entries how long a request of their class would wait

Cause: the wait that rode on replies counted everything queued, so the gate could not tell a class that goes first from one that gives way; baselines shared the urgency order and the gate, so they were no baselines; and the windows took refused connections for fast answers and forgot what a shed reply asked for.

Change: the wait is that of a new request of the same class, kept per class at the entry. fixed_share and random_replica queue by arrival and refuse nothing. Windows learn from answers and shed replies alone, pause for retry_after, and treat each cold start as one. The gate needs neither blackboard nor clock.

--- a/bench/policy/replay.h
+++ b/bench/policy/replay.h
@@ -112,7 +112,7 @@
   std::mt19937_64 engine_;
   std::shared_ptr<base::ManualTime> time_;
   base::Clock clock_{time_};
-  admission::EntryGate gate_{blackboard_, clock_};
+  admission::EntryGate gate_;
   admission::SecondSendPolicy second_send_;
   std::vector<Shard> shards_;
   // The slowest wait of each class as of the last sweep.
--- a/src/admission/entry_gate.cc
+++ b/src/admission/entry_gate.cc
@@ -17,11 +17,18 @@
 constexpr base::Duration kShortestRetryAfter = base::Milliseconds(50);
 constexpr base::Duration kLongestRetryAfter = base::Milliseconds(2000);
 
-}  // namespace
+// The share of requests of the class to admit, 0 to 1.
+double AdmitShare(const blackboard::ClassTargets& targets,
+                  base::Duration expected_wait) {
+  if (targets.latency.count() <= 0) {
+    return 1.0;
+  }
+  const double pressure = base::ToMilliseconds(expected_wait) /
+                          base::ToMilliseconds(targets.latency);
+  return std::clamp((kUpper - pressure) / (kUpper - kLower), 0.0, 1.0);
+}
 
-EntryGate::EntryGate(const blackboard::Blackboard& blackboard,
-                     base::Clock clock)
-    : blackboard_(blackboard), clock_(clock) {}
+}  // namespace
 
 Decision EntryGate::Admit(const blackboard::ClassTargets& targets,
                           base::Duration expected_wait,
@@ -36,16 +43,6 @@
                                     kLongestRetryAfter)};
 }
 
-double EntryGate::AdmitShare(const blackboard::ClassTargets& targets,
-                             base::Duration expected_wait) const {
-  if (targets.latency.count() <= 0) {
-    return 1.0;
-  }
-  const double pressure = base::ToMilliseconds(expected_wait) /
-                          base::ToMilliseconds(targets.latency);
-  return std::clamp((kUpper - pressure) / (kUpper - kLower), 0.0, 1.0);
-}
-
 bool EntryGate::TakeTurn(const std::string& class_name, double share) {
   const std::lock_guard lock(mutex_);
   double& owed = owed_[class_name];
--- a/src/admission/entry_gate.h
+++ b/src/admission/entry_gate.h
@@ -13,7 +13,7 @@
 #include <string>
 
 #include "src/base/clock.h"
-#include "src/blackboard/blackboard.h"
+#include "src/blackboard/views.h"
 
 namespace medlarspread::admission {
 
@@ -26,9 +26,6 @@
 // Safe to use from any thread.
 class EntryGate {
  public:
-  // Reads `targets`. The blackboard must outlive the gate.
-  EntryGate(const blackboard::Blackboard& blackboard, base::Clock clock);
-
   // `expected_wait` is that of a request of this class in the slowest queue it
   // needs.
   Decision Admit(const blackboard::ClassTargets& targets,
@@ -36,14 +33,9 @@
                  base::Duration deadline_left);
 
  private:
-  // The share of requests of the class to admit, 0 to 1.
-  double AdmitShare(const blackboard::ClassTargets& targets,
-                    base::Duration expected_wait) const;
   // Admits `share` of the calls for `class_name`, spread evenly.
   bool TakeTurn(const std::string& class_name, double share);
 
-  const blackboard::Blackboard& blackboard_;
-  const base::Clock clock_;
   std::mutex mutex_;
   // Per class the part of an admission that is owed. Invariant: in [0, 1).
   std::map<std::string, double> owed_;
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -53,7 +53,7 @@
           std::make_shared<const query::SessionDependencies>(
               query::SessionDependencies{
                   clock_, runner_, random_, blackboard_, router_, client_,
-                  std::make_shared<admission::EntryGate>(blackboard_, clock_),
+                  std::make_shared<admission::EntryGate>(),
                   std::make_shared<query::SharedRetryBudget>(), ports_.claim,
                   ports_.record}),
           options_.most_in_flight)) {}
@@ -79,9 +79,9 @@
   if (self == view->members.end()) {
     return false;
   }
-  const auto destination =
-      router_->Choose(request.collection, {request.snapshot, request.range},
-                      {{self->second.region}, {view->self}});
+  const auto destination = router_->Choose(
+      request.collection, request.class_name, {request.snapshot, request.range},
+      {{self->second.region}, {view->self}});
   if (!destination) {
     return false;
   }
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -71,7 +71,7 @@
   1: i32 queued;
   2: i32 running;
   3: i32 slots;
-  // Expected wait of a new request of median urgency.
+  // Expected wait of a new request of the same class.
   4: i32 expected_wait_us;
 }
 
--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -92,7 +92,7 @@
   }
   for (const KeyRange& range : plan->ranges) {
     const auto destination = dependencies_->router->Choose(
-        targets_.collection, {plan->snapshot, range}, {});
+        targets_.collection, targets_.name, {plan->snapshot, range}, {});
     if (destination) {
       slowest = std::max(slowest, destination->expected_delay);
     }
@@ -162,7 +162,8 @@
   for (const KeyRange& range : ranges) {
     Shard& shard = shards_.at(range);
     const auto destination = dependencies_->router->Choose(
-        targets_.collection, {plan_->snapshot, range}, shard.exclusions);
+        targets_.collection, targets_.name, {plan_->snapshot, range},
+        shard.exclusions);
     if (!destination) {
       shard.state = may_have_run_ ? ShardState::kUnknown : ShardState::kRefused;
       if (!last_error_.code) {
@@ -285,7 +286,8 @@
 bool QuerySession::HasDestination(const KeyRange& range,
                                   const Shard& shard) const {
   return dependencies_->router
-      ->Choose(targets_.collection, {plan_->snapshot, range}, shard.exclusions)
+      ->Choose(targets_.collection, targets_.name, {plan_->snapshot, range},
+               shard.exclusions)
       .has_value();
 }
 
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -21,6 +21,7 @@
 // Weight of the newest service time in the running mean.
 constexpr double kMeanWeight = 0.05;
 constexpr int kMostRetries = 3;
+constexpr double kMicrosecondsPerSecond = 1e6;
 
 // A request stands in the queue at most twice: once for its first send (or a
 // retry) and once for its second send.
@@ -52,7 +53,7 @@
       blackboard_(blackboard),
       windows_(std::move(windows)),
       ports_(std::move(ports)),
-      queues_(blackboard) {}
+      queues_(blackboard, OrderOf(policy_)) {}
 
 std::uint64_t Dispatcher::Submit(ShardRequest request, ShardCallback done) {
   const std::uint64_t id = next_job_++;
@@ -456,18 +457,18 @@
   result.outcome = outcome;
   result.error = job.last_error;
   result.retry_after =
-      std::max(job.retry_after, LoadOf(job.key()).expected_wait);
+      std::max(job.retry_after, LoadOf(job.request).expected_wait);
   Deliver(id, std::move(result));
 }
 
 void Dispatcher::Deliver(std::uint64_t id, ShardResult result) {
   ShardJob& job = jobs_.at(id);
-  const ShardKey key = job.key();
   result.sends = job.sends;
   result.held = clock_.Now() - job.arrived;
   ShardCallback done = std::move(job.done);
+  const ShardRequest request = job.request;
   Forget(id, job);
-  result.load = LoadOf(key);
+  result.load = LoadOf(request);
   done(std::move(result));
 }
 
@@ -487,7 +488,8 @@
   jobs_.erase(id);
 }
 
-ShardLoad Dispatcher::LoadOf(const ShardKey& key) {
+ShardLoad Dispatcher::LoadOf(const ShardRequest& request) {
+  const ShardKey key{request.snapshot, request.range};
   ShardLoad load;
   load.queued = static_cast<int>(queues_.queued(key));
   const auto view = blackboard_.membership.Read();
@@ -497,11 +499,34 @@
       load.slots += windows_->limit(*replica);
     }
   }
-  const int ahead = load.queued + std::max(0, load.running - load.slots + 1);
-  load.expected_wait = mean_service_ * ahead / std::max(1, load.slots);
+  if (HasEntryGate(policy_)) {
+    load.expected_wait = ExpectedWait(request, load);
+  }
   return load;
 }
 
+Duration Dispatcher::ExpectedWait(const ShardRequest& request,
+                                  const ShardLoad& load) const {
+  const Duration per_slot = std::max(mean_service_, Duration(1));
+  const int slots = std::max(1, load.slots);
+  const int busy = std::max(0, load.running - load.slots + 1);
+  const auto targets = blackboard_.targets.Read();
+  const auto row = targets->classes.find(request.class_name);
+  const admission::QueueItem newcomer{
+      .id = QueueIdOf(next_job_.load(), false),
+      .class_name = request.class_name,
+      .target_due = row == targets->classes.end()
+                        ? request.target_due
+                        : clock_.Now() + row->second.latency,
+      .deadline = request.deadline,
+      .is_hedge = false};
+  const double completions_per_second =
+      slots * kMicrosecondsPerSecond / static_cast<double>(per_slot.count());
+  return per_slot * busy / slots +
+         queues_.ExpectedWait({request.snapshot, request.range}, newcomer,
+                              completions_per_second);
+}
+
 const ReplicaIndex& Dispatcher::Index() {
   auto view = blackboard_.upstreams.Read();
   if (!index_ || index_->view() != view) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -115,7 +115,11 @@
   void Deliver(std::uint64_t id, ShardResult result);
   void CancelAttempts(ShardJob& job);
   void Forget(std::uint64_t id, ShardJob& job);
-  ShardLoad LoadOf(const ShardKey& key);
+  // What a new request like `request` would meet.
+  ShardLoad LoadOf(const ShardRequest& request);
+  // How long a new request of the same class would wait for a place.
+  base::Duration ExpectedWait(const ShardRequest& request,
+                              const ShardLoad& load) const;
   const ReplicaIndex& Index();
 
   const std::string collection_;
--- a/src/routing/leaf_windows.cc
+++ b/src/routing/leaf_windows.cc
@@ -24,16 +24,25 @@
 LeafWindows::Row& LeafWindows::RowOf(const blackboard::Upstream& upstream) {
   const auto found = rows_.find(upstream.name);
   if (found != rows_.end()) {
+    NoteColdStart(upstream, found->second);
     return found->second;
   }
   const int slots =
       std::max(1, std::min({InFlightLimit(policy_, upstream), upstream.slots,
                             upstream.connections}));
-  Row row{admission::LeafWindow(slots, std::max(1, upstream.connections)), 0};
-  if (upstream.state == blackboard::UpstreamState::kCold) {
+  Row row{admission::LeafWindow(slots, std::max(1, upstream.connections)), 0,
+          base::MonotonicTime{}};
+  NoteColdStart(upstream, row);
+  return rows_.emplace(upstream.name, std::move(row)).first->second;
+}
+
+void LeafWindows::NoteColdStart(const blackboard::Upstream& upstream,
+                                Row& row) {
+  if (upstream.state == blackboard::UpstreamState::kCold &&
+      row.cold_since != upstream.cold_since) {
+    row.cold_since = upstream.cold_since;
     row.window.set_cold_since(upstream.cold_since);
   }
-  return rows_.emplace(upstream.name, std::move(row)).first->second;
 }
 
 bool LeafWindows::TryAcquire(const blackboard::Upstream& upstream) {
@@ -59,7 +68,15 @@
     return;
   }
   row.window.Release();
-  row.window.DidReply(reply.service_time, IsShed(reply), clock_.Now());
+  const base::MonotonicTime now = clock_.Now();
+  // Only answers and refusals tell about the leaf's load: a lost connection
+  // that fails at once must not pass for a fast leaf.
+  if (reply.outcome == upstream::LeafOutcome::kAnswered || IsShed(reply)) {
+    row.window.DidReply(reply.service_time, IsShed(reply), now);
+  }
+  if (IsShed(reply)) {
+    row.window.DidAskToWait(reply.retry_after, now);
+  }
 }
 
 bool LeafWindows::has_room(const blackboard::Upstream& upstream) {
--- a/src/routing/leaf_windows.h
+++ b/src/routing/leaf_windows.h
@@ -36,9 +36,13 @@
     admission::LeafWindow window;
     // Only for the baseline without limits, which bypasses the window.
     int unlimited_in_flight = 0;
+    // The cold start that the window already knows of.
+    base::MonotonicTime cold_since;
   };
 
   Row& RowOf(const blackboard::Upstream& upstream);
+  // Brings the leaf in slowly if it has become cold since it was last used.
+  static void NoteColdStart(const blackboard::Upstream& upstream, Row& row);
 
   const Policy policy_;
   const base::Clock clock_;
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -21,12 +21,14 @@
 LoadTable::LoadTable(base::Clock clock) : clock_(std::move(clock)) {}
 
 void LoadTable::DidHear(const std::string& collection,
+                        const std::string& class_name,
                         std::int32_t low,
                         const std::string& region,
                         const ShardLoad& load,
                         base::Duration network) {
   const std::lock_guard lock(mutex_);
-  rows_[{collection, low, region}] = {load.expected_wait, clock_.Now()};
+  rows_[{collection, class_name, low, region}] = {load.expected_wait,
+                                                  clock_.Now()};
   const auto [row, is_new] = network_.try_emplace(region, network);
   if (!is_new) {
     row->second += base::Duration(static_cast<std::int64_t>(
@@ -35,10 +37,11 @@
 }
 
 base::Duration LoadTable::ExpectedWait(const std::string& collection,
+                                       const std::string& class_name,
                                        std::int32_t low,
                                        const std::string& region) const {
   const std::lock_guard lock(mutex_);
-  const auto row = rows_.find({collection, low, region});
+  const auto row = rows_.find({collection, class_name, low, region});
   if (row == rows_.end()) {
     return base::Duration::zero();
   }
--- a/src/routing/load_table.h
+++ b/src/routing/load_table.h
@@ -21,17 +21,19 @@
  public:
   explicit LoadTable(base::Clock clock);
 
-  // A reply for the shard at `low` came from `region` after `network` on the
-  // way, both directions together.
+  // A reply to a request of `class_name` for the shard at `low` came from
+  // `region` after `network` on the way, both directions together.
   void DidHear(const std::string& collection,
+               const std::string& class_name,
                std::int32_t low,
                const std::string& region,
                const ShardLoad& load,
                base::Duration network);
 
-  // Expected wait in the shard's queue. Old news count for less and less: a
-  // queue that was full is likely to have emptied.
+  // Expected wait of a request of `class_name` in the shard's queue. Old news
+  // count for less and less: a queue that was full is likely to have emptied.
   base::Duration ExpectedWait(const std::string& collection,
+                              const std::string& class_name,
                               std::int32_t low,
                               const std::string& region) const;
 
@@ -44,7 +46,7 @@
     base::Duration wait{};
     base::MonotonicTime heard;
   };
-  using Key = std::tuple<std::string, std::int32_t, std::string>;
+  using Key = std::tuple<std::string, std::string, std::int32_t, std::string>;
 
   const base::Clock clock_;
   mutable std::mutex mutex_;
--- a/src/routing/policy.cc
+++ b/src/routing/policy.cc
@@ -106,6 +106,16 @@
                     policy);
 }
 
+admission::UrgencyOrder OrderOf(const Policy& policy) {
+  return std::holds_alternative<QueueOwnerPolicy>(policy)
+             ? admission::UrgencyOrder::kClassSlack
+             : admission::UrgencyOrder::kArrival;
+}
+
+bool HasEntryGate(const Policy& policy) {
+  return std::holds_alternative<QueueOwnerPolicy>(policy);
+}
+
 bool HasSecondSends(const Policy& policy) {
   return std::holds_alternative<QueueOwnerPolicy>(policy);
 }
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "src/admission/urgency_queue.h"
 #include "src/blackboard/views.h"
 
 namespace medlarspread::routing {
@@ -54,6 +55,12 @@
 // How many requests the daemon may keep in flight at a leaf at the most.
 int InFlightLimit(const Policy& policy, const blackboard::Upstream& upstream);
 
+// The order in which queued requests get a free place.
+admission::UrgencyOrder OrderOf(const Policy& policy);
+
+// Whether entries are told how long requests wait, to refuse some at once.
+bool HasEntryGate(const Policy& policy);
+
 // Whether a late shard is asked of a second replica.
 bool HasSecondSends(const Policy& policy);
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -67,6 +67,7 @@
 }
 
 std::optional<Destination> Router::Choose(const std::string& collection,
+                                          const std::string& class_name,
                                           const ShardKey& shard,
                                           const Exclusions& exclusions) {
   const auto index = IndexOf(collection);
@@ -87,7 +88,7 @@
         self != view->members.end() && self->second.region == region;
     const base::Duration delay =
         loads_->NetworkTime(region, is_own) +
-        loads_->ExpectedWait(collection, shard.range.low, region);
+        loads_->ExpectedWait(collection, class_name, shard.range.low, region);
     if (!best || delay < best->expected_delay) {
       best = Destination{region, *owner, delay};
     }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -49,6 +49,7 @@
 
   // Nothing if no region that is left has both a replica and a live daemon.
   std::optional<Destination> Choose(const std::string& collection,
+                                    const std::string& class_name,
                                     const ShardKey& shard,
                                     const Exclusions& exclusions);
 
--- a/src/routing/shard_queues.cc
+++ b/src/routing/shard_queues.cc
@@ -11,7 +11,8 @@
   if (found != rows_.end()) {
     return found->second;
   }
-  return rows_.emplace(key, Row{admission::UrgencyQueue(blackboard_), 0})
+  return rows_
+      .emplace(key, Row{admission::UrgencyQueue(blackboard_, order_), 0})
       .first->second;
 }
 
@@ -52,6 +53,15 @@
   }
 }
 
+base::Duration ShardQueues::ExpectedWait(const ShardKey& key,
+                                         const admission::QueueItem& item,
+                                         double completions_per_second) const {
+  const auto row = rows_.find(key);
+  return row == rows_.end()
+             ? base::Duration::zero()
+             : row->second.queue.ExpectedWait(item, completions_per_second);
+}
+
 void ShardQueues::DidSend(const ShardKey& key) {
   ++RowOf(key).running;
   ++total_running_;
--- a/src/routing/shard_queues.h
+++ b/src/routing/shard_queues.h
@@ -20,8 +20,9 @@
 // Used on one sequence, but for the totals.
 class ShardQueues {
  public:
-  explicit ShardQueues(const blackboard::Blackboard& blackboard)
-      : blackboard_(blackboard) {}
+  ShardQueues(const blackboard::Blackboard& blackboard,
+              admission::UrgencyOrder order)
+      : blackboard_(blackboard), order_(order) {}
 
   void Push(const ShardKey& key, admission::QueueItem item);
   // Removes the most urgent item that `predicate` accepts.
@@ -31,6 +32,11 @@
       const admission::UrgencyQueue::Predicate& predicate);
   void Remove(const ShardKey& key, std::uint64_t id);
 
+  // How long `item` would wait in the shard's queue; see UrgencyQueue.
+  base::Duration ExpectedWait(const ShardKey& key,
+                              const admission::QueueItem& item,
+                              double completions_per_second) const;
+
   // A request of the shard went to a leaf, or came back from it.
   void DidSend(const ShardKey& key);
   void DidFinish(const ShardKey& key);
@@ -52,6 +58,7 @@
   void EraseIfIdle(const ShardKey& key);
 
   const blackboard::Blackboard& blackboard_;
+  const admission::UrgencyOrder order_;
   // Invariant: a shard has a row only while it has queued or running requests.
   std::map<ShardKey, Row> rows_;
   std::atomic<int> total_queued_ = 0;
--- a/src/routing/shard_request.h
+++ b/src/routing/shard_request.h
@@ -51,7 +51,7 @@
   int queued = 0;
   int running = 0;
   int slots = 0;
-  // Expected wait of a request that arrives now.
+  // Expected wait of a request of the same class that arrives now.
   base::Duration expected_wait{};
 };
 
--- a/src/routing/sub_query_client.cc
+++ b/src/routing/sub_query_client.cc
@@ -96,7 +96,8 @@
       return false;
     }
     const base::Duration elapsed = clock_.Now() - pending.sent;
-    loads_->DidHear(pending.request.common.collection, range.low,
+    loads_->DidHear(pending.request.common.collection,
+                    pending.request.common.class_name, range.low,
                     pending.request.region, result.load,
                     std::max(base::Duration::zero(), elapsed - result.held));
     callback = pending.callback;
--- a/tests/admission/entry_gate_test.cc
+++ b/tests/admission/entry_gate_test.cc
@@ -38,7 +38,7 @@
                                         .collection = "proofs",
                                         .latency = Milliseconds(2000)};
   blackboard::Blackboard blackboard_;
-  EntryGate gate_{blackboard_, base::Clock()};
+  EntryGate gate_;
 };
 
 TEST_F(EntryGateTest, AdmitsLessAsTheWaitNearsTheTarget) {
--- a/tests/query/query_session_test.cc
+++ b/tests/query/query_session_test.cc
@@ -45,15 +45,13 @@
           claims_.push_back(std::move(done));
         };
     service_ = std::make_unique<QueryService>(
-        std::make_shared<const SessionDependencies>(
-            SessionDependencies{world_.clock, world_.runner, world_.random,
-                                world_.blackboard, router, client_,
-                                std::make_shared<admission::EntryGate>(
-                                    world_.blackboard, world_.clock),
-                                std::make_shared<SharedRetryBudget>(), claim,
-                                [this](const burn::RequestRecord& record) {
-                                  records_.push_back(record);
-                                }}),
+        std::make_shared<const SessionDependencies>(SessionDependencies{
+            world_.clock, world_.runner, world_.random, world_.blackboard,
+            router, client_, std::make_shared<admission::EntryGate>(),
+            std::make_shared<SharedRetryBudget>(), claim,
+            [this](const burn::RequestRecord& record) {
+              records_.push_back(record);
+            }}),
         100);
     blackboard::TargetsView targets;
     targets.revision = 4;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -24,7 +24,7 @@
   }
 
   std::optional<Destination> Choose(const Exclusions& exclusions = {}) {
-    return router_.Choose("archive", shard_, exclusions);
+    return router_.Choose("archive", "counter", shard_, exclusions);
   }
 
   const ShardKey shard_{kSnapshot, kLowerHalf};
@@ -41,8 +41,10 @@
   EXPECT_EQ(Choose()->region, "north");
   ShardLoad load;
   load.expected_wait = Milliseconds(80);
-  loads_->DidHear("archive", 0, "north", load, Milliseconds(1));
+  loads_->DidHear("archive", "counter", 0, "north", load, Milliseconds(1));
   EXPECT_EQ(Choose()->region, "south");
+  // The news was about another class's requests in that queue.
+  EXPECT_EQ(router_.Choose("archive", "audit", shard_, {})->region, "north");
   // The news age, so the own region is tried again.
   world_.scheduler->Advance(Milliseconds(300));
   EXPECT_EQ(Choose()->region, "north");
