--- a/tests/failure/failure_test.h
+++ b/tests/failure/failure_test.h
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdint>
 #include <iostream>
+#include <map>
 #include <random>
 #include <string>
 #include <thread>
