--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -7,9 +7,11 @@
 #include <fstream>
 #include <map>
 
-#include <cpprest/json.h>
+// NOTE: cpprest's macro U breaks gtest's headers unless these come first.
 #include <gtest/gtest.h>
 
+#include <cpprest/json.h>
+
 #include "tests/support/http_call.h"
 
 namespace medlarspread::tests {
