--- a/src/upstream/upstream_record.cc
+++ b/src/upstream/upstream_record.cc
@@ -38,6 +38,8 @@
   assert(vm.name == upstream_.name);
   if (vm.address != upstream_.address) {
     *this = UpstreamRecord(*settings_, vm, now);
+    // What peers still say of the former VM is old.
+    draining_cleared_ = now;
     return;
   }
   upstream_.region = vm.region;
--- a/src/upstream/upstream_settings.h
+++ b/src/upstream/upstream_settings.h
@@ -34,9 +34,11 @@
   base::Duration holdings_hold = base::Milliseconds(10'000);
   // A draining leaf gets no work for this long after it was last said to be
   // draining, whatever else says that it serves. Must exceed the lag of
-  // health. Doubles, up to the maximum, each time the return proved wrong.
-  base::Duration draining_hold = base::Milliseconds(10'000);
-  base::Duration max_draining_hold = base::Milliseconds(160'000);
+  // health, and must not be less than membership's draining_lifetime: within
+  // that, a second drain of the leaf would pass for old news of the first.
+  // Doubles, up to the maximum, each time the return proved wrong.
+  base::Duration draining_hold = base::Milliseconds(30'000);
+  base::Duration max_draining_hold = base::Milliseconds(240'000);
   // Where this daemon doesn't read the leaf's health itself, news that it
   // drains or can't be reached lapses after this time.
   base::Duration lapse_time = base::Milliseconds(60'000);
--- a/tests/upstream/upstream_controller_test.cc
+++ b/tests/upstream/upstream_controller_test.cc
@@ -178,10 +178,12 @@
   EXPECT_EQ(found_draining_.size(), 1u);
   // Health that says serving does not bring it back while the list says
   // leaving.
-  Advance(60'000);
+  is_list_up_ = false;
+  Advance(120'000);
   EXPECT_EQ(Leaf().state, UpstreamState::kDraining);
+  is_list_up_ = true;
   vms_ = {MakeVm(kLeaf)};
-  Advance(20'000);
+  Advance(40'000);
   EXPECT_EQ(Leaf().state, UpstreamState::kServing);
 }
 
@@ -200,7 +202,7 @@
 }
 
 // A leaf that drains while its health lies for ever gets one request after
-// each hold, and the hold doubles: at most six within five minutes.
+// each hold, and the hold doubles: after 30, 90 and 210 s.
 TEST_F(UpstreamControllerTest, LyingHealthLetsFewRequestsThrough) {
   Start();
   int requests = 0;
@@ -211,8 +213,7 @@
     }
     Advance(20);
   }
-  EXPECT_GE(requests, 2);
-  EXPECT_LE(requests, 6);
+  EXPECT_EQ(requests, 4);
 }
 
 TEST_F(UpstreamControllerTest, ReplyOverrulesOlderHealthButNotForEver) {
@@ -230,6 +231,19 @@
   EXPECT_EQ(Leaf().state, UpstreamState::kCold);
 }
 
+TEST_F(UpstreamControllerTest, RepliesGoBeforeDrainingInHealth) {
+  Start();
+  health_.state = UpstreamState::kDraining;
+  for (int i = 0; i < 20; ++i) {
+    Observe(LeafOutcome::kAnswered, UpstreamState::kServing);
+    Advance(300);
+    EXPECT_EQ(Leaf().state, UpstreamState::kServing);
+  }
+  // Without replies health is all there is.
+  Advance(2'300);
+  EXPECT_EQ(Leaf().state, UpstreamState::kDraining);
+}
+
 TEST_F(UpstreamControllerTest, ColdLeafWarmsByHealthAfterAWhile) {
   health_.state = UpstreamState::kCold;
   Start();
@@ -352,6 +366,10 @@
   Advance(7'000);
   EXPECT_EQ(Leaf().address, "10.0.0.2:80");
   EXPECT_EQ(Leaf().state, UpstreamState::kServing);
+  // News of the former VM is still going round.
+  controller_.DidHearDraining(kLeaf, Milliseconds(7'000));
+  Advance(300);
+  EXPECT_EQ(Leaf().state, UpstreamState::kServing);
 }
 
 TEST_F(UpstreamControllerTest, AnotherLeafAtTheAddressIsNotBelieved) {
