--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -71,8 +71,9 @@
       cxxopts::value<std::string>()->default_value("class_slack"))(
       "second-sends", "share of first sends, 0 for none",
       cxxopts::value<double>()->default_value("0.03"))(
-      "no-gate", "admit everything")("stragglers", "share of slow requests",
-                                     cxxopts::value<double>())(
+      "multiple", "second send after this multiple of the typical time",
+      cxxopts::value<double>())("no-gate", "admit everything")(
+      "stragglers", "share of slow requests", cxxopts::value<double>())(
       "seconds", "virtual time", cxxopts::value<double>())(
       "seed", "random seed", cxxopts::value<std::uint64_t>());
   const auto parsed = parser.parse(argc, argv);
@@ -90,6 +91,9 @@
   if (parsed.count("load")) {
     options.load = parsed["load"].as<double>();
   }
+  if (parsed.count("multiple")) {
+    options.second_send_multiple = parsed["multiple"].as<double>();
+  }
   if (parsed.count("stragglers")) {
     options.straggler_share = parsed["stragglers"].as<double>();
   }
--- a/bench/policy/replay.cc
+++ b/bench/policy/replay.cc
@@ -39,7 +39,7 @@
       end_(base::MonotonicTime{} + FromSeconds(options.seconds)),
       engine_(options.seed),
       time_(std::make_shared<base::ManualTime>(0, 0)),
-      second_send_(options.second_send_share) {
+      second_send_(options.second_send_share, options.second_send_multiple) {
   blackboard::TargetsView view;
   view.revision = 1;
   for (const ReplayClass& row : options.classes) {
--- a/bench/policy/replay_options.h
+++ b/bench/policy/replay_options.h
@@ -32,6 +32,8 @@
   admission::UrgencyOrder order = admission::UrgencyOrder::kClassSlack;
   // 0 sends nothing a second time.
   double second_send_share = admission::SecondSendPolicy::kDefaultShare;
+  // After this multiple of the typical service time, at the least.
+  double second_send_multiple = admission::SecondSendPolicy::kDefaultMultiple;
   bool has_gate = true;
   std::vector<ReplayClass> classes;
 };
--- a/src/admission/second_send_policy.cc
+++ b/src/admission/second_send_policy.cc
@@ -21,7 +21,6 @@
 // The delay as a multiple of the typical service time. It grows while the
 // budget runs out, so that what there is goes to the slowest requests, and
 // falls back while the budget lasts.
-constexpr double kLowestMultiple = 4.0;
 constexpr double kHighestMultiple = 16.0;
 constexpr double kMultipleGrowth = 1.02;
 constexpr base::Duration kLowestDelay = base::Milliseconds(1);
@@ -30,10 +29,11 @@
 
 }  // namespace
 
-SecondSendPolicy::SecondSendPolicy(double share)
+SecondSendPolicy::SecondSendPolicy(double share, double lowest_multiple)
     : share_(std::clamp(share, 0.0, kMaximumShare)),
+      lowest_multiple_(lowest_multiple),
       tokens_(share_ > 0 ? 1.0 : 0.0),
-      multiple_(kLowestMultiple) {}
+      multiple_(lowest_multiple) {}
 
 bool SecondSendPolicy::TakeBudget() {
   if (tokens_ < 1.0) {
@@ -67,7 +67,7 @@
 
 void SecondSendPolicy::LearnDelay() {
   if (tokens_ >= 1.0) {
-    multiple_ = std::max(kLowestMultiple, multiple_ / kMultipleGrowth);
+    multiple_ = std::max(lowest_multiple_, multiple_ / kMultipleGrowth);
   }
   std::vector<base::Duration> sorted = samples_;
   std::sort(sorted.begin(), sorted.end());
--- a/src/admission/second_send_policy.h
+++ b/src/admission/second_send_policy.h
@@ -22,7 +22,11 @@
   // The share that no setting exceeds.
   static constexpr double kMaximumShare = 0.05;
 
-  explicit SecondSendPolicy(double share = kDefaultShare);
+  // The delay as a multiple of the typical service time, at the least.
+  static constexpr double kDefaultMultiple = 4.0;
+
+  explicit SecondSendPolicy(double share = kDefaultShare,
+                            double lowest_multiple = kDefaultMultiple);
 
   // How long after the send to the leaf a second replica is asked; nothing
   // until enough replies have been seen.
@@ -41,9 +45,11 @@
   void LearnDelay();
 
   const double share_;
+  const double lowest_multiple_;
   // Invariant: 0 <= tokens_ <= kMaximumTokens.
   double tokens_;
-  // The delay as a multiple of the typical service time.
+  // The delay as a multiple of the typical service time. Invariant: at least
+  // lowest_multiple_.
   double multiple_;
   std::optional<base::Duration> delay_;
   // The latest service times, a ring of at most kSamples.
