--- a/src/targets/peer_exchange.cc
+++ b/src/targets/peer_exchange.cc
@@ -30,7 +30,6 @@
   if (peer == settings_.self || digest == 0) {
     return;
   }
-  has_heard_ = true;
   revisions_[peer] = revision;
   highest_seen_ = std::max(highest_seen_, revision);
   if (revision == 0) {
--- a/src/targets/peer_exchange.h
+++ b/src/targets/peer_exchange.h
@@ -44,8 +44,6 @@
   std::int64_t HighestSeen() const;
   // The same, of the daemons in the membership view only.
   std::int64_t HighestLive() const;
-  // Whether some peer was seen to have targets, be it the empty record.
-  bool has_heard() const { return has_heard_; }
 
   // Asks a peer at once if one is known to hold a higher revision.
   void RequestNow();
@@ -67,7 +65,6 @@
 
   std::map<std::string, std::int64_t> revisions_;
   std::int64_t highest_seen_ = 0;
-  bool has_heard_ = false;
   bool is_stopped_ = false;
   // Invariant: set exactly while `timer_` is due to call Request().
   bool is_scheduled_ = false;
--- a/src/targets/targets_controller.cc
+++ b/src/targets/targets_controller.cc
@@ -96,8 +96,10 @@
 };
 
 void TargetsController::Impl::CheckReady() {
+  // NOTE: word from one peer is not enough: it may have started from the same
+  // restored store. The wait gives every peer the time for a heartbeat.
   const bool has_waited = clock_.Now() - started_at_ >= settings_.peer_wait;
-  if (held_->is_known() && (peers_->has_heard() || has_waited) &&
+  if (held_->is_known() && has_waited &&
       peers_->HighestLive() <= held_->revision()) {
     is_ready_ = true;
     return;
--- a/src/targets/targets_settings.h
+++ b/src/targets/targets_settings.h
@@ -34,8 +34,9 @@
   // spreads the requests over the daemons that hold them by then.
   base::Duration request_jitter = base::Milliseconds(1500);
   base::Duration request_timeout = base::Milliseconds(1000);
-  // A starting daemon waits so long for word from a peer that has targets,
-  // because the store alone may have been restored to older ones.
+  // A starting daemon waits so long for the heartbeats of its peers, because
+  // the store may have been restored to older targets than theirs. Invariant:
+  // longer than the interval of heartbeats.
   base::Duration peer_wait = base::Milliseconds(2000);
 
   // Within it a change is accepted, refused or reported as unknown.
