CLI: Add the subcommands of the one binary

Each subcommand is a class that takes its environment (streams, variables, one HTTP exchange, clock, random source, the daemon) through the constructor, and the command line visits a variant of them. A change of targets prints its change identifier before it is sent and keeps it over all attempts. After an attempt with an unknown outcome a later refusal settles nothing, so the command goes on saying unknown (exit code 4) rather than refused; a test brings this about. A set that leaves out targets reads those in force and expects their revision, so that two operators who change different targets can't undo each other unseen. Exact short numbers move to base, since the caller API and the command line both print them.

--- a/src/base/json_string.cc
+++ b/src/base/json_string.cc
@@ -1,7 +1,11 @@
-// Escaping and UTF-8 checks behind JsonString.
+// Escaping and UTF-8 checks behind JsonString, and JsonNumber.
 
 #include "src/base/json_string.h"
 
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 
@@ -87,4 +91,13 @@
   return quoted + "\"";
 }
 
+std::string JsonNumber(double number) {
+  assert(std::isfinite(number));
+  std::array<char, 32> buffer{};
+  const auto [end, code] =
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(), number);
+  assert(code == std::errc());
+  return {buffer.data(), end};
+}
+
 }  // namespace medlarspread::base
--- a/src/base/json_string.h
+++ b/src/base/json_string.h
@@ -1,4 +1,4 @@
-// Quoting of text as a JSON string, for the few places that write JSON by hand.
+// Text and numbers as JSON, for the few places that write JSON by hand.
 
 #ifndef MEDLARSPREAD_BASE_JSON_STRING_H_
 #define MEDLARSPREAD_BASE_JSON_STRING_H_
@@ -13,6 +13,9 @@
 // always valid JSON on one line.
 std::string JsonString(std::string_view text);
 
+// The shortest text that reads back as exactly `number`, which must be finite.
+std::string JsonNumber(double number);
+
 }  // namespace medlarspread::base
 
 #endif  // MEDLARSPREAD_BASE_JSON_STRING_H_
--- a/src/caller_api/answer_renderer.cc
+++ b/src/caller_api/answer_renderer.cc
@@ -3,9 +3,7 @@
 
 #include "src/caller_api/answer_renderer.h"
 
-#include <array>
 #include <cassert>
-#include <charconv>
 #include <chrono>
 
 #include "src/base/json_string.h"
@@ -14,18 +12,9 @@
 
 namespace {
 
+using base::JsonNumber;
 using base::JsonString;
 
-// The shortest text that reads back as the same number: a share just below 1
-// must not be rounded to 1.
-std::string ShowNumber(double number) {
-  std::array<char, 32> buffer{};
-  const auto [end, code] =
-      std::to_chars(buffer.data(), buffer.data() + buffer.size(), number);
-  assert(code == std::errc());
-  return {buffer.data(), end};
-}
-
 std::string ShowRanges(const std::vector<blackboard::KeyRange>& ranges) {
   std::string text = "[";
   for (const blackboard::KeyRange& range : ranges) {
@@ -37,10 +26,11 @@
 }
 
 std::string ShowCoverage(const query::Coverage& coverage) {
-  // A partial answer never passes as complete.
+  // A partial answer never passes as complete: the share is written with as
+  // many digits as it takes to tell it from 1.
   assert(coverage.is_partial ||
          (coverage.share == 1.0 && coverage.missing.empty()));
-  return R"({"share":)" + ShowNumber(coverage.share) +
+  return R"({"share":)" + JsonNumber(coverage.share) +
          R"(,"shards_answered":)" + std::to_string(coverage.shards_answered) +
          R"(,"shards_total":)" + std::to_string(coverage.shards_total) +
          R"(,"missing":)" + ShowRanges(coverage.missing) + R"(,"is_partial":)" +
@@ -72,7 +62,7 @@
                     R"(,"outcome":"answered","snapshot":)" +
                     ShowSnapshot(answer.snapshot) + R"(,"coverage":)" +
                     ShowCoverage(answer.coverage) + R"(,"latency_ms":)" +
-                    ShowNumber(base::ToMilliseconds(answer.latency)) +
+                    JsonNumber(base::ToMilliseconds(answer.latency)) +
                     R"(,"items":)" + answer.items + "}";
     return response;
   }
--- /dev/null
+++ b/src/cli/admin_client.h
@@ -0,0 +1,49 @@
+// Calls to the administration API of one daemon.
+
+#ifndef MEDLARSPREAD_CLI_ADMIN_CLIENT_H_
+#define MEDLARSPREAD_CLI_ADMIN_CLIENT_H_
+
+#include <optional>
+#include <string>
+
+#include <cxxopts.hpp>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/cli/environment.h"
+#include "src/cli/exit_code.h"
+
+namespace medlarspread::cli {
+
+class AdminClient {
+ public:
+  // Adds --address, --token, --timeout-ms and --json.
+  static void AddOptions(cxxopts::Options& options);
+
+  // Reads these options, and MEDLARSPREAD_ADDRESS and MEDLARSPREAD_TOKEN in
+  // their place. Says on the error stream what is missing; nothing then.
+  static std::optional<AdminClient> Make(const Environment& environment,
+                                         const cxxopts::ParseResult& arguments);
+
+  // Fills in the token and the content type.
+  base::Result<http::Response> Send(http::Request request) const;
+
+  // Prints the answer to GET `path`, as JSON or for people, or why there is
+  // none.
+  ExitCode GetAndPrint(const std::string& path, bool is_json) const;
+
+ private:
+  AdminClient(const Environment& environment,
+              std::string address,
+              std::string token,
+              base::Duration timeout);
+
+  const Environment& environment_;
+  std::string address_;
+  std::string token_;
+  base::Duration timeout_;
+};
+
+}  // namespace medlarspread::cli
+
+#endif  // MEDLARSPREAD_CLI_ADMIN_CLIENT_H_
--- /dev/null
+++ b/src/cli/change_sender.cc
@@ -0,0 +1,103 @@
+// Attempts, pauses between them, and the report.
+
+#include "src/cli/change_sender.h"
+
+#include "src/base/json_string.h"
+#include "src/cli/json_text.h"
+#include "src/cli/reply_report.h"
+
+namespace medlarspread::cli {
+
+namespace {
+
+constexpr int kAttempts = 5;
+constexpr base::Duration kFirstPause = base::Milliseconds(200);
+constexpr int kChangeIdDigits = 16;
+
+const char* OutcomeName(ReplyKind kind) {
+  switch (kind) {
+    case ReplyKind::kOk:
+      return "accepted";
+    case ReplyKind::kFailed:
+    case ReplyKind::kRefused:
+      return "refused";
+    case ReplyKind::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string RenderOutcome(const std::string& change_id,
+                          const base::Result<http::Response>& reply) {
+  const ReplyKind kind = KindOf(reply);
+  std::string text = R"({"change_id":)" + base::JsonString(change_id) +
+                     R"(,"outcome":")" + OutcomeName(kind) + "\"";
+  const std::string body = reply.is_ok() ? reply.value().body : "";
+  const auto revision = FindField(body, "revision");
+  if (revision) {
+    text += R"(,"revision":)" + *revision;
+  }
+  if (kind != ReplyKind::kOk) {
+    text += R"(,"detail":)" + base::JsonString(DescribeReply(reply));
+  }
+  return text + "}\n";
+}
+
+}  // namespace
+
+std::string ChangeSender::MakeChangeId(const Environment& environment) {
+  return std::to_string(environment.clock.WallMilliseconds()) + "-" +
+         environment.random.Hexadecimal(kChangeIdDigits);
+}
+
+ExitCode ChangeSender::Send(const http::Request& request,
+                            const std::string& change_id,
+                            bool is_json) const {
+  // Printed first: whoever interrupts this command needs it to ask again.
+  environment_.error << "change id: " << change_id << "\n";
+  const auto reply = SendUntilSettled(request);
+  const ReplyKind kind = KindOf(reply);
+  if (is_json) {
+    environment_.out << RenderOutcome(change_id, reply);
+    return ExitCodeOf(kind);
+  }
+  if (kind == ReplyKind::kOk) {
+    const auto revision = FindField(reply.value().body, "revision");
+    environment_.out << "accepted as revision " << revision.value_or("?")
+                     << "\n";
+    return ExitCode::kOk;
+  }
+  environment_.error << DescribeReply(reply) << "\n";
+  if (kind == ReplyKind::kUnknown) {
+    environment_.error << "the change may have been made: repeat the command "
+                          "with --change-id "
+                       << change_id << "\n";
+  }
+  return ExitCodeOf(kind);
+}
+
+base::Result<http::Response> ChangeSender::SendUntilSettled(
+    const http::Request& request) const {
+  // 1. A reply that says what became of the change settles it.
+  // 2. After an attempt with an unknown outcome, a daemon that can't be reached
+  //    or refuses for now says nothing about that attempt: it stays unknown.
+  base::Result<http::Response> unsettled = client_.Send(request);
+  base::Duration pause = kFirstPause;
+  for (int attempt = 1;
+       attempt < kAttempts && KindOf(unsettled) == ReplyKind::kUnknown;
+       ++attempt) {
+    environment_.error << DescribeReply(unsettled) << "; asking again\n";
+    environment_.sleep(pause);
+    pause *= 2;
+    auto reply = client_.Send(request);
+    const bool is_settled =
+        reply.is_ok() && (reply.value().status == http::kOk ||
+                          reply.value().status == http::kConflict);
+    if (is_settled) {
+      return reply;
+    }
+  }
+  return unsettled;
+}
+
+}  // namespace medlarspread::cli
--- /dev/null
+++ b/src/cli/environment.h
@@ -0,0 +1,44 @@
+// Everything outside the process that a command uses, so that tests can stand
+// in for it.
+
+#ifndef MEDLARSPREAD_CLI_ENVIRONMENT_H_
+#define MEDLARSPREAD_CLI_ENVIRONMENT_H_
+
+#include <functional>
+#include <optional>
+#include <ostream>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/base/result.h"
+#include "src/http/message.h"
+#include "src/settings/daemon_settings.h"
+
+namespace medlarspread::cli {
+
+// Sends one request to "ip:port" and waits for the answer. Errors are those of
+// http::Client::Send.
+using Exchange =
+    std::function<base::Result<http::Response>(const std::string& address,
+                                               const http::Request& request,
+                                               base::Duration timeout)>;
+
+// Runs the daemon until it is stopped; returns the exit status.
+using Serve = std::function<int(const settings::DaemonSettings&)>;
+
+struct Environment {
+  // Results go to `out`, everything else to `error`.
+  std::ostream& out;
+  std::ostream& error;
+  std::function<std::optional<std::string>(const char* name)> variable;
+  Exchange exchange;
+  std::function<void(base::Duration)> sleep;
+  base::Clock clock;
+  base::Random& random;
+  Serve serve;
+};
+
+}  // namespace medlarspread::cli
+
+#endif  // MEDLARSPREAD_CLI_ENVIRONMENT_H_
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,49 @@
+// Puts the real environment together.
+
+#include "src/cli/main.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "src/cli/command_line.h"
+#include "src/cli/http_exchange.h"
+
+namespace medlarspread::cli {
+
+namespace {
+
+std::optional<std::string> ReadVariable(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+std::uint64_t MakeSeed() {
+  constexpr int kBitsPerDraw = 32;
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << kBitsPerDraw) | device();
+}
+
+}  // namespace
+
+int Main(int argument_count, const char* const* arguments, Serve serve) {
+  base::Random random(MakeSeed());
+  const Environment environment{
+      .out = std::cout,
+      .error = std::cerr,
+      .variable = ReadVariable,
+      .exchange = SendAndWait,
+      .sleep = [](base::Duration pause) { std::this_thread::sleep_for(pause); },
+      .clock = base::Clock(),
+      .random = random,
+      .serve = std::move(serve)};
+  const std::vector<std::string> words(arguments + 1,
+                                       arguments + argument_count);
+  const ExitCode code = CommandLine(environment).Run(words);
+  std::cout.flush();
+  return static_cast<int>(code);
+}
+
+}  // namespace medlarspread::cli
--- a/src/metrics/metric_names.cc
+++ b/src/metrics/metric_names.cc
@@ -90,13 +90,16 @@
   static const Rows<Distribution> rows = {
       {Distribution::kShardLatency,
        {"medlarspread_shard_latency_seconds",
-        "From the send to an upstream to its answer."}},
+        "From the send to an upstream to its answer; quantiles are "
+        "estimates."}},
       {Distribution::kQueueWait,
        {"medlarspread_queue_wait_seconds",
-        "Time that shard requests waited for a slot."}},
+        "Time that shard requests waited for a slot; quantiles are "
+        "estimates."}},
       {Distribution::kStoreLatency,
        {"medlarspread_store_latency_seconds",
-        "Duration of calls to the platform's key-value service."}},
+        "Duration of calls to the platform's key-value service; quantiles are "
+        "estimates."}},
   };
   return rows;
 }
@@ -105,7 +108,8 @@
   static const Rows<ClassDistribution> rows = {
       {ClassDistribution::kRequestLatency,
        {"medlarspread_request_latency_seconds",
-        "From the arrival of a request to its answer, of those answered."}},
+        "From the arrival of a request to its answer, of those answered; "
+        "quantiles are estimates."}},
   };
   return rows;
 }
--- a/tests/base/log_test.cc
+++ b/tests/base/log_test.cc
@@ -56,6 +56,12 @@
               HasSubstr("targets are not refreshed: timeout: after 500 ms"));
 }
 
+TEST(JsonNumberTest, IsShortAndExact) {
+  EXPECT_EQ(JsonNumber(0.98), "0.98");
+  EXPECT_EQ(JsonNumber(1), "1");
+  EXPECT_EQ(JsonNumber(0.99999999999999989), "0.9999999999999999");
+}
+
 TEST(JsonStringTest, AlwaysYieldsValidText) {
   EXPECT_EQ(JsonString("a\\b"), R"("a\\b")");
   EXPECT_EQ(JsonString(std::string_view("\0\x7f", 2)), R"("\u0000\u007f")");
