--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -73,7 +73,7 @@
 
 Leaf& Cluster::StartLeaf(const std::string& name,
                          const std::string& holdings,
-                         std::vector<std::string> options) {
+                         const std::vector<std::string>& options) {
   std::vector<std::string> arguments{
       "leaf",         "--name",    name,
       "--collection", kCollection, "--holdings",
@@ -85,7 +85,8 @@
   if (!ready) {
     throw std::runtime_error("leaf " + name + " did not start");
   }
-  return leaves_.emplace_back(&process, name, ready->at("address"));
+  leaves_.push_back({&process, name, ready->at("address")});
+  return leaves_.back();
 }
 
 std::string Cluster::WriteSettings(const std::string& name) const {
@@ -108,8 +109,9 @@
   if (!ready) {
     throw std::runtime_error("daemon " + name + " did not start");
   }
-  Daemon& daemon = daemons_.emplace_back(&process, name, ready->at("caller"),
-                                         ready->at("admin"), ready->at("peer"));
+  daemons_.push_back({&process, name, ready->at("caller"), ready->at("admin"),
+                      ready->at("peer")});
+  Daemon& daemon = daemons_.back();
   ControlPlatform("vms", VmRow(daemon));
   return daemon;
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -64,7 +64,7 @@
   // A leaf in the platform's list; `options` are further options of `leaf`.
   Leaf& StartLeaf(const std::string& name,
                   const std::string& holdings,
-                  std::vector<std::string> options = {});
+                  const std::vector<std::string>& options = {});
   // A daemon in the platform's list.
   Daemon& StartDaemon(const std::string& name);
   // Two replicas each of the lower and the upper half of snapshot 1:1, and
