Routing: Count a reported wait down with its age

Cause: an entry halved a reported wait every 50 ms. A class that gives way gets few replies, so its entries took a queue of seconds for empty and admitted what then expired.

Ruled out for now: telling of all classes with each reply (a field per class).

--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -73,6 +73,8 @@
       cxxopts::value<double>()->default_value("0.03"))(
       "multiple", "second send after this multiple of the typical time",
       cxxopts::value<double>())("no-gate", "admit everything")(
+      "news", "fresh, replies, replies_of_all or replies_halved",
+      cxxopts::value<std::string>()->default_value("fresh"))(
       "stragglers", "share of slow requests", cxxopts::value<double>())(
       "seconds", "virtual time", cxxopts::value<double>())(
       "seed", "random seed", cxxopts::value<std::uint64_t>());
@@ -86,6 +88,12 @@
     return 2;
   }
   options.order = *order;
+  const auto news = kWaitNewsNames.ValueOf(parsed["news"].as<std::string>());
+  if (!news) {
+    std::cerr << "unknown news\n" << parser.help();
+    return 2;
+  }
+  options.news = *news;
   options.second_send_share = parsed["second-sends"].as<double>();
   options.has_gate = parsed.count("no-gate") == 0;
   if (parsed.count("load")) {
--- a/bench/policy/replay.cc
+++ b/bench/policy/replay.cc
@@ -3,6 +3,7 @@
 #include "bench/policy/replay.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace medlarspread::bench {
 namespace {
@@ -17,6 +18,7 @@
 constexpr base::Duration kSweepInterval = base::Milliseconds(10);
 // A caller waits for twice the latency target.
 constexpr int kDeadlineMultiple = 2;
+constexpr double kHalfLifeMilliseconds = 50.0;
 
 double CompletionsPerSecond(const ReplayOptions& options) {
   const double mean_ms =
@@ -88,12 +90,14 @@
   const blackboard::ClassTargets& targets = DrawClass();
   ClassResult& row = result_.classes[targets.name];
   ++row.asked;
-  if (options_.has_gate && !IsAdmitted(targets)) {
+  const int entry = static_cast<int>(Unit() * options_.entries);
+  if (options_.has_gate && !IsAdmitted(targets, entry)) {
     ++row.refused;
     return;
   }
   auto query = std::make_shared<Query>();
   query->class_name = targets.name;
+  query->entry = entry;
   query->asked = Now();
   query->target_due = Now() + targets.latency;
   query->deadline = Now() + targets.latency * kDeadlineMultiple;
@@ -106,12 +110,58 @@
   }
 }
 
-bool Replay::IsAdmitted(const blackboard::ClassTargets& targets) {
+bool Replay::IsAdmitted(const blackboard::ClassTargets& targets, int entry) {
   return gate_
-      .Admit(targets, waits_[targets.name], targets.latency * kDeadlineMultiple)
+      .Admit(targets, KnownWait(targets.name, entry),
+             targets.latency * kDeadlineMultiple)
       .is_admitted;
 }
 
+base::Duration Replay::KnownWait(const std::string& class_name,
+                                 int entry) const {
+  if (options_.news == WaitNews::kFresh) {
+    const auto row = waits_.find(class_name);
+    return row == waits_.end() ? base::Duration{} : row->second;
+  }
+  base::Duration slowest{};
+  for (const Shard& shard : shards_) {
+    const auto row = news_.find({entry, &shard, class_name});
+    if (row == news_.end()) {
+      continue;
+    }
+    const base::Duration age = Now() - row->second.heard;
+    base::Duration wait = row->second.wait - age;
+    if (options_.news == WaitNews::kRepliesHalved) {
+      wait = base::Duration(static_cast<std::int64_t>(
+          static_cast<double>(row->second.wait.count()) *
+          std::exp2(-base::ToMilliseconds(age) / kHalfLifeMilliseconds)));
+    }
+    slowest = std::max(slowest, wait);
+  }
+  return slowest;
+}
+
+base::Duration Replay::TrueWait(const Shard& shard,
+                                const ReplayClass& row) const {
+  const admission::QueueItem item{
+      .id = next_id_,
+      .class_name = row.targets.name,
+      .target_due = Now() + row.targets.latency,
+      .deadline = Now() + row.targets.latency * kDeadlineMultiple,
+      .is_hedge = false};
+  return shard.queue.ExpectedWait(item, completions_per_second_);
+}
+
+void Replay::TellWaits(const Shard& shard, const Query& query) {
+  for (const ReplayClass& row : options_.classes) {
+    if (options_.news == WaitNews::kRepliesOfAll ||
+        row.targets.name == query.class_name) {
+      news_[{query.entry, &shard, row.targets.name}] = {TrueWait(shard, row),
+                                                        Now()};
+    }
+  }
+}
+
 std::uint64_t Replay::Push(Shard& shard,
                            std::shared_ptr<Part> part,
                            bool is_hedge) {
@@ -193,6 +243,9 @@
   second_send_.DidReply(Now() - attempt->sent);
   if (!part->is_done) {
     part->is_done = true;
+    if (options_.news != WaitNews::kFresh) {
+      TellWaits(shard, *part->query);
+    }
     ++result_.answers;
     CancelOthers(shard, *part);
     if (--part->query->shards_open == 0 && !part->query->is_lost) {
@@ -247,15 +300,8 @@
       }
     }
     for (const ReplayClass& row : options_.classes) {
-      const admission::QueueItem item{
-          .id = next_id_,
-          .class_name = row.targets.name,
-          .target_due = Now() + row.targets.latency,
-          .deadline = Now() + row.targets.latency * kDeadlineMultiple,
-          .is_hedge = false};
       base::Duration& wait = waits_[row.targets.name];
-      wait = std::max(wait,
-                      shard.queue.ExpectedWait(item, completions_per_second_));
+      wait = std::max(wait, TrueWait(shard, row));
     }
   }
   if (Now() < end_) {
--- a/bench/policy/replay.h
+++ b/bench/policy/replay.h
@@ -13,6 +13,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -49,6 +50,7 @@
  private:
   struct Query {
     std::string class_name;
+    int entry = 0;
     base::MonotonicTime asked;
     base::MonotonicTime target_due;
     base::MonotonicTime deadline;
@@ -86,7 +88,12 @@
   void At(base::MonotonicTime time, std::function<void()> run);
   void ScheduleArrival();
   void Arrive();
-  bool IsAdmitted(const blackboard::ClassTargets& targets);
+  bool IsAdmitted(const blackboard::ClassTargets& targets, int entry);
+  // The slowest wait of the class that the entry knows of.
+  base::Duration KnownWait(const std::string& class_name, int entry) const;
+  base::Duration TrueWait(const Shard& shard, const ReplayClass& row) const;
+  // The reply to `entry` tells of the waits at the shard.
+  void TellWaits(const Shard& shard, const Query& query);
   std::uint64_t Push(Shard& shard, std::shared_ptr<Part> part, bool is_hedge);
   // Gives free slots to what waits.
   void Dispatch(Shard& shard);
@@ -114,7 +121,14 @@
   base::Clock clock_{time_};
   admission::EntryGate gate_;
   admission::SecondSendPolicy second_send_;
+  struct News {
+    base::Duration wait{};
+    base::MonotonicTime heard;
+  };
+
   std::vector<Shard> shards_;
+  // By entry, shard and class.
+  std::map<std::tuple<int, const Shard*, std::string>, News> news_;
   // The slowest wait of each class as of the last sweep.
   std::map<std::string, base::Duration> waits_;
   std::priority_queue<Event> events_;
--- a/bench/policy/replay_options.h
+++ b/bench/policy/replay_options.h
@@ -8,6 +8,7 @@
 
 #include "src/admission/second_send_policy.h"
 #include "src/admission/urgency_queue.h"
+#include "src/base/name_table.h"
 #include "src/blackboard/views.h"
 
 namespace medlarspread::bench {
@@ -18,6 +19,24 @@
   double share = 0.0;
 };
 
+// How the gate learns of the waits.
+enum class WaitNews {
+  // From the queues themselves, ten milliseconds old at the most.
+  kFresh,
+  // From replies to the same entry and class; counted down as they age.
+  kReplies,
+  // The same, but each reply tells of all classes.
+  kRepliesOfAll,
+  // From replies to the same entry and class; halved every 50 ms.
+  kRepliesHalved,
+};
+
+constexpr base::NameTable<WaitNews, 4> kWaitNewsNames{
+    {{{WaitNews::kFresh, "fresh"},
+      {WaitNews::kReplies, "replies"},
+      {WaitNews::kRepliesOfAll, "replies_of_all"},
+      {WaitNews::kRepliesHalved, "replies_halved"}}}};
+
 struct ReplayOptions {
   std::uint64_t seed = 1;
   // Offered load as a share of what the slots can do.
@@ -35,6 +54,9 @@
   // After this multiple of the typical service time, at the least.
   double second_send_multiple = admission::SecondSendPolicy::kDefaultMultiple;
   bool has_gate = true;
+  WaitNews news = WaitNews::kFresh;
+  // Daemons that take requests in; each sees the replies to its own.
+  int entries = 9;
   std::vector<ReplayClass> classes;
 };
 
