Burn: Prove the report against an oracle through failures

Cause: the report has to be truthful under VM loss, outages, lost replies and clock differences, in any combination.

A segment now carries a nonce: two processes that were started with one name and incarnation in error no longer overwrite each other. A mark of an earlier absence is replaced by the later one.

--- a/src/burn/burn_controller.cc
+++ b/src/burn/burn_controller.cc
@@ -34,6 +34,12 @@
       static_cast<std::int64_t>(static_cast<double>(mean.count()) * factor));
 }
 
+std::int64_t DrawNonce(base::Random& random) {
+  // JSON readers keep integers below this exactly.
+  constexpr std::uint64_t kBound = std::uint64_t{1} << 53;
+  return static_cast<std::int64_t>(random.Below(kBound));
+}
+
 }  // namespace
 
 struct BurnController::State {
@@ -51,7 +57,7 @@
         store(std::move(store_in)),
         board(board_in),
         log(std::move(log_in)),
-        own(settings, clock),
+        own(settings, clock, DrawNonce(random_in)),
         writer(std::make_shared<CountWriter>(settings, store, own, log)),
         gone_watch(
             std::make_shared<GoneWatch>(settings, clock, store, board, log)),
--- a/src/burn/gone_watch.cc
+++ b/src/burn/gone_watch.cc
@@ -53,28 +53,60 @@
     return;
   }
   is_writing_ = true;
-  const auto& [key, value] = *unwritten_.begin();
-  store_.compare_and_swap(
-      key, value, platform::kAbsent, settings_.store_timeout,
-      [self = shared_from_this(),
-       key = key](const base::Result<std::int64_t>& result) {
-        self->DidWriteMark(key, result);
-      });
+  Write(std::string(unwritten_.begin()->first), platform::kAbsent);
+}
+
+void GoneWatch::Write(const std::string& key, std::int64_t expected_version) {
+  store_.compare_and_swap(key, unwritten_.at(key), expected_version,
+                          settings_.store_timeout,
+                          [self = shared_from_this(),
+                           key](const base::Result<std::int64_t>& result) {
+                            self->DidWriteMark(key, result);
+                          });
 }
 
 void GoneWatch::DidWriteMark(const std::string& key,
                              const base::Result<std::int64_t>& result) {
-  is_writing_ = false;
-  // A conflict means that another VM has marked it, or this one has and the
-  // reply was lost: an attempt that may have taken effect is made again.
-  const bool is_marked =
-      result.is_ok() || result.error().code == base::ErrorCode::kConflict;
-  if (!is_marked) {
-    log_.DidFail(result.error(), "it is marked later that a VM is gone");
+  if (result.is_ok()) {
+    is_writing_ = false;
+    unwritten_.erase(key);
+    WriteMarks();
+    return;
+  }
+  if (result.error().code == base::ErrorCode::kConflict) {
+    ReadOldMark(key);
     return;
   }
-  unwritten_.erase(key);
-  WriteMarks();
+  // An attempt that may have taken effect is simply made again.
+  is_writing_ = false;
+  log_.DidFail(result.error(), "it is marked later that a VM is gone");
+}
+
+// There is a mark already: of the same loss, made by another VM or by a write
+// of ours whose reply was lost, or of an earlier time when the VM was only out
+// of reach. The later one holds.
+void GoneWatch::ReadOldMark(const std::string& key) {
+  store_.read(
+      key, settings_.store_timeout,
+      [self = shared_from_this(),
+       key](const base::Result<std::optional<platform::Entry>>& result) {
+        if (!result.is_ok()) {
+          self->is_writing_ = false;
+          self->log_.DidFail(result.error(), "an old mark was not read");
+          return;
+        }
+        const std::int64_t version =
+            result.value() ? result.value()->version : platform::kAbsent;
+        const auto old = result.value() ? ParseMark(result.value()->value)
+                                        : std::optional<std::int64_t>();
+        if (old && *old >= *ParseMark(self->unwritten_.at(key))) {
+          self->is_writing_ = false;
+          self->unwritten_.erase(key);
+          self->WriteMarks();
+          return;
+        }
+        self->Write(key, version);
+      });
 }
 
 }  // namespace medlarspread::burn
--- a/src/burn/gone_watch.h
+++ b/src/burn/gone_watch.h
@@ -35,8 +35,10 @@
   std::size_t unwritten_count() const { return unwritten_.size(); }
 
  private:
+  void Write(const std::string& key, std::int64_t expected_version);
   void DidWriteMark(const std::string& key,
                     const base::Result<std::int64_t>& result);
+  void ReadOldMark(const std::string& key);
 
   const BurnSettings settings_;
   const base::Clock clock_;
--- a/src/burn/own_counts.cc
+++ b/src/burn/own_counts.cc
@@ -42,9 +42,12 @@
 
 }  // namespace
 
-OwnCounts::OwnCounts(const BurnSettings& settings, base::Clock clock)
+OwnCounts::OwnCounts(const BurnSettings& settings,
+                     base::Clock clock,
+                     std::int64_t nonce)
     : settings_(settings),
       clock_(std::move(clock)),
+      nonce_(nonce),
       start_wall_ms_(clock_.WallMilliseconds()),
       clock_difference_ms_(start_wall_ms_ -
                            ToMs(clock_.Now() - base::MonotonicTime{})) {
@@ -173,6 +176,7 @@
 Segment OwnCounts::MakeSegment(const Part& part, bool is_stopping) const {
   Segment segment;
   segment.writer = part.key.writer;
+  segment.nonce = nonce_;
   segment.sequence = part.sequence + 1;
   segment.range = part.range;
   segment.is_closed = MayClose(part, is_stopping);
@@ -255,6 +259,12 @@
   if (part == nullptr) {
     return;
   }
+  if (found.nonce != nonce_) {
+    // Another process has our name and incarnation. Its counts stay, ours go
+    // elsewhere.
+    StartNextPart(*part);
+    return;
+  }
   part->is_in_doubt = false;
   part->attempted.reset();
   part->version = version;
@@ -335,6 +345,10 @@
     return;
   }
   // 3. The rest is the next part.
+  StartNextPart(part);
+}
+
+void OwnCounts::StartNextPart(Part& part) {
   part.key.part += 1;
   part.gaps.clear();
   part.sequence = 0;
--- a/src/burn/own_counts.h
+++ b/src/burn/own_counts.h
@@ -31,7 +31,9 @@
 
 class OwnCounts {
  public:
-  OwnCounts(const BurnSettings& settings, base::Clock clock);
+  OwnCounts(const BurnSettings& settings,
+            base::Clock clock,
+            std::int64_t nonce);
 
   // Adds counts that the traffic threads have taken. What is recorded so far is
   // covered up to now.
@@ -101,6 +103,8 @@
   void DidFindSeal();
   // It was rolled up so long ago that its sources are no longer listed.
   void DidEndUnseen(Part& part);
+  // What is in `part` goes under the next key from now on.
+  void StartNextPart(Part& part);
   // The part's value in the store is `final` and will not change any more.
   void DidEnd(Part& part, const Segment& final, bool is_sealed);
   // Notes in the current part that `lost` was counted in `range` and cannot
@@ -109,6 +113,7 @@
 
   const BurnSettings settings_;
   const base::Clock clock_;
+  const std::int64_t nonce_;
   const std::int64_t start_wall_ms_;
   // Wall time minus monotonic time at the last look.
   std::int64_t clock_difference_ms_ = 0;
--- a/src/burn/segment.cc
+++ b/src/burn/segment.cc
@@ -156,6 +156,7 @@
   Segment segment;
   segment.writer = DecodeIncarnation(object);
   segment.range = DecodeRange(object);
+  segment.nonce = Integer(object.at("nonce"));
   segment.sequence = Integer(object.at("sequence"));
   segment.is_closed = object.at("closed").as_bool();
   segment.is_last = object.at("last").as_bool();
@@ -180,6 +181,7 @@
 
 std::string EncodeSegment(const Segment& segment) {
   value object = EncodeRange(segment.writer, segment.range);
+  object["nonce"] = Number(segment.nonce);
   object["sequence"] = Number(segment.sequence);
   object["closed"] = value::boolean(segment.is_closed);
   object["last"] = value::boolean(segment.is_last);
--- a/src/burn/segment.h
+++ b/src/burn/segment.h
@@ -73,6 +73,9 @@
 struct Segment {
   // Set in a VM's own segment, empty in roll-ups.
   VmIncarnation writer;
+  // Drawn by the writing process. Tells two processes apart that were started
+  // with the same name and incarnation in error.
+  std::int64_t nonce = 0;
   // Grows with each write of this segment.
   std::int64_t sequence = 0;
   // What a VM's own segment accounts for: requests that were recorded by
--- a/tests/burn/burn_controller_test.cc
+++ b/tests/burn/burn_controller_test.cc
@@ -108,5 +108,216 @@
   EXPECT_EQ(report.gaps[0].vm, "entry-2");
 }
 
+TEST_F(BurnControllerTest, JudgesByTheTargetInForceWhenAsked) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  for (int second = 0; second < 120; ++second) {
+    RequestRecord record = Answered("counter-lookup", 60);
+    // The change is in force on one VM some seconds before the other.
+    const bool is_tightened = second >= (second % 2 == 0 ? 47 : 53);
+    if (is_tightened) {
+      record.targets_revision = 2;
+      record.latency_target = base::Milliseconds(50);
+      record.latency_percentile = 99.9;
+    }
+    fleet_.Record(second % 2 == 0 ? "entry-1" : "entry-2", record);
+    fleet_.Advance(1);
+  }
+  fleet_.Advance(80);
+  const BurnReport report = fleet_.ReportFrom("entry-1");
+  ExpectExact(report, fleet_.recorded());
+  const ClassReport& row = report.classes[0];
+  EXPECT_EQ(row.latest_targets.revision, 2);
+  EXPECT_EQ(row.windows[1].latency.good, 24 + 26);
+  EXPECT_EQ(row.windows[1].latency.bad, 120 - 24 - 26);
+  // 50 requests may miss with 1 in 100, 70 with 1 in 1,000.
+  EXPECT_EQ(row.windows[1].latency.allowed_millionths,
+            50 * 10'000 + 70 * 1'000);
+}
+
+TEST_F(BurnControllerTest, OutageDelaysCountsAndIsSaid) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  RunTraffic("entry-2", 100);
+  fleet_.store().set_available(false);
+  RunTraffic("entry-2", 3'000);
+  RunTraffic("entry-1", 30);
+  const BurnReport during = fleet_.ReportFrom("entry-1");
+  EXPECT_TRUE(during.is_partial);
+  EXPECT_FALSE(during.notes.empty());
+  EXPECT_FALSE(during.others_read_wall_ms.has_value());
+  EXPECT_EQ(during.classes[0].windows[1].counts.asked, 30);
+  fleet_.store().set_available(true);
+  fleet_.Advance(700);
+  const BurnReport after = fleet_.ReportFrom("entry-1");
+  EXPECT_FALSE(after.is_partial);
+  ExpectExact(after, fleet_.recorded());
+  EXPECT_EQ(after.classes[0].windows[3].unaccounted.vm_milliseconds, 0);
+}
+
+TEST_F(BurnControllerTest, ReportInOutageKeepsWhatWasRead) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  RunTraffic("entry-2", 100);
+  fleet_.Advance(80);
+  ExpectExact(fleet_.ReportFrom("entry-1"), fleet_.recorded());
+  const auto known = fleet_.recorded();
+  fleet_.store().set_available(false);
+  RunTraffic("entry-2", 600);
+  const BurnReport report = fleet_.ReportFrom("entry-1");
+  EXPECT_TRUE(report.is_partial);
+  EXPECT_TRUE(report.others_read_wall_ms.has_value());
+  ExpectExact(report, known);
+  // What entry-2 did since is overdue, and bounded from above.
+  EXPECT_GE(report.classes[0].windows[1].unaccounted.requests_estimate, 600);
+}
+
+TEST_F(BurnControllerTest, RestartedVmIsAddedUp) {
+  fleet_.StartVm("entry-1");
+  for (int start = 0; start < 3; ++start) {
+    fleet_.StartVm("entry-2");
+    RunTraffic("entry-2", 90);
+    fleet_.StopVm("entry-2");
+  }
+  const BurnReport report = fleet_.ReportFrom("entry-1");
+  ExpectExact(report, fleet_.recorded());
+  EXPECT_TRUE(fleet_.Lost().empty());
+  EXPECT_TRUE(report.gaps.empty());
+}
+
+TEST_F(BurnControllerTest, StopWithoutStoreLeavesUnaccountedTime) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  RunTraffic("entry-2", 200);
+  fleet_.store().CutOff("entry-2", true);
+  RunTraffic("entry-2", 100);
+  fleet_.StopVm("entry-2");
+  const BurnReport report = fleet_.ReportFrom("entry-1");
+  ExpectExact(report, fleet_.Kept());
+  EXPECT_GE(fleet_.Lost().size(), 100U);
+  EXPECT_GE(report.classes[0].windows[1].unaccounted.requests_estimate,
+            static_cast<std::int64_t>(fleet_.Lost().size()));
+}
+
+TEST_F(BurnControllerTest, ProcessesWithOneIdentityAreBothCounted) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  fleet_.StartTwin("entry-2", "twin");
+  for (int minute = 0; minute < 40; ++minute) {
+    RunTraffic("entry-2", 30);
+    RunTraffic("twin", 30);
+  }
+  fleet_.Advance(1'500);
+  ExpectExact(fleet_.ReportFrom("entry-1"), fleet_.recorded());
+}
+
+TEST_F(BurnControllerTest, ClocksApartMoveMinutesButLoseNothing) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("ahead", 45'000);
+  fleet_.StartVm("behind", -45'000);
+  for (int minute = 0; minute < 30; ++minute) {
+    RunTraffic("ahead", 30);
+    RunTraffic("behind", 30);
+  }
+  fleet_.Advance(80);
+  const BurnReport report = fleet_.ReportFrom("entry-1");
+  ExpectExact(report, fleet_.recorded());
+  EXPECT_GT(report.clock_lead_ms, 0);
+  EXPECT_LE(report.clock_lead_ms, 45'000);
+  EXPECT_EQ(report.classes[0].windows[1].counts.asked, 1'800);
+}
+
+TEST_F(BurnControllerTest, FrozenVmTakenForDeadFlushesLate) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  RunTraffic("entry-2", 200);
+  // It counts some that it cannot write before it is frozen.
+  fleet_.store().CutOff("entry-2", true);
+  RunTraffic("entry-2", 70);
+  fleet_.FreezeVm("entry-2");
+  // Long enough for its segments to be sealed, rolled up and erased.
+  fleet_.Advance(2'400);
+  const BurnReport without = fleet_.ReportFrom("entry-1");
+  EXPECT_GT(without.classes[0].windows[1].unaccounted.vm_milliseconds, 60'000);
+  EXPECT_LT(without.classes[0].windows[1].counts.asked, 270);
+  fleet_.store().CutOff("entry-2", false);
+  fleet_.WakeVm("entry-2");
+  fleet_.Advance(60);
+  RunTraffic("entry-2", 50);
+  fleet_.Advance(600);
+  const BurnReport with = fleet_.ReportFrom("entry-1");
+  ExpectExact(with, fleet_.recorded());
+  EXPECT_EQ(with.classes[0].windows[3].unaccounted.vm_milliseconds, 0);
+}
+
+TEST_F(BurnControllerTest, LostReplyBeforeASealIsSettledFromTheRollUp) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  RunTraffic("entry-2", 130);
+  // Each write of entry-2 takes effect, and no reply comes back.
+  fleet_.store().LoseReplies(1);
+  RunTraffic("entry-2", 75);
+  fleet_.store().CutOff("entry-2", true);
+  fleet_.FreezeVm("entry-2");
+  fleet_.Advance(2'400);
+  fleet_.store().CutOff("entry-2", false);
+  fleet_.WakeVm("entry-2");
+  RunTraffic("entry-2", 10);
+  fleet_.Advance(700);
+  ExpectExact(fleet_.ReportFrom("entry-1"), fleet_.recorded());
+}
+
+TEST_F(BurnControllerTest, RollsUpToHoursAndDaysAndStaysExact) {
+  fleet_.StartVm("entry-1");
+  fleet_.StartVm("entry-2");
+  for (int hour = 0; hour < 12; ++hour) {
+    RunTraffic("entry-1", 40);
+    RunTraffic("entry-2", 40);
+    fleet_.Advance(3'520);
+    ExpectExact(fleet_.ReportFrom("entry-2"), fleet_.recorded());
+  }
+  int raws = 0;
+  int days = 0;
+  for (const auto& [key, entry] : fleet_.store().entries()) {
+    raws += key.starts_with("burn/raw/") ? 1 : 0;
+    days += key.starts_with("burn/day/") ? 1 : 0;
+  }
+  // Of each VM the bucket in progress, and at most two not yet rolled up.
+  EXPECT_LE(raws, 6);
+  EXPECT_GE(days, 1);
+}
+
+TEST_F(BurnControllerTest, BlackboardShowsOwnBurn) {
+  fleet_.StartVm("entry-1");
+  for (int second = 0; second < 100; ++second) {
+    fleet_.Record("entry-1", Answered("counter-lookup", second < 2 ? 95 : 30));
+    fleet_.Record("entry-1", Answered("no-budget", 95));
+    fleet_.Advance(1);
+  }
+  auto view = fleet_.board("entry-1").burn.Read();
+  EXPECT_DOUBLE_EQ(view->classes.at("counter-lookup").short_window_burn, 2.0);
+  EXPECT_DOUBLE_EQ(view->classes.at("no-budget").long_window_burn, 100.0);
+  fleet_.Advance(360);
+  view = fleet_.board("entry-1").burn.Read();
+  EXPECT_DOUBLE_EQ(view->classes.at("counter-lookup").short_window_burn, 0.0);
+  EXPECT_DOUBLE_EQ(view->classes.at("counter-lookup").long_window_burn, 2.0);
+  fleet_.Advance(3'600);
+  EXPECT_TRUE(fleet_.board("entry-1").burn.Read()->classes.empty());
+}
+
+TEST_F(BurnControllerTest, ReportsOneClassWhenAsked) {
+  fleet_.StartVm("entry-1");
+  fleet_.Record("entry-1", Answered("counter-lookup", 1));
+  fleet_.Record("entry-1", Answered("partner-sync", 1));
+  std::optional<BurnReport> report;
+  fleet_.controller("entry-1").Report(
+      {.class_name = "partner-sync"},
+      [&report](BurnReport made) { report = std::move(made); });
+  fleet_.Advance(1);
+  ASSERT_TRUE(report.has_value());
+  ASSERT_EQ(report->classes.size(), 1U);
+  EXPECT_EQ(report->classes[0].name, "partner-sync");
+}
+
 }  // namespace
 }  // namespace medlarspread::burn
--- a/tests/burn/burn_fleet.cc
+++ b/tests/burn/burn_fleet.cc
@@ -31,26 +31,36 @@
       store_scheduler_(std::make_shared<base::ManualScheduler>(store_time_)),
       store_(RunnerOf(store_scheduler_)),
       random_(seed) {
-  store_.did_write = [this](const std::string& key) { NoteWrite(key); };
+  store_.did_write = [this](const platform::Entry& entry) { NoteWrite(entry); };
 }
 
 void BurnFleet::StartVm(const std::string& name, std::int64_t clock_offset_ms) {
+  Start(name, {name, next_incarnation_++}, clock_offset_ms);
+}
+
+void BurnFleet::StartTwin(const std::string& name, const std::string& alias) {
+  Start(alias, vms_.at(name).id, 0);
+}
+
+void BurnFleet::Start(const std::string& alias,
+                      const VmIncarnation& id,
+                      std::int64_t clock_offset_ms) {
   Vm vm;
-  vm.id = {name, next_incarnation_++};
+  vm.id = id;
   vm.time = std::make_shared<base::ManualTime>(
       kMonotonicStart, store_time_->wall_milliseconds() + clock_offset_ms);
   vm.scheduler = std::make_shared<base::ManualScheduler>(vm.time);
   vm.random = std::make_unique<base::Random>(random_.Below(1'000'000));
   vm.board = std::make_unique<blackboard::Blackboard>();
   BurnSettings settings;
-  settings.vm_name = name;
-  settings.incarnation = vm.id.incarnation;
+  settings.vm_name = id.vm;
+  settings.incarnation = id.incarnation;
   settings.failure_domain = "domain-a";
   vm.controller = std::make_shared<BurnController>(
       settings, base::Clock(vm.time), *vm.random, RunnerOf(vm.scheduler),
-      store_.PortFor(name), *vm.board);
+      store_.PortFor(alias, RunnerOf(vm.scheduler)), *vm.board);
   vm.controller->Start();
-  vms_.insert_or_assign(name, std::move(vm));
+  vms_.insert_or_assign(alias, std::move(vm));
   PublishMembers();
   Advance(0);
 }
@@ -95,9 +105,10 @@
 
 void BurnFleet::Advance(std::int64_t seconds) {
   // Several rounds, because a call to the store goes back and forth.
-  const auto run_ready = [this] {
-    constexpr int kRounds = 40;
-    for (int round = 0; round < kRounds; ++round) {
+  constexpr int kFewRounds = 12;
+  constexpr int kManyRounds = 200;
+  const auto run_ready = [this](int rounds) {
+    for (int round = 0; round < rounds; ++round) {
       for (auto& [name, vm] : vms_) {
         if (!vm.is_frozen) {
           vm.scheduler->RunReady();
@@ -106,13 +117,13 @@
       store_scheduler_->RunReady();
     }
   };
-  run_ready();
+  run_ready(kManyRounds);
   for (std::int64_t second = 0; second < seconds; ++second) {
     store_time_->Advance(base::Milliseconds(1'000));
     for (auto& [name, vm] : vms_) {
       vm.time->Advance(base::Milliseconds(1'000));
     }
-    run_ready();
+    run_ready(kFewRounds);
   }
 }
 
@@ -156,8 +167,11 @@
   }
 }
 
-void BurnFleet::NoteWrite(const std::string& key) {
-  if (const auto raw = ParseRawKey(key)) {
+void BurnFleet::NoteWrite(const platform::Entry& entry) {
+  // A seal is made by another VM and holds what was written before.
+  const bool is_seal = entry.value.find("\"sealed\":true") != std::string::npos;
+  const auto raw = ParseRawKey(entry.key);
+  if (raw && !is_seal) {
     written_[{raw->writer, raw->bucket}] = ++order_;
   }
 }
--- a/tests/burn/burn_fleet.h
+++ b/tests/burn/burn_fleet.h
@@ -35,6 +35,8 @@
 
   // `clock_offset_ms` is how far the VM's wall clock is ahead.
   void StartVm(const std::string& name, std::int64_t clock_offset_ms = 0);
+  // Starts another process with the identity that `name` has, as `alias`.
+  void StartTwin(const std::string& name, const std::string& alias);
   // The VM is gone at once, and the members learn of it.
   void KillVm(const std::string& name);
   // The VM stops as planned.
@@ -77,7 +79,10 @@
   };
 
   void PublishMembers();
-  void NoteWrite(const std::string& key);
+  void Start(const std::string& alias,
+             const VmIncarnation& id,
+             std::int64_t clock_offset_ms);
+  void NoteWrite(const platform::Entry& entry);
   bool IsKept(const RecordedRequest& request) const;
 
   std::shared_ptr<base::ManualTime> store_time_;
--- a/tests/burn/fake_store.cc
+++ b/tests/burn/fake_store.cc
@@ -35,7 +35,7 @@
   }
   entries_[key] = {key, value, ++last_version_};
   if (did_write) {
-    did_write(key);
+    did_write(entries_[key]);
   }
   if (replies_to_lose_ > 0) {
     --replies_to_lose_;
@@ -67,50 +67,55 @@
   return base::Done{};
 }
 
-platform::Store FakeStore::PortFor(const std::string& vm) {
-  platform::Store store;
-  store.read = [this, vm](const std::string& key, base::Duration,
-                          platform::Store::ReadCallback callback) {
-    runner_.Post([this, vm, key, callback = std::move(callback)] {
-      ++read_calls_;
-      if (!IsReachable(vm)) {
-        callback(Failure(base::ErrorCode::kUnavailable));
-        return;
-      }
-      const auto found = entries_.find(key);
-      callback(found == entries_.end()
-                   ? std::optional<platform::Entry>()
-                   : std::optional<platform::Entry>(found->second));
+std::optional<platform::Entry> FakeStore::Read(const std::string& key) const {
+  const auto found = entries_.find(key);
+  return found == entries_.end() ? std::optional<platform::Entry>()
+                                 : found->second;
+}
+
+platform::Store FakeStore::PortFor(const std::string& vm,
+                                   base::TaskRunner runner) {
+  // The call is made now, its answer comes back to the VM later.
+  const auto answer = [this, vm, runner](std::int64_t& calls, auto call,
+                                         auto callback) {
+    runner_.Post([this, vm, runner, &calls, call, callback] {
+      ++calls;
+      using Answer = decltype(call());
+      Answer answer = IsReachable(vm)
+                          ? call()
+                          : Answer(Failure(base::ErrorCode::kUnavailable));
+      runner.Post([callback, answer] { callback(answer); });
     });
   };
-  store.compare_and_swap = [this, vm](
+  platform::Store store;
+  store.read = [this, answer](const std::string& key, base::Duration,
+                              platform::Store::ReadCallback callback) {
+    answer(
+        read_calls_,
+        [this, key]() -> base::Result<std::optional<platform::Entry>> {
+          return Read(key);
+        },
+        callback);
+  };
+  store.compare_and_swap = [this, answer](
                                const std::string& key, const std::string& value,
                                std::int64_t expected_version, base::Duration,
                                platform::Store::WriteCallback callback) {
-    runner_.Post([this, vm, key, value, expected_version,
-                  callback = std::move(callback)] {
-      ++write_calls_;
-      callback(IsReachable(vm) ? Swap(key, value, expected_version)
-                               : Failure(base::ErrorCode::kUnavailable));
-    });
+    answer(
+        write_calls_, [=, this] { return Swap(key, value, expected_version); },
+        callback);
   };
-  store.list = [this, vm](const std::string& prefix, base::Duration,
-                          platform::Store::ListCallback callback) {
-    runner_.Post([this, vm, prefix, callback = std::move(callback)] {
-      ++read_calls_;
-      callback(IsReachable(vm) ? List(prefix)
-                               : Failure(base::ErrorCode::kUnavailable));
-    });
+  store.list = [this, answer](const std::string& prefix, base::Duration,
+                              platform::Store::ListCallback callback) {
+    answer(
+        read_calls_, [this, prefix] { return List(prefix); }, callback);
   };
-  store.erase = [this, vm](const std::string& key,
-                           std::int64_t expected_version, base::Duration,
-                           platform::Store::EraseCallback callback) {
-    runner_.Post(
-        [this, vm, key, expected_version, callback = std::move(callback)] {
-          ++write_calls_;
-          callback(IsReachable(vm) ? Erase(key, expected_version)
-                                   : Failure(base::ErrorCode::kUnavailable));
-        });
+  store.erase = [this, answer](const std::string& key,
+                               std::int64_t expected_version, base::Duration,
+                               platform::Store::EraseCallback callback) {
+    answer(
+        write_calls_, [=, this] { return Erase(key, expected_version); },
+        callback);
   };
   return store;
 }
--- a/tests/burn/fake_store.h
+++ b/tests/burn/fake_store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "src/base/task_runner.h"
@@ -18,8 +19,9 @@
  public:
   explicit FakeStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
 
-  // The store as the VM called `vm` reaches it.
-  platform::Store PortFor(const std::string& vm);
+  // The store as the VM called `vm` reaches it, which is called back on
+  // `runner`.
+  platform::Store PortFor(const std::string& vm, base::TaskRunner runner);
 
   void set_available(bool is_available) { is_available_ = is_available; }
   void CutOff(const std::string& vm, bool is_cut) { is_cut_[vm] = is_cut; }
@@ -30,7 +32,7 @@
   void LoseWrites(int count) { writes_to_lose_ = count; }
 
   // Runs for each write that takes effect.
-  std::function<void(const std::string& key)> did_write;
+  std::function<void(const platform::Entry&)> did_write;
 
   std::map<std::string, platform::Entry>& entries() { return entries_; }
   std::int64_t write_calls() const { return write_calls_; }
@@ -38,6 +40,7 @@
 
  private:
   bool IsReachable(const std::string& vm) const;
+  std::optional<platform::Entry> Read(const std::string& key) const;
   base::Result<std::int64_t> Swap(const std::string& key,
                                   const std::string& value,
                                   std::int64_t expected_version);
