--- /dev/null
+++ b/src/membership/draining_news.cc
@@ -0,0 +1,49 @@
+// A map of times behind membership::DrainingNews.
+
+#include "src/membership/draining_news.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace medlarspread::membership {
+
+DrainingNews::DrainingNews(base::Duration lifetime, std::size_t max_passed_on)
+    : lifetime_(lifetime), max_passed_on_(max_passed_on) {}
+
+bool DrainingNews::Add(const std::string& upstream,
+                       base::Duration age,
+                       base::MonotonicTime now) {
+  if (upstream.empty() || age >= lifetime_ || age < base::Duration(0)) {
+    return false;
+  }
+  const base::MonotonicTime heard_at = now - age;
+  const auto [row, is_new] = heard_at_.try_emplace(upstream, heard_at);
+  if (is_new) {
+    return true;
+  }
+  // NOTE: ages grow a little on the way, so the same news arrives with slightly
+  // different times. Only news a whole lifetime younger is another one.
+  if (heard_at - row->second < lifetime_) {
+    return false;
+  }
+  row->second = heard_at;
+  return true;
+}
+
+std::map<std::string, std::int32_t> DrainingNews::Current(
+    base::MonotonicTime now) {
+  std::erase_if(heard_at_,
+                [&](const auto& row) { return now - row.second >= lifetime_; });
+  std::map<std::string, std::int32_t> current;
+  for (const auto& [upstream, heard_at] : heard_at_) {
+    if (current.size() == max_passed_on_) {
+      break;
+    }
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - heard_at);
+    current[upstream] = static_cast<std::int32_t>(age.count());
+  }
+  return current;
+}
+
+}  // namespace medlarspread::membership
--- /dev/null
+++ b/src/membership/failure_detector.cc
@@ -0,0 +1,174 @@
+// Probes, suspicions and verdicts behind membership::FailureDetector.
+
+#include "src/membership/failure_detector.h"
+
+#include <utility>
+
+#include "src/membership/shuffle.h"
+
+namespace medlarspread::membership {
+
+FailureDetector::FailureDetector(const MembershipSettings& settings,
+                                 const base::Clock& clock,
+                                 base::Random& random,
+                                 base::Log log,
+                                 MemberTable& table,
+                                 Messenger& messenger)
+    : settings_(settings),
+      clock_(clock),
+      random_(random),
+      log_(std::move(log)),
+      table_(table),
+      messenger_(messenger),
+      probes_(settings.answer_timeout, settings.suspicion_timeout) {}
+
+void FailureDetector::ProbeNext(std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string name = NextInTurn();
+    if (name.empty()) {
+      return;
+    }
+    probes_.DidProbe(name, clock_.Now());
+    messenger_.Send(name, messenger_.ComposeWithRecent(HeartbeatKind::kProbe));
+  }
+}
+
+// The next daemon that is present and has no probe pending; empty if none has.
+std::string FailureDetector::NextInTurn() {
+  for (bool is_second_pass : {false, true}) {
+    while (!turn_.empty()) {
+      const std::string name = std::move(turn_.back());
+      turn_.pop_back();
+      if (table_.IsPresentMember(name) && !probes_.IsPending(name)) {
+        return name;
+      }
+    }
+    if (!is_second_pass) {
+      turn_ = table_.PresentIn(table_.self().failure_domain);
+      Shuffle(turn_, random_);
+    }
+  }
+  return "";
+}
+
+void FailureDetector::TryAbsent(const std::string& name) {
+  messenger_.Send(name, messenger_.Compose(HeartbeatKind::kProbe));
+}
+
+void FailureDetector::DidHear(const std::string& name) {
+  probes_.DidHear(name);
+}
+
+void FailureDetector::DidConfirm(const std::string& name) {
+  probes_.DidHear(name);
+  const auto row = askers_.find(name);
+  const Record* record = table_.Find(name);
+  if (row == askers_.end() || record == nullptr) {
+    return;
+  }
+  for (const std::string& asker : row->second.names) {
+    peer::wire::Heartbeat heartbeat = messenger_.Compose(HeartbeatKind::kNews);
+    heartbeat.others = {*record};
+    messenger_.Send(asker, std::move(heartbeat));
+  }
+  askers_.erase(row);
+}
+
+void FailureDetector::DidAsk(const Record& suspected,
+                             const std::string& asker) {
+  const Record* known = table_.Find(suspected.name);
+  if (known == nullptr || suspected.name == table_.self().name) {
+    return;
+  }
+  if (IsPresent(*known) && IsNewer(*known, suspected)) {
+    // It has contradicted this doubt already.
+    peer::wire::Heartbeat heartbeat = messenger_.Compose(HeartbeatKind::kNews);
+    heartbeat.others = {*known};
+    messenger_.Send(asker, std::move(heartbeat));
+    return;
+  }
+  Askers& askers = askers_[suspected.name];
+  askers.names.insert(asker);
+  askers.expires = clock_.Now() + settings_.suspicion_timeout;
+  peer::wire::Heartbeat probe = messenger_.Compose(HeartbeatKind::kProbe);
+  probe.others = {suspected};
+  messenger_.Send(suspected.name, std::move(probe));
+}
+
+void FailureDetector::AskAbout(const std::string& name,
+                               std::vector<std::string> helpers) {
+  const Record* known = table_.Find(name);
+  if (known == nullptr) {
+    return;
+  }
+  Record suspected = *known;
+  SetState(suspected, RecordState::kSuspected);
+  peer::wire::Heartbeat probe = messenger_.Compose(HeartbeatKind::kProbe);
+  probe.others = {suspected};
+  messenger_.Send(name, probe);
+  peer::wire::Heartbeat question = messenger_.Compose(HeartbeatKind::kNews);
+  question.others = {suspected};
+  std::erase(helpers, name);
+  for (const std::string& helper : helpers) {
+    messenger_.Send(helper, question);
+  }
+}
+
+bool FailureDetector::Judge() {
+  const base::MonotonicTime now = clock_.Now();
+  std::erase_if(askers_,
+                [now](const auto& row) { return row.second.expires < now; });
+  const ProbeTracker::Verdicts verdicts = probes_.Judge(now);
+  for (const std::string& name : verdicts.suspected) {
+    Suspect(name);
+  }
+  DeclareGone(verdicts.gone);
+  return !verdicts.gone.empty();
+}
+
+void FailureDetector::Suspect(const std::string& name) {
+  auto helpers = table_.PresentIn(table_.self().failure_domain);
+  std::erase(helpers, name);
+  Shuffle(helpers, random_);
+  if (helpers.size() > settings_.helpers) {
+    helpers.resize(settings_.helpers);
+  }
+  AskAbout(name, std::move(helpers));
+}
+
+void FailureDetector::DeclareGone(const std::vector<std::string>& names) {
+  std::vector<Record> gone;
+  for (const std::string& name : names) {
+    const Record* known = table_.Find(name);
+    if (known == nullptr || !IsPresent(*known)) {
+      continue;
+    }
+    Record record = *known;
+    SetState(record, RecordState::kGone);
+    table_.Merge(record, clock_.Now());
+    messenger_.AddRecent(name);
+    log_.Write({.level = base::LogLevel::kWarning,
+                .step = base::Step::kMembership,
+                .peer = name,
+                .message = "gone: it answers nobody"});
+    gone.push_back(std::move(record));
+  }
+  if (gone.empty()) {
+    return;
+  }
+  messenger_.SpreadInDomain(gone);
+  if (messenger_.IsDelegate()) {
+    messenger_.SpreadToDomains(gone);
+  }
+}
+
+void FailureDetector::Postpone(base::Duration delay) {
+  probes_.Postpone(delay);
+}
+
+void FailureDetector::Clear() {
+  probes_.Clear();
+  askers_.clear();
+}
+
+}  // namespace medlarspread::membership
--- /dev/null
+++ b/src/membership/messenger.cc
@@ -0,0 +1,165 @@
+// Heartbeats out of the table, the domains and the news.
+
+#include "src/membership/messenger.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace medlarspread::membership {
+
+namespace {
+
+using peer::wire::Heartbeat;
+
+// With four exchanges a round each way, a record that rides on this many
+// heartbeats of each daemon that has it reaches 94 daemons with certainty for
+// all practical purposes: every one of them passes it on as often.
+constexpr int kRecentCopies = 8;
+constexpr std::size_t kMaxRecentPerHeartbeat = 8;
+
+std::int32_t ToMilliseconds(base::Duration duration) {
+  const auto count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<std::int32_t>(std::min<std::int64_t>(count, INT32_MAX));
+}
+
+}  // namespace
+
+Messenger::Messenger(const MembershipSettings& settings,
+                     const base::Clock& clock,
+                     base::Random& random,
+                     peer::PeerPort port,
+                     MemberTable& table,
+                     DomainWatch& watch,
+                     DrainingNews& news,
+                     std::function<void(const std::string&)> prepare)
+    : settings_(settings),
+      clock_(clock),
+      random_(random),
+      port_(std::move(port)),
+      table_(table),
+      watch_(watch),
+      news_(news),
+      prepare_(std::move(prepare)) {}
+
+Heartbeat Messenger::Compose(HeartbeatKind kind) {
+  Heartbeat heartbeat;
+  heartbeat.sender = table_.self();
+  heartbeat.kind = static_cast<int>(kind);
+  heartbeat.draining_upstreams = news_.Current(clock_.Now());
+  heartbeat.unreachable_domains = watch_.Unreachable();
+  return heartbeat;
+}
+
+Heartbeat Messenger::ComposeWithRecent(HeartbeatKind kind) {
+  Heartbeat heartbeat = Compose(kind);
+  for (auto row = recent_.begin();
+       row != recent_.end() &&
+       heartbeat.others.size() < kMaxRecentPerHeartbeat;) {
+    const Record* record = table_.Find(row->first);
+    if (record != nullptr) {
+      heartbeat.others.push_back(*record);
+    }
+    if (record == nullptr || --row->second == 0) {
+      row = recent_.erase(row);
+    } else {
+      ++row;
+    }
+  }
+  return heartbeat;
+}
+
+void Messenger::Send(const std::string& peer, Heartbeat heartbeat) {
+  prepare_(peer);
+  const Record* known = table_.Find(peer);
+  if (known != nullptr && !IsPresent(*known)) {
+    // A VM that is taken for gone hears so first, and can contradict.
+    heartbeat.others.push_back(*known);
+  }
+  // NOTE: the status is not looked at. A peer that can't be reached does not
+  // answer, and that is what membership goes by.
+  static_cast<void>(port_.send(peer, std::move(heartbeat)));
+}
+
+void Messenger::SpreadInDomain(const std::vector<Record>& records) {
+  const auto names = table_.PresentIn(table_.self().failure_domain);
+  std::set<std::string> receivers(names.begin(), names.end());
+  for (const Record& record : records) {
+    if (record.name != table_.self().name &&
+        record.failure_domain == table_.self().failure_domain) {
+      receivers.insert(record.name);
+    }
+  }
+  Heartbeat heartbeat = Compose(HeartbeatKind::kNews);
+  heartbeat.others = records;
+  for (const std::string& name : receivers) {
+    Send(name, heartbeat);
+  }
+}
+
+void Messenger::SpreadToDomains(const std::vector<Record>& records) {
+  Heartbeat heartbeat = Compose(HeartbeatKind::kNews);
+  heartbeat.others = records;
+  for (const std::string& domain : table_.Domains()) {
+    if (domain == table_.self().failure_domain || !watch_.IsReachable(domain)) {
+      continue;
+    }
+    const std::string peer = PickDelegateOf(domain);
+    if (!peer.empty()) {
+      Send(peer, heartbeat);
+    }
+  }
+}
+
+void Messenger::AddRecent(const std::string& name) {
+  recent_[name] = kRecentCopies;
+}
+
+std::map<std::string, peer::wire::DomainSummary> Messenger::Summarize() const {
+  std::map<std::string, peer::wire::DomainSummary> summaries;
+  const base::MonotonicTime now = clock_.Now();
+  for (const std::string& domain : table_.Domains()) {
+    peer::wire::DomainSummary& summary = summaries[domain];
+    summary.digest = table_.DigestOf(domain);
+    summary.lowest_revision = LowestRevisionOf(domain);
+    summary.age_ms = domain == table_.self().failure_domain
+                         ? 0
+                         : ToMilliseconds(watch_.AgeOf(domain, now));
+  }
+  return summaries;
+}
+
+std::int64_t Messenger::LowestRevisionOf(const std::string& domain) const {
+  if (domain == table_.self().failure_domain) {
+    return table_.LowestRevisionOf(domain);
+  }
+  const auto row = lowest_revisions_.find(domain);
+  return row == lowest_revisions_.end() ? 0 : row->second;
+}
+
+void Messenger::NoteLowestRevision(const std::string& domain,
+                                   std::int64_t revision) {
+  lowest_revisions_[domain] = revision;
+}
+
+bool Messenger::IsDelegate() const {
+  const auto delegates =
+      table_.DelegatesOf(table_.self().failure_domain, settings_.delegates);
+  return std::find(delegates.begin(), delegates.end(), table_.self().name) !=
+         delegates.end();
+}
+
+std::string Messenger::PickDelegateOf(const std::string& domain) {
+  const auto delegates = table_.DelegatesOf(domain, settings_.delegates);
+  if (!delegates.empty()) {
+    return delegates[random_.Below(delegates.size())];
+  }
+  // All are leaving: any of them will do.
+  const auto present = table_.PresentIn(domain);
+  return present.empty() ? std::string()
+                         : present[random_.Below(present.size())];
+}
+
+}  // namespace medlarspread::membership
--- /dev/null
+++ b/src/membership/probe_tracker.h
@@ -0,0 +1,54 @@
+// Probes that have not been answered yet, and what follows from their age:
+// first a suspicion, then the verdict that the VM is gone.
+
+#ifndef MEDLARSPREAD_MEMBERSHIP_PROBE_TRACKER_H_
+#define MEDLARSPREAD_MEMBERSHIP_PROBE_TRACKER_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+
+namespace medlarspread::membership {
+
+class ProbeTracker {
+ public:
+  // A probe that is older than `answer_timeout` raises a suspicion, which
+  // becomes the verdict "gone" after another `suspicion_timeout`.
+  ProbeTracker(base::Duration answer_timeout, base::Duration suspicion_timeout);
+
+  // Does nothing if a probe to the VM is pending already.
+  void DidProbe(const std::string& name, base::MonotonicTime now);
+  // Any sign of life ends the probe.
+  void DidHear(const std::string& name);
+  bool IsPending(const std::string& name) const;
+  std::size_t size() const { return pending_.size(); }
+
+  // Each VM is returned once as suspected and once as gone, then forgotten.
+  struct Verdicts {
+    std::vector<std::string> suspected;
+    std::vector<std::string> gone;
+  };
+  Verdicts Judge(base::MonotonicTime now);
+
+  // Gives every probe this much more time, because this daemon itself was held
+  // up and may not have seen the answers yet.
+  void Postpone(base::Duration delay);
+  void Clear();
+
+ private:
+  struct Probe {
+    base::MonotonicTime deadline;
+    bool is_suspected = false;
+  };
+
+  const base::Duration answer_timeout_;
+  const base::Duration suspicion_timeout_;
+  std::map<std::string, Probe> pending_;
+};
+
+}  // namespace medlarspread::membership
+
+#endif  // MEDLARSPREAD_MEMBERSHIP_PROBE_TRACKER_H_
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -537,6 +537,151 @@
 }
 
 
+DomainSummary::~DomainSummary() noexcept {
+}
+
+
+void DomainSummary::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void DomainSummary::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void DomainSummary::__set_lowest_revision(const int64_t val) {
+  this->lowest_revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const DomainSummary& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DomainSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lowest_revision);
+          this->__isset.lowest_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DomainSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainSummary");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lowest_revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lowest_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainSummary &a, DomainSummary &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.digest, b.digest);
+  swap(a.lowest_revision, b.lowest_revision);
+  swap(a.__isset, b.__isset);
+}
+
+DomainSummary::DomainSummary(const DomainSummary& other12) noexcept {
+  age_ms = other12.age_ms;
+  digest = other12.digest;
+  lowest_revision = other12.lowest_revision;
+  __isset = other12.__isset;
+}
+DomainSummary::DomainSummary(DomainSummary&& other13) noexcept {
+  age_ms = other13.age_ms;
+  digest = other13.digest;
+  lowest_revision = other13.lowest_revision;
+  __isset = other13.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other14) noexcept {
+  age_ms = other14.age_ms;
+  digest = other14.digest;
+  lowest_revision = other14.lowest_revision;
+  __isset = other14.__isset;
+  return *this;
+}
+DomainSummary& DomainSummary::operator=(DomainSummary&& other15) noexcept {
+  age_ms = other15.age_ms;
+  digest = other15.digest;
+  lowest_revision = other15.lowest_revision;
+  __isset = other15.__isset;
+  return *this;
+}
+void DomainSummary::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainSummary(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "lowest_revision=" << to_string(lowest_revision);
+  out << ")";
+}
+
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -556,6 +701,22 @@
 void Heartbeat::__set_draining_upstreams(const std::map<std::string, int32_t> & val) {
   this->draining_upstreams = val;
 }
+
+void Heartbeat::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void Heartbeat::__set_domains(const std::map<std::string, DomainSummary> & val) {
+  this->domains = val;
+}
+
+void Heartbeat::__set_wanted_domains(const std::vector<std::string> & val) {
+  this->wanted_domains = val;
+}
+
+void Heartbeat::__set_unreachable_domains(const std::vector<std::string> & val) {
+  this->unreachable_domains = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -596,14 +757,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->others.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->others.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->others.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->others[_i16].read(iprot);
+              xfer += this->others[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -624,17 +785,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->draining_upstreams.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _ktype18;
-            ::apache::thrift::protocol::TType _vtype19;
-            xfer += iprot->readMapBegin(_ktype18, _vtype19, _size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _ktype22;
+            ::apache::thrift::protocol::TType _vtype23;
+            xfer += iprot->readMapBegin(_ktype22, _vtype23, _size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              std::string _key22;
-              xfer += iprot->readString(_key22);
-              int32_t& _val23 = this->draining_upstreams[_key22];
-              xfer += iprot->readI32(_val23);
+              std::string _key26;
+              xfer += iprot->readString(_key26);
+              int32_t& _val27 = this->draining_upstreams[_key26];
+              xfer += iprot->readI32(_val27);
             }
             xfer += iprot->readMapEnd();
           }
@@ -643,6 +804,77 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->domains.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _ktype29;
+            ::apache::thrift::protocol::TType _vtype30;
+            xfer += iprot->readMapBegin(_ktype29, _vtype30, _size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              std::string _key33;
+              xfer += iprot->readString(_key33);
+              DomainSummary& _val34 = this->domains[_key33];
+              xfer += _val34.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted_domains.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->wanted_domains.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += iprot->readString(this->wanted_domains[_i39]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted_domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreachable_domains.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->unreachable_domains.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readString(this->unreachable_domains[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreachable_domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -667,10 +899,10 @@
   xfer += oprot->writeFieldBegin("others", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->others.size()));
-    std::vector<MemberRecord> ::const_iterator _iter24;
-    for (_iter24 = this->others.begin(); _iter24 != this->others.end(); ++_iter24)
+    std::vector<MemberRecord> ::const_iterator _iter45;
+    for (_iter45 = this->others.begin(); _iter45 != this->others.end(); ++_iter45)
     {
-      xfer += (*_iter24).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -683,16 +915,57 @@
   xfer += oprot->writeFieldBegin("draining_upstreams", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->draining_upstreams.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter25;
-    for (_iter25 = this->draining_upstreams.begin(); _iter25 != this->draining_upstreams.end(); ++_iter25)
+    std::map<std::string, int32_t> ::const_iterator _iter46;
+    for (_iter46 = this->draining_upstreams.begin(); _iter46 != this->draining_upstreams.end(); ++_iter46)
+    {
+      xfer += oprot->writeString(_iter46->first);
+      xfer += oprot->writeI32(_iter46->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->domains.size()));
+    std::map<std::string, DomainSummary> ::const_iterator _iter47;
+    for (_iter47 = this->domains.begin(); _iter47 != this->domains.end(); ++_iter47)
     {
-      xfer += oprot->writeString(_iter25->first);
-      xfer += oprot->writeI32(_iter25->second);
+      xfer += oprot->writeString(_iter47->first);
+      xfer += _iter47->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wanted_domains", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_domains.size()));
+    std::vector<std::string> ::const_iterator _iter48;
+    for (_iter48 = this->wanted_domains.begin(); _iter48 != this->wanted_domains.end(); ++_iter48)
+    {
+      xfer += oprot->writeString((*_iter48));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreachable_domains", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachable_domains.size()));
+    std::vector<std::string> ::const_iterator _iter49;
+    for (_iter49 = this->unreachable_domains.begin(); _iter49 != this->unreachable_domains.end(); ++_iter49)
+    {
+      xfer += oprot->writeString((*_iter49));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -704,37 +977,57 @@
   swap(a.others, b.others);
   swap(a.wants_table, b.wants_table);
   swap(a.draining_upstreams, b.draining_upstreams);
+  swap(a.kind, b.kind);
+  swap(a.domains, b.domains);
+  swap(a.wanted_domains, b.wanted_domains);
+  swap(a.unreachable_domains, b.unreachable_domains);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other26) {
-  sender = other26.sender;
-  others = other26.others;
-  wants_table = other26.wants_table;
-  draining_upstreams = other26.draining_upstreams;
-  __isset = other26.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other27) noexcept {
-  sender = std::move(other27.sender);
-  others = std::move(other27.others);
-  wants_table = other27.wants_table;
-  draining_upstreams = std::move(other27.draining_upstreams);
-  __isset = other27.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other28) {
-  sender = other28.sender;
-  others = other28.others;
-  wants_table = other28.wants_table;
-  draining_upstreams = other28.draining_upstreams;
-  __isset = other28.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other50) {
+  sender = other50.sender;
+  others = other50.others;
+  wants_table = other50.wants_table;
+  draining_upstreams = other50.draining_upstreams;
+  kind = other50.kind;
+  domains = other50.domains;
+  wanted_domains = other50.wanted_domains;
+  unreachable_domains = other50.unreachable_domains;
+  __isset = other50.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other51) noexcept {
+  sender = std::move(other51.sender);
+  others = std::move(other51.others);
+  wants_table = other51.wants_table;
+  draining_upstreams = std::move(other51.draining_upstreams);
+  kind = other51.kind;
+  domains = std::move(other51.domains);
+  wanted_domains = std::move(other51.wanted_domains);
+  unreachable_domains = std::move(other51.unreachable_domains);
+  __isset = other51.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other52) {
+  sender = other52.sender;
+  others = other52.others;
+  wants_table = other52.wants_table;
+  draining_upstreams = other52.draining_upstreams;
+  kind = other52.kind;
+  domains = other52.domains;
+  wanted_domains = other52.wanted_domains;
+  unreachable_domains = other52.unreachable_domains;
+  __isset = other52.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other29) noexcept {
-  sender = std::move(other29.sender);
-  others = std::move(other29.others);
-  wants_table = other29.wants_table;
-  draining_upstreams = std::move(other29.draining_upstreams);
-  __isset = other29.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other53) noexcept {
+  sender = std::move(other53.sender);
+  others = std::move(other53.others);
+  wants_table = other53.wants_table;
+  draining_upstreams = std::move(other53.draining_upstreams);
+  kind = other53.kind;
+  domains = std::move(other53.domains);
+  wanted_domains = std::move(other53.wanted_domains);
+  unreachable_domains = std::move(other53.unreachable_domains);
+  __isset = other53.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -744,6 +1037,10 @@
   out << ", " << "others=" << to_string(others);
   out << ", " << "wants_table=" << to_string(wants_table);
   out << ", " << "draining_upstreams=" << to_string(draining_upstreams);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "domains=" << to_string(domains);
+  out << ", " << "wanted_domains=" << to_string(wanted_domains);
+  out << ", " << "unreachable_domains=" << to_string(unreachable_domains);
   out << ")";
 }
 
@@ -867,14 +1164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ranges.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->ranges.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->ranges.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->ranges[_i34].read(iprot);
+              xfer += this->ranges[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -963,10 +1260,10 @@
   xfer += oprot->writeFieldBegin("ranges", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ranges.size()));
-    std::vector<KeyRange> ::const_iterator _iter35;
-    for (_iter35 = this->ranges.begin(); _iter35 != this->ranges.end(); ++_iter35)
+    std::vector<KeyRange> ::const_iterator _iter59;
+    for (_iter59 = this->ranges.begin(); _iter59 != this->ranges.end(); ++_iter59)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1013,62 +1310,62 @@
   swap(a.__isset, b.__isset);
 }
 
-SubQuery::SubQuery(const SubQuery& other36) {
-  sub_query_id = other36.sub_query_id;
-  request_id = other36.request_id;
-  class_name = other36.class_name;
-  collection = other36.collection;
-  snapshot = other36.snapshot;
-  ranges = other36.ranges;
-  deadline_left_us = other36.deadline_left_us;
-  target_left_us = other36.target_left_us;
-  query = other36.query;
-  is_hedge = other36.is_hedge;
-  is_at_most_once = other36.is_at_most_once;
-  __isset = other36.__isset;
-}
-SubQuery::SubQuery(SubQuery&& other37) noexcept {
-  sub_query_id = other37.sub_query_id;
-  request_id = std::move(other37.request_id);
-  class_name = std::move(other37.class_name);
-  collection = std::move(other37.collection);
-  snapshot = std::move(other37.snapshot);
-  ranges = std::move(other37.ranges);
-  deadline_left_us = other37.deadline_left_us;
-  target_left_us = other37.target_left_us;
-  query = std::move(other37.query);
-  is_hedge = other37.is_hedge;
-  is_at_most_once = other37.is_at_most_once;
-  __isset = other37.__isset;
-}
-SubQuery& SubQuery::operator=(const SubQuery& other38) {
-  sub_query_id = other38.sub_query_id;
-  request_id = other38.request_id;
-  class_name = other38.class_name;
-  collection = other38.collection;
-  snapshot = other38.snapshot;
-  ranges = other38.ranges;
-  deadline_left_us = other38.deadline_left_us;
-  target_left_us = other38.target_left_us;
-  query = other38.query;
-  is_hedge = other38.is_hedge;
-  is_at_most_once = other38.is_at_most_once;
-  __isset = other38.__isset;
+SubQuery::SubQuery(const SubQuery& other60) {
+  sub_query_id = other60.sub_query_id;
+  request_id = other60.request_id;
+  class_name = other60.class_name;
+  collection = other60.collection;
+  snapshot = other60.snapshot;
+  ranges = other60.ranges;
+  deadline_left_us = other60.deadline_left_us;
+  target_left_us = other60.target_left_us;
+  query = other60.query;
+  is_hedge = other60.is_hedge;
+  is_at_most_once = other60.is_at_most_once;
+  __isset = other60.__isset;
+}
+SubQuery::SubQuery(SubQuery&& other61) noexcept {
+  sub_query_id = other61.sub_query_id;
+  request_id = std::move(other61.request_id);
+  class_name = std::move(other61.class_name);
+  collection = std::move(other61.collection);
+  snapshot = std::move(other61.snapshot);
+  ranges = std::move(other61.ranges);
+  deadline_left_us = other61.deadline_left_us;
+  target_left_us = other61.target_left_us;
+  query = std::move(other61.query);
+  is_hedge = other61.is_hedge;
+  is_at_most_once = other61.is_at_most_once;
+  __isset = other61.__isset;
+}
+SubQuery& SubQuery::operator=(const SubQuery& other62) {
+  sub_query_id = other62.sub_query_id;
+  request_id = other62.request_id;
+  class_name = other62.class_name;
+  collection = other62.collection;
+  snapshot = other62.snapshot;
+  ranges = other62.ranges;
+  deadline_left_us = other62.deadline_left_us;
+  target_left_us = other62.target_left_us;
+  query = other62.query;
+  is_hedge = other62.is_hedge;
+  is_at_most_once = other62.is_at_most_once;
+  __isset = other62.__isset;
   return *this;
 }
-SubQuery& SubQuery::operator=(SubQuery&& other39) noexcept {
-  sub_query_id = other39.sub_query_id;
-  request_id = std::move(other39.request_id);
-  class_name = std::move(other39.class_name);
-  collection = std::move(other39.collection);
-  snapshot = std::move(other39.snapshot);
-  ranges = std::move(other39.ranges);
-  deadline_left_us = other39.deadline_left_us;
-  target_left_us = other39.target_left_us;
-  query = std::move(other39.query);
-  is_hedge = other39.is_hedge;
-  is_at_most_once = other39.is_at_most_once;
-  __isset = other39.__isset;
+SubQuery& SubQuery::operator=(SubQuery&& other63) noexcept {
+  sub_query_id = other63.sub_query_id;
+  request_id = std::move(other63.request_id);
+  class_name = std::move(other63.class_name);
+  collection = std::move(other63.collection);
+  snapshot = std::move(other63.snapshot);
+  ranges = std::move(other63.ranges);
+  deadline_left_us = other63.deadline_left_us;
+  target_left_us = other63.target_left_us;
+  query = std::move(other63.query);
+  is_hedge = other63.is_hedge;
+  is_at_most_once = other63.is_at_most_once;
+  __isset = other63.__isset;
   return *this;
 }
 void SubQuery::printTo(std::ostream& out) const {
@@ -1215,34 +1512,34 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueLoad::QueueLoad(const QueueLoad& other40) noexcept {
-  queued = other40.queued;
-  running = other40.running;
-  slots = other40.slots;
-  expected_wait_us = other40.expected_wait_us;
-  __isset = other40.__isset;
-}
-QueueLoad::QueueLoad(QueueLoad&& other41) noexcept {
-  queued = other41.queued;
-  running = other41.running;
-  slots = other41.slots;
-  expected_wait_us = other41.expected_wait_us;
-  __isset = other41.__isset;
-}
-QueueLoad& QueueLoad::operator=(const QueueLoad& other42) noexcept {
-  queued = other42.queued;
-  running = other42.running;
-  slots = other42.slots;
-  expected_wait_us = other42.expected_wait_us;
-  __isset = other42.__isset;
+QueueLoad::QueueLoad(const QueueLoad& other64) noexcept {
+  queued = other64.queued;
+  running = other64.running;
+  slots = other64.slots;
+  expected_wait_us = other64.expected_wait_us;
+  __isset = other64.__isset;
+}
+QueueLoad::QueueLoad(QueueLoad&& other65) noexcept {
+  queued = other65.queued;
+  running = other65.running;
+  slots = other65.slots;
+  expected_wait_us = other65.expected_wait_us;
+  __isset = other65.__isset;
+}
+QueueLoad& QueueLoad::operator=(const QueueLoad& other66) noexcept {
+  queued = other66.queued;
+  running = other66.running;
+  slots = other66.slots;
+  expected_wait_us = other66.expected_wait_us;
+  __isset = other66.__isset;
   return *this;
 }
-QueueLoad& QueueLoad::operator=(QueueLoad&& other43) noexcept {
-  queued = other43.queued;
-  running = other43.running;
-  slots = other43.slots;
-  expected_wait_us = other43.expected_wait_us;
-  __isset = other43.__isset;
+QueueLoad& QueueLoad::operator=(QueueLoad&& other67) noexcept {
+  queued = other67.queued;
+  running = other67.running;
+  slots = other67.slots;
+  expected_wait_us = other67.expected_wait_us;
+  __isset = other67.__isset;
   return *this;
 }
 void QueueLoad::printTo(std::ostream& out) const {
@@ -1586,82 +1883,82 @@
   swap(a.__isset, b.__isset);
 }
 
-ShardReply::ShardReply(const ShardReply& other44) {
-  sub_query_id = other44.sub_query_id;
-  request_id = other44.request_id;
-  range = other44.range;
-  snapshot = other44.snapshot;
-  outcome = other44.outcome;
-  items = other44.items;
-  retry_after_ms = other44.retry_after_ms;
-  detail = other44.detail;
-  upstream = other44.upstream;
-  sends = other44.sends;
-  load = other44.load;
-  service_us = other44.service_us;
-  held_us = other44.held_us;
-  error_code = other44.error_code;
-  error_step = other44.error_step;
-  error_peer = other44.error_peer;
-  __isset = other44.__isset;
-}
-ShardReply::ShardReply(ShardReply&& other45) noexcept {
-  sub_query_id = other45.sub_query_id;
-  request_id = std::move(other45.request_id);
-  range = std::move(other45.range);
-  snapshot = std::move(other45.snapshot);
-  outcome = other45.outcome;
-  items = std::move(other45.items);
-  retry_after_ms = other45.retry_after_ms;
-  detail = std::move(other45.detail);
-  upstream = std::move(other45.upstream);
-  sends = other45.sends;
-  load = std::move(other45.load);
-  service_us = other45.service_us;
-  held_us = other45.held_us;
-  error_code = other45.error_code;
-  error_step = other45.error_step;
-  error_peer = std::move(other45.error_peer);
-  __isset = other45.__isset;
-}
-ShardReply& ShardReply::operator=(const ShardReply& other46) {
-  sub_query_id = other46.sub_query_id;
-  request_id = other46.request_id;
-  range = other46.range;
-  snapshot = other46.snapshot;
-  outcome = other46.outcome;
-  items = other46.items;
-  retry_after_ms = other46.retry_after_ms;
-  detail = other46.detail;
-  upstream = other46.upstream;
-  sends = other46.sends;
-  load = other46.load;
-  service_us = other46.service_us;
-  held_us = other46.held_us;
-  error_code = other46.error_code;
-  error_step = other46.error_step;
-  error_peer = other46.error_peer;
-  __isset = other46.__isset;
+ShardReply::ShardReply(const ShardReply& other68) {
+  sub_query_id = other68.sub_query_id;
+  request_id = other68.request_id;
+  range = other68.range;
+  snapshot = other68.snapshot;
+  outcome = other68.outcome;
+  items = other68.items;
+  retry_after_ms = other68.retry_after_ms;
+  detail = other68.detail;
+  upstream = other68.upstream;
+  sends = other68.sends;
+  load = other68.load;
+  service_us = other68.service_us;
+  held_us = other68.held_us;
+  error_code = other68.error_code;
+  error_step = other68.error_step;
+  error_peer = other68.error_peer;
+  __isset = other68.__isset;
+}
+ShardReply::ShardReply(ShardReply&& other69) noexcept {
+  sub_query_id = other69.sub_query_id;
+  request_id = std::move(other69.request_id);
+  range = std::move(other69.range);
+  snapshot = std::move(other69.snapshot);
+  outcome = other69.outcome;
+  items = std::move(other69.items);
+  retry_after_ms = other69.retry_after_ms;
+  detail = std::move(other69.detail);
+  upstream = std::move(other69.upstream);
+  sends = other69.sends;
+  load = std::move(other69.load);
+  service_us = other69.service_us;
+  held_us = other69.held_us;
+  error_code = other69.error_code;
+  error_step = other69.error_step;
+  error_peer = std::move(other69.error_peer);
+  __isset = other69.__isset;
+}
+ShardReply& ShardReply::operator=(const ShardReply& other70) {
+  sub_query_id = other70.sub_query_id;
+  request_id = other70.request_id;
+  range = other70.range;
+  snapshot = other70.snapshot;
+  outcome = other70.outcome;
+  items = other70.items;
+  retry_after_ms = other70.retry_after_ms;
+  detail = other70.detail;
+  upstream = other70.upstream;
+  sends = other70.sends;
+  load = other70.load;
+  service_us = other70.service_us;
+  held_us = other70.held_us;
+  error_code = other70.error_code;
+  error_step = other70.error_step;
+  error_peer = other70.error_peer;
+  __isset = other70.__isset;
   return *this;
 }
-ShardReply& ShardReply::operator=(ShardReply&& other47) noexcept {
-  sub_query_id = other47.sub_query_id;
-  request_id = std::move(other47.request_id);
-  range = std::move(other47.range);
-  snapshot = std::move(other47.snapshot);
-  outcome = other47.outcome;
-  items = std::move(other47.items);
-  retry_after_ms = other47.retry_after_ms;
-  detail = std::move(other47.detail);
-  upstream = std::move(other47.upstream);
-  sends = other47.sends;
-  load = std::move(other47.load);
-  service_us = other47.service_us;
-  held_us = other47.held_us;
-  error_code = other47.error_code;
-  error_step = other47.error_step;
-  error_peer = std::move(other47.error_peer);
-  __isset = other47.__isset;
+ShardReply& ShardReply::operator=(ShardReply&& other71) noexcept {
+  sub_query_id = other71.sub_query_id;
+  request_id = std::move(other71.request_id);
+  range = std::move(other71.range);
+  snapshot = std::move(other71.snapshot);
+  outcome = other71.outcome;
+  items = std::move(other71.items);
+  retry_after_ms = other71.retry_after_ms;
+  detail = std::move(other71.detail);
+  upstream = std::move(other71.upstream);
+  sends = other71.sends;
+  load = std::move(other71.load);
+  service_us = other71.service_us;
+  held_us = other71.held_us;
+  error_code = other71.error_code;
+  error_step = other71.error_step;
+  error_peer = std::move(other71.error_peer);
+  __isset = other71.__isset;
   return *this;
 }
 void ShardReply::printTo(std::ostream& out) const {
@@ -1762,22 +2059,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelSubQuery::CancelSubQuery(const CancelSubQuery& other48) noexcept {
-  sub_query_id = other48.sub_query_id;
-  __isset = other48.__isset;
+CancelSubQuery::CancelSubQuery(const CancelSubQuery& other72) noexcept {
+  sub_query_id = other72.sub_query_id;
+  __isset = other72.__isset;
 }
-CancelSubQuery::CancelSubQuery(CancelSubQuery&& other49) noexcept {
-  sub_query_id = other49.sub_query_id;
-  __isset = other49.__isset;
+CancelSubQuery::CancelSubQuery(CancelSubQuery&& other73) noexcept {
+  sub_query_id = other73.sub_query_id;
+  __isset = other73.__isset;
 }
-CancelSubQuery& CancelSubQuery::operator=(const CancelSubQuery& other50) noexcept {
-  sub_query_id = other50.sub_query_id;
-  __isset = other50.__isset;
+CancelSubQuery& CancelSubQuery::operator=(const CancelSubQuery& other74) noexcept {
+  sub_query_id = other74.sub_query_id;
+  __isset = other74.__isset;
   return *this;
 }
-CancelSubQuery& CancelSubQuery::operator=(CancelSubQuery&& other51) noexcept {
-  sub_query_id = other51.sub_query_id;
-  __isset = other51.__isset;
+CancelSubQuery& CancelSubQuery::operator=(CancelSubQuery&& other75) noexcept {
+  sub_query_id = other75.sub_query_id;
+  __isset = other75.__isset;
   return *this;
 }
 void CancelSubQuery::printTo(std::ostream& out) const {
@@ -1863,22 +2160,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetsRequest::TargetsRequest(const TargetsRequest& other52) noexcept {
-  above_revision = other52.above_revision;
-  __isset = other52.__isset;
+TargetsRequest::TargetsRequest(const TargetsRequest& other76) noexcept {
+  above_revision = other76.above_revision;
+  __isset = other76.__isset;
 }
-TargetsRequest::TargetsRequest(TargetsRequest&& other53) noexcept {
-  above_revision = other53.above_revision;
-  __isset = other53.__isset;
+TargetsRequest::TargetsRequest(TargetsRequest&& other77) noexcept {
+  above_revision = other77.above_revision;
+  __isset = other77.__isset;
 }
-TargetsRequest& TargetsRequest::operator=(const TargetsRequest& other54) noexcept {
-  above_revision = other54.above_revision;
-  __isset = other54.__isset;
+TargetsRequest& TargetsRequest::operator=(const TargetsRequest& other78) noexcept {
+  above_revision = other78.above_revision;
+  __isset = other78.__isset;
   return *this;
 }
-TargetsRequest& TargetsRequest::operator=(TargetsRequest&& other55) noexcept {
-  above_revision = other55.above_revision;
-  __isset = other55.__isset;
+TargetsRequest& TargetsRequest::operator=(TargetsRequest&& other79) noexcept {
+  above_revision = other79.above_revision;
+  __isset = other79.__isset;
   return *this;
 }
 void TargetsRequest::printTo(std::ostream& out) const {
@@ -1981,26 +2278,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetsBody::TargetsBody(const TargetsBody& other56) {
-  revision = other56.revision;
-  body = other56.body;
-  __isset = other56.__isset;
+TargetsBody::TargetsBody(const TargetsBody& other80) {
+  revision = other80.revision;
+  body = other80.body;
+  __isset = other80.__isset;
 }
-TargetsBody::TargetsBody(TargetsBody&& other57) noexcept {
-  revision = other57.revision;
-  body = std::move(other57.body);
-  __isset = other57.__isset;
+TargetsBody::TargetsBody(TargetsBody&& other81) noexcept {
+  revision = other81.revision;
+  body = std::move(other81.body);
+  __isset = other81.__isset;
 }
-TargetsBody& TargetsBody::operator=(const TargetsBody& other58) {
-  revision = other58.revision;
-  body = other58.body;
-  __isset = other58.__isset;
+TargetsBody& TargetsBody::operator=(const TargetsBody& other82) {
+  revision = other82.revision;
+  body = other82.body;
+  __isset = other82.__isset;
   return *this;
 }
-TargetsBody& TargetsBody::operator=(TargetsBody&& other59) noexcept {
-  revision = other59.revision;
-  body = std::move(other59.body);
-  __isset = other59.__isset;
+TargetsBody& TargetsBody::operator=(TargetsBody&& other83) noexcept {
+  revision = other83.revision;
+  body = std::move(other83.body);
+  __isset = other83.__isset;
   return *this;
 }
 void TargetsBody::printTo(std::ostream& out) const {
@@ -2138,34 +2435,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other60) {
-  claim_id = other60.claim_id;
-  request_id = other60.request_id;
-  nonce = other60.nonce;
-  deadline_left_us = other60.deadline_left_us;
-  __isset = other60.__isset;
-}
-ClaimRequest::ClaimRequest(ClaimRequest&& other61) noexcept {
-  claim_id = other61.claim_id;
-  request_id = std::move(other61.request_id);
-  nonce = std::move(other61.nonce);
-  deadline_left_us = other61.deadline_left_us;
-  __isset = other61.__isset;
-}
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other62) {
-  claim_id = other62.claim_id;
-  request_id = other62.request_id;
-  nonce = other62.nonce;
-  deadline_left_us = other62.deadline_left_us;
-  __isset = other62.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other84) {
+  claim_id = other84.claim_id;
+  request_id = other84.request_id;
+  nonce = other84.nonce;
+  deadline_left_us = other84.deadline_left_us;
+  __isset = other84.__isset;
+}
+ClaimRequest::ClaimRequest(ClaimRequest&& other85) noexcept {
+  claim_id = other85.claim_id;
+  request_id = std::move(other85.request_id);
+  nonce = std::move(other85.nonce);
+  deadline_left_us = other85.deadline_left_us;
+  __isset = other85.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other86) {
+  claim_id = other86.claim_id;
+  request_id = other86.request_id;
+  nonce = other86.nonce;
+  deadline_left_us = other86.deadline_left_us;
+  __isset = other86.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other63) noexcept {
-  claim_id = other63.claim_id;
-  request_id = std::move(other63.request_id);
-  nonce = std::move(other63.nonce);
-  deadline_left_us = other63.deadline_left_us;
-  __isset = other63.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other87) noexcept {
+  claim_id = other87.claim_id;
+  request_id = std::move(other87.request_id);
+  nonce = std::move(other87.nonce);
+  deadline_left_us = other87.deadline_left_us;
+  __isset = other87.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -2305,34 +2602,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other64) {
-  claim_id = other64.claim_id;
-  request_id = other64.request_id;
-  outcome = other64.outcome;
-  detail = other64.detail;
-  __isset = other64.__isset;
-}
-ClaimReply::ClaimReply(ClaimReply&& other65) noexcept {
-  claim_id = other65.claim_id;
-  request_id = std::move(other65.request_id);
-  outcome = other65.outcome;
-  detail = std::move(other65.detail);
-  __isset = other65.__isset;
-}
-ClaimReply& ClaimReply::operator=(const ClaimReply& other66) {
-  claim_id = other66.claim_id;
-  request_id = other66.request_id;
-  outcome = other66.outcome;
-  detail = other66.detail;
-  __isset = other66.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other88) {
+  claim_id = other88.claim_id;
+  request_id = other88.request_id;
+  outcome = other88.outcome;
+  detail = other88.detail;
+  __isset = other88.__isset;
+}
+ClaimReply::ClaimReply(ClaimReply&& other89) noexcept {
+  claim_id = other89.claim_id;
+  request_id = std::move(other89.request_id);
+  outcome = other89.outcome;
+  detail = std::move(other89.detail);
+  __isset = other89.__isset;
+}
+ClaimReply& ClaimReply::operator=(const ClaimReply& other90) {
+  claim_id = other90.claim_id;
+  request_id = other90.request_id;
+  outcome = other90.outcome;
+  detail = other90.detail;
+  __isset = other90.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other67) noexcept {
-  claim_id = other67.claim_id;
-  request_id = std::move(other67.request_id);
-  outcome = other67.outcome;
-  detail = std::move(other67.detail);
-  __isset = other67.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other91) noexcept {
+  claim_id = other91.claim_id;
+  request_id = std::move(other91.request_id);
+  outcome = other91.outcome;
+  detail = std::move(other91.detail);
+  __isset = other91.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -2590,58 +2887,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other68) {
-  sender = other68.sender;
-  sender_incarnation = other68.sender_incarnation;
-  heartbeat = other68.heartbeat;
-  sub_query = other68.sub_query;
-  shard_reply = other68.shard_reply;
-  cancel_sub_query = other68.cancel_sub_query;
-  targets_request = other68.targets_request;
-  targets_body = other68.targets_body;
-  claim_request = other68.claim_request;
-  claim_reply = other68.claim_reply;
-  __isset = other68.__isset;
-}
-Envelope::Envelope(Envelope&& other69) noexcept {
-  sender = std::move(other69.sender);
-  sender_incarnation = other69.sender_incarnation;
-  heartbeat = std::move(other69.heartbeat);
-  sub_query = std::move(other69.sub_query);
-  shard_reply = std::move(other69.shard_reply);
-  cancel_sub_query = std::move(other69.cancel_sub_query);
-  targets_request = std::move(other69.targets_request);
-  targets_body = std::move(other69.targets_body);
-  claim_request = std::move(other69.claim_request);
-  claim_reply = std::move(other69.claim_reply);
-  __isset = other69.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other70) {
-  sender = other70.sender;
-  sender_incarnation = other70.sender_incarnation;
-  heartbeat = other70.heartbeat;
-  sub_query = other70.sub_query;
-  shard_reply = other70.shard_reply;
-  cancel_sub_query = other70.cancel_sub_query;
-  targets_request = other70.targets_request;
-  targets_body = other70.targets_body;
-  claim_request = other70.claim_request;
-  claim_reply = other70.claim_reply;
-  __isset = other70.__isset;
+Envelope::Envelope(const Envelope& other92) {
+  sender = other92.sender;
+  sender_incarnation = other92.sender_incarnation;
+  heartbeat = other92.heartbeat;
+  sub_query = other92.sub_query;
+  shard_reply = other92.shard_reply;
+  cancel_sub_query = other92.cancel_sub_query;
+  targets_request = other92.targets_request;
+  targets_body = other92.targets_body;
+  claim_request = other92.claim_request;
+  claim_reply = other92.claim_reply;
+  __isset = other92.__isset;
+}
+Envelope::Envelope(Envelope&& other93) noexcept {
+  sender = std::move(other93.sender);
+  sender_incarnation = other93.sender_incarnation;
+  heartbeat = std::move(other93.heartbeat);
+  sub_query = std::move(other93.sub_query);
+  shard_reply = std::move(other93.shard_reply);
+  cancel_sub_query = std::move(other93.cancel_sub_query);
+  targets_request = std::move(other93.targets_request);
+  targets_body = std::move(other93.targets_body);
+  claim_request = std::move(other93.claim_request);
+  claim_reply = std::move(other93.claim_reply);
+  __isset = other93.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other94) {
+  sender = other94.sender;
+  sender_incarnation = other94.sender_incarnation;
+  heartbeat = other94.heartbeat;
+  sub_query = other94.sub_query;
+  shard_reply = other94.shard_reply;
+  cancel_sub_query = other94.cancel_sub_query;
+  targets_request = other94.targets_request;
+  targets_body = other94.targets_body;
+  claim_request = other94.claim_request;
+  claim_reply = other94.claim_reply;
+  __isset = other94.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other71) noexcept {
-  sender = std::move(other71.sender);
-  sender_incarnation = other71.sender_incarnation;
-  heartbeat = std::move(other71.heartbeat);
-  sub_query = std::move(other71.sub_query);
-  shard_reply = std::move(other71.shard_reply);
-  cancel_sub_query = std::move(other71.cancel_sub_query);
-  targets_request = std::move(other71.targets_request);
-  targets_body = std::move(other71.targets_body);
-  claim_request = std::move(other71.claim_request);
-  claim_reply = std::move(other71.claim_reply);
-  __isset = other71.__isset;
+Envelope& Envelope::operator=(Envelope&& other95) noexcept {
+  sender = std::move(other95.sender);
+  sender_incarnation = other95.sender_incarnation;
+  heartbeat = std::move(other95.heartbeat);
+  sub_query = std::move(other95.sub_query);
+  shard_reply = std::move(other95.shard_reply);
+  cancel_sub_query = std::move(other95.cancel_sub_query);
+  targets_request = std::move(other95.targets_request);
+  targets_body = std::move(other95.targets_body);
+  claim_request = std::move(other95.claim_request);
+  claim_reply = std::move(other95.claim_reply);
+  __isset = other95.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -27,6 +27,8 @@
 
 class MemberRecord;
 
+class DomainSummary;
+
 class Heartbeat;
 
 class SubQuery;
@@ -252,12 +254,75 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
+typedef struct _DomainSummary__isset {
+  _DomainSummary__isset() : age_ms(false), digest(false), lowest_revision(false) {}
+  bool age_ms :1;
+  bool digest :1;
+  bool lowest_revision :1;
+} _DomainSummary__isset;
+
+class DomainSummary : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainSummary(const DomainSummary&) noexcept;
+  DomainSummary(DomainSummary&&) noexcept;
+  DomainSummary& operator=(const DomainSummary&) noexcept;
+  DomainSummary& operator=(DomainSummary&&) noexcept;
+  DomainSummary() noexcept
+                : age_ms(0),
+                  digest(0),
+                  lowest_revision(0) {
+  }
+
+  virtual ~DomainSummary() noexcept;
+  int32_t age_ms;
+  int64_t digest;
+  int64_t lowest_revision;
+
+  _DomainSummary__isset __isset;
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_lowest_revision(const int64_t val);
+
+  bool operator == (const DomainSummary & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(lowest_revision == rhs.lowest_revision))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainSummary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainSummary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DomainSummary &a, DomainSummary &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainSummary& obj);
+
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : sender(false), others(false), wants_table(false), draining_upstreams(false) {}
+  _Heartbeat__isset() : sender(false), others(false), wants_table(false), draining_upstreams(false), kind(false), domains(false), wanted_domains(false), unreachable_domains(false) {}
   bool sender :1;
   bool others :1;
   bool wants_table :1;
   bool draining_upstreams :1;
+  bool kind :1;
+  bool domains :1;
+  bool wanted_domains :1;
+  bool unreachable_domains :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -268,7 +333,8 @@
   Heartbeat& operator=(const Heartbeat&);
   Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
-            : wants_table(0) {
+            : wants_table(0),
+              kind(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -276,6 +342,10 @@
   std::vector<MemberRecord>  others;
   bool wants_table;
   std::map<std::string, int32_t>  draining_upstreams;
+  int32_t kind;
+  std::map<std::string, DomainSummary>  domains;
+  std::vector<std::string>  wanted_domains;
+  std::vector<std::string>  unreachable_domains;
 
   _Heartbeat__isset __isset;
 
@@ -287,6 +357,14 @@
 
   void __set_draining_upstreams(const std::map<std::string, int32_t> & val);
 
+  void __set_kind(const int32_t val);
+
+  void __set_domains(const std::map<std::string, DomainSummary> & val);
+
+  void __set_wanted_domains(const std::vector<std::string> & val);
+
+  void __set_unreachable_domains(const std::vector<std::string> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -297,6 +375,14 @@
       return false;
     if (!(draining_upstreams == rhs.draining_upstreams))
       return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    if (!(wanted_domains == rhs.wanted_domains))
+      return false;
+    if (!(unreachable_domains == rhs.unreachable_domains))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -28,24 +28,45 @@
   4: string failure_domain;
   // Grows with each start of the VM's process.
   5: i64 incarnation;
-  // Grows with each heartbeat of one incarnation.
+  // Grows within an incarnation whenever the VM contradicts a record that
+  // calls it gone.
   6: i64 heartbeat;
-  // 0 live, 1 leaving, 2 gone.
+  // The index of membership::RecordState.
   7: i32 state;
   // The highest revision of the targets that this VM has in force.
   8: i64 targets_revision;
   9: i64 targets_digest;
 }
 
+// What the sender knows of one failure domain as a whole.
+struct DomainSummary {
+  // Milliseconds since a daemon of the domain was last heard, by the sender or
+  // by a daemon that told it.
+  1: i32 age_ms;
+  // Over name, incarnation and state of its live and leaving daemons.
+  2: i64 digest;
+  // The lowest revision of the targets in force on its live daemons.
+  3: i64 lowest_revision;
+}
+
 struct Heartbeat {
   1: MemberRecord sender;
-  // Records of other VMs that changed lately or come from other domains.
+  // Records of other VMs that changed lately or were asked for.
   2: list<MemberRecord> others;
   // Set when the sender asks for the whole table back.
   3: bool wants_table;
   // Upstreams that the sender has heard to be draining, by name, with the
   // age of that news in milliseconds.
   4: map<string, i32> draining_upstreams;
+  // The index of membership::HeartbeatKind.
+  5: i32 kind;
+  // By failure domain; empty on most heartbeats.
+  6: map<string, DomainSummary> domains;
+  // Failure domains whose records the sender asks for.
+  7: list<string> wanted_domains;
+  // Failure domains that the sender can't reach. Heeded only from those who
+  // watch the other domains for the receiver's.
+  8: list<string> unreachable_domains;
 }
 
 // Asks the owner of the queues for shards of one collection.
