--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -2,15 +2,13 @@
 
 #include "src/routing/load_table.h"
 
-#include <cmath>
+#include <algorithm>
 #include <utility>
 
 namespace medlarspread::routing {
 
 namespace {
 
-// After this time a reported wait counts for half.
-constexpr double kHalfLifeMicroseconds = 50'000.0;
 // Before anything was heard: a hop inside a region and one between regions.
 constexpr base::Duration kOwnRegionGuess = base::Milliseconds(1);
 constexpr base::Duration kOtherRegionGuess = base::Milliseconds(20);
@@ -45,11 +43,8 @@
   if (row == rows_.end()) {
     return base::Duration::zero();
   }
-  const auto age =
-      static_cast<double>((clock_.Now() - row->second.heard).count());
-  return base::Duration(
-      static_cast<std::int64_t>(static_cast<double>(row->second.wait.count()) *
-                                std::exp2(-age / kHalfLifeMicroseconds)));
+  const base::Duration age = clock_.Now() - row->second.heard;
+  return std::max(base::Duration::zero(), row->second.wait - age);
 }
 
 base::Duration LoadTable::NetworkTime(const std::string& region,
--- a/src/routing/load_table.h
+++ b/src/routing/load_table.h
@@ -30,8 +30,9 @@
                const ShardLoad& load,
                base::Duration network);
 
-  // Expected wait of a request of `class_name` in the shard's queue. Old news
-  // count for less and less: a queue that was full is likely to have emptied.
+  // Expected wait of a request of `class_name` in the shard's queue. It counts
+  // down as the news age: a queue that takes nothing new in empties at that
+  // pace.
   base::Duration ExpectedWait(const std::string& collection,
                               const std::string& class_name,
                               std::int32_t low,
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -45,6 +45,9 @@
   EXPECT_EQ(Choose()->region, "south");
   // The news was about another class's requests in that queue.
   EXPECT_EQ(router_.Choose("archive", "audit", shard_, {})->region, "north");
+  // A wait of 80 ms is not over after 20 ms.
+  world_.scheduler->Advance(Milliseconds(20));
+  EXPECT_EQ(Choose()->region, "south");
   // The news age, so the own region is tried again.
   world_.scheduler->Advance(Milliseconds(300));
   EXPECT_EQ(Choose()->region, "north");
