Settings: Take the defaults of the parts that they configure

The first defaults were guesses made before the parts existed. Membership probes four times a second, claims are grouped for 25 ms, counts are flushed every minute, and a budget of second sends above 5% is not accepted by the policy, so the file no longer accepts it either. The retention of claims is a constant of their protocol on which all VMs must agree; a key that is read and not obeyed would be a lie, so it is gone.

--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -42,9 +42,9 @@
 // Links to the other daemons.
 struct PeersSettings {
   std::string address;
-  std::size_t max_frame_bytes = 8 << 20;
+  std::size_t max_frame_bytes = 4 << 20;
   // Bytes waiting to be sent to one peer; above it messages to it are refused.
-  std::size_t max_queue_bytes = 32 << 20;
+  std::size_t max_queue_bytes = 16 << 20;
 };
 
 // The platform's key-value service and list of VMs.
@@ -68,9 +68,9 @@
 };
 
 struct MembershipSettings {
-  base::Duration heartbeat = base::Milliseconds(1000);
+  base::Duration heartbeat = base::Milliseconds(250);
   // Invariant: at least three heartbeats.
-  base::Duration gone_after = base::Milliseconds(5000);
+  base::Duration gone_after = base::Milliseconds(1000);
 };
 
 struct TargetsSettings {
@@ -80,23 +80,22 @@
 };
 
 struct ClaimsSettings {
-  // How long a non-idempotent request is remembered, and how old its identifier
-  // may be.
-  base::Duration retention = std::chrono::hours(1);
-  // How long claims wait for others, to be written together.
-  base::Duration group = base::Milliseconds(5);
+  // The least time between two writes of one key; claims that arrive meanwhile
+  // are written together.
+  base::Duration group = base::Milliseconds(25);
 };
 
 struct BurnSettings {
-  base::Duration flush = std::chrono::seconds(10);
+  base::Duration flush = std::chrono::minutes(1);
 };
 
 // Protective limits of the system, not weights that operators tune.
 struct RoutingSettings {
-  // Holders that the queues of one collection are spread over.
-  int bundles_per_collection = 4;
+  // Into how many bundles, each with one queue per region, the key space of a
+  // collection is cut.
+  int bundles_per_collection = 8;
   // Second sends in per cent of first sends, at most.
-  int second_send_budget_percent = 5;
+  int second_send_budget_percent = 3;
 };
 
 struct DaemonSettings {
--- a/src/settings/key_table.cc
+++ b/src/settings/key_table.cc
@@ -176,13 +176,15 @@
       {"membership", "heartbeat_ms",
        Time<milliseconds, kMembership, &MembershipSettings::heartbeat>(50,
                                                                        60000),
-       false, "The time between two heartbeats to a peer."},
+       false,
+       "The time between two rounds of heartbeats inside the failure domain."},
       {"membership", "gone_after_ms",
        Time<milliseconds, kMembership, &MembershipSettings::gone_after>(150,
                                                                         600000),
        false,
        "The silence after which a peer is taken to be gone. At least three "
-       "heartbeats."},
+       "heartbeats. A shorter time finds lost VMs sooner, and paused ones "
+       "too."},
       {"targets", "readers_per_failure_domain",
        Integer<&DaemonSettings::targets,
                &TargetsSettings::readers_per_failure_domain>(1, 16),
@@ -190,23 +192,19 @@
        "Daemons of each failure domain that read the targets from the "
        "platform. "
        "The others learn them from their peers."},
-      {"claims", "retention_s",
-       Time<seconds, &DaemonSettings::claims, &ClaimsSettings::retention>(
-           10, 86400),
-       false,
-       "How long a non-idempotent request is remembered. One with an older "
-       "request_id is refused. The same on all VMs."},
       {"claims", "group_ms",
        Time<milliseconds, &DaemonSettings::claims, &ClaimsSettings::group>(
            0, 1000),
        false,
-       "How long a claim waits for others, so that one write to the platform "
-       "carries them all. It adds to the latency of non-idempotent requests."},
+       "The least time between two writes of one key of claims. Claims that "
+       "arrive meanwhile are written together. It adds to the latency of "
+       "non-idempotent requests and bounds the calls to the platform."},
       {"burn", "flush_s",
        Time<seconds, &DaemonSettings::burn, &BurnSettings::flush>(1, 600),
        false,
-       "The time between two writes of this VM's counts. A VM that is lost "
-       "takes up to this much with it; the report shows it as unaccounted."},
+       "The mean time between two writes of this VM's counts. A VM that is "
+       "lost takes about this much with it; the report shows it as "
+       "unaccounted."},
   };
 }
 
@@ -216,11 +214,11 @@
       {"routing", "bundles_per_collection",
        Integer<kRouting, &RoutingSettings::bundles_per_collection>(1, 64),
        false,
-       "Over how many daemons of a region the queues of one collection are "
-       "spread. A protective limit of the system, not a weight. The same on "
-       "all VMs."},
+       "Into how many bundles the key space of a collection is cut. In each "
+       "region one daemon holds the queues of a bundle. A protective limit of "
+       "the system, not a weight. The same on all VMs."},
       {"routing", "second_send_budget_percent",
-       Integer<kRouting, &RoutingSettings::second_send_budget_percent>(0, 50),
+       Integer<kRouting, &RoutingSettings::second_send_budget_percent>(0, 5),
        false,
        "Second sends to another replica, in per cent of first sends, at most. "
        "A protective limit of the system, not a weight."},
