--- a/src/admin_api/bearer_token.cc
+++ b/src/admin_api/bearer_token.cc
@@ -30,7 +30,8 @@
     return false;
   }
   // Hashes are of one length, so the token's own length does not show either.
-  const Hash given = HashOf(std::string_view(header).substr(kScheme.size()));
+  const std::string_view text(header.data(), header.size());
+  const Hash given = HashOf(text.substr(kScheme.size()));
   const Hash wanted = HashOf(token);
   return CRYPTO_memcmp(given.data(), wanted.data(), wanted.size()) == 0;
 }
--- a/tests/admin_api/admin_api_test.cc
+++ b/tests/admin_api/admin_api_test.cc
@@ -111,7 +111,10 @@
     for (const auto& [name, fallback] : fields) {
       const std::string& chosen = name == field ? text : fallback;
       if (!chosen.empty()) {
-        body += (body.empty() ? "{\"" : ",\"") + name + "\":" + chosen;
+        body += body.empty() ? "{\"" : ",\"";
+        body += name;
+        body += "\":";
+        body += chosen;
       }
     }
     return body + "}";
