Settings: Name the routing policies, so that benchmarks compare them

The daemon's policy is a setting only for the benchmarks, which hold the default against its baselines with the same binary; the page says to leave it. The status page shows nested values inside tables in one cell each instead of as raw JSON.

--- a/src/cli/json_text.cc
+++ b/src/cli/json_text.cc
@@ -54,6 +54,25 @@
   return (field.is_object() && field.size() > 0) || IsTable(field);
 }
 
+// A value inside a table: nested objects as "name=value", lists with commas.
+std::string ShowCell(const value& cell) {
+  std::string text;
+  if (cell.is_object()) {
+    for (const auto& [name, field] : cell.as_object()) {
+      text += (text.empty() ? "" : " ") + name + "=" + ShowCell(field);
+    }
+    return text.empty() ? "-" : text;
+  }
+  if (cell.is_array()) {
+    for (const value& item : cell.as_array()) {
+      text += (text.empty() ? "" : ", ") + ShowCell(item);
+    }
+    return text.empty() ? "-" : text;
+  }
+  text = ShowScalar(cell);
+  return text.empty() ? "-" : text;
+}
+
 // The columns of a table: "name" first, then the others in order of the rows.
 std::vector<std::string> ColumnsOf(const web::json::array& rows) {
   std::vector<std::string> columns;
@@ -95,7 +114,7 @@
     std::vector<std::string> line;
     line.reserve(columns.size());
     for (const std::string& column : columns) {
-      line.push_back(row.has_field(column) ? ShowScalar(row.at(column)) : "-");
+      line.push_back(row.has_field(column) ? ShowCell(row.at(column)) : "-");
     }
     lines.push_back(std::move(line));
   }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -11,6 +11,7 @@
 
 #include "src/base/clock.h"
 #include "src/base/log.h"
+#include "src/base/name_table.h"
 
 namespace medlarspread::settings {
 
@@ -89,10 +90,21 @@
   base::Duration flush = std::chrono::minutes(1);
 };
 
+// Where shard requests wait for a leaf. All but the first are baselines that
+// the benchmarks compare it with.
+enum class RoutingPolicy { kQueueOwner, kFixedShare, kRandomReplica };
+
+inline constexpr base::NameTable<RoutingPolicy, 3> kRoutingPolicyNames{{{
+    {RoutingPolicy::kQueueOwner, "queue_owner"},
+    {RoutingPolicy::kFixedShare, "fixed_share"},
+    {RoutingPolicy::kRandomReplica, "random_replica"},
+}}};
+
 // Protective limits of the system, not weights that operators tune.
 struct RoutingSettings {
-  // Into how many bundles, each with one queue per region, the key space of a
-  // collection is cut.
+  RoutingPolicy policy = RoutingPolicy::kQueueOwner;
+  // Into how many bundles the key space of a collection is cut; each bundle has
+  // one owner per region.
   int bundles_per_collection = 8;
   // Second sends in per cent of first sends, at most.
   int second_send_budget_percent = 3;
--- a/src/settings/key_table.cc
+++ b/src/settings/key_table.cc
@@ -71,6 +71,18 @@
           {"json", "text"}};
 }
 
+ChoiceValue PolicyChoice() {
+  return {[](const DaemonSettings& settings) {
+            return kRoutingPolicyNames.NameOf(settings.routing.policy);
+          },
+          [](DaemonSettings& settings, std::string_view name) {
+            const auto policy = kRoutingPolicyNames.ValueOf(name);
+            settings.routing.policy = policy.value_or(settings.routing.policy);
+            return policy.has_value();
+          },
+          {"queue_owner", "fixed_share", "random_replica"}};
+}
+
 std::vector<Key> VmKeys() {
   using Settings = DaemonSettings;
   constexpr auto kVm = &Settings::vm;
@@ -211,11 +223,14 @@
 std::vector<Key> RoutingKeys() {
   constexpr auto kRouting = &DaemonSettings::routing;
   return {
+      {"routing", "policy", PolicyChoice(), false,
+       "Where requests wait for a leaf. Leave it at the default: the others "
+       "are baselines for benchmarks. The same on all VMs."},
       {"routing", "bundles_per_collection",
        Integer<kRouting, &RoutingSettings::bundles_per_collection>(1, 64),
        false,
        "Into how many bundles the key space of a collection is cut. In each "
-       "region one daemon holds the queues of a bundle. A protective limit of "
+       "region one daemon owns the queues of a bundle. A protective limit of "
        "the system, not a weight. The same on all VMs."},
       {"routing", "second_send_budget_percent",
        Integer<kRouting, &RoutingSettings::second_send_budget_percent>(0, 5),
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -75,15 +75,16 @@
 TEST_F(CommandLineTest, StatusIsReadableOrJson) {
   const std::string body =
       R"({"revision":7,"vms":[{"state":"live","name":"vm-1"},)"
-      R"({"name":"vm-22","state":"leaving"}],"queues":{"photos":{"queued":2}}})";
+      R"({"name":"vm-22","state":"leaving","holdings":[{"low":0},{"low":7}]}],)"
+      R"("queues":{"photos":{"queued":2}}})";
   fake_.replies = {FakeEnvironment::Answer(200, body),
                    FakeEnvironment::Answer(200, body)};
   EXPECT_EQ(fake_.Run({"status"}), 0);
   EXPECT_THAT(fake_.out, HasSubstr("revision: 7\n"));
   EXPECT_THAT(fake_.out, HasSubstr("vms:\n"
-                                   "  name   state\n"
-                                   "  vm-1   live\n"
-                                   "  vm-22  leaving\n"));
+                                   "  name   state    holdings\n"
+                                   "  vm-1   live     -\n"
+                                   "  vm-22  leaving  low=0, low=7\n"));
   EXPECT_THAT(fake_.out, HasSubstr("queues:\n  photos:\n    queued: 2\n"));
   EXPECT_EQ(fake_.Run({"status", "--json"}), 0);
   EXPECT_EQ(fake_.out, body + "\n");
