HTTP: Never wait on a traffic thread for a request that is sent once

Cause: a load of at-most-once requests over four traffic threads stopped for good. The body that can't be rewound was closed with a wait, and the library ends that task on another traffic thread: once all wait, none is left.

Ruled out: more threads (the same at a higher load).

Change: nothing waits; both calls take effect at once, and the content length says how much is read.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -29,12 +29,13 @@
 // its body and gives up if it can't: the failure is then reported to us.
 concurrency::streams::istream MakeUnrepeatableBody(const std::string& body) {
   concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer;
-  // NOTE: this buffer takes a copy at once; neither task ever waits.
-  buffer
-      .putn_nocopy(reinterpret_cast<const std::uint8_t*>(body.data()),
-                   body.size())
-      .wait();
-  buffer.close(std::ios_base::out).wait();
+  // NOTE: both take effect within the call, and nothing waits for the tasks
+  // they return: the library ends that of close() on another traffic thread,
+  // so that waits on all of these would never end. The content length says
+  // how much is read.
+  buffer.putn_nocopy(reinterpret_cast<const std::uint8_t*>(body.data()),
+                     body.size());
+  buffer.close(std::ios_base::out);
   return buffer.create_istream();
 }
 
