--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -13,7 +13,8 @@
 
 constexpr const char* kAddressVariable = "MEDLARSPREAD_ADDRESS";
 constexpr const char* kTokenVariable = "MEDLARSPREAD_TOKEN";
-constexpr const char* kDefaultTimeout = "5000";
+// Longer than a daemon takes at most to settle a change.
+constexpr const char* kDefaultTimeout = "8000";
 constexpr int kMaxTimeoutMilliseconds = 600000;
 
 // The option if given, else the environment variable.
