--- a/src/targets/peer_exchange.cc
+++ b/src/targets/peer_exchange.cc
@@ -41,6 +41,7 @@
     return;
   }
   if (revision > held_->revision()) {
+    latest_ahead_ = peer;
     ScheduleRequest();
   }
 }
@@ -119,7 +120,7 @@
   if (is_stopped_ || ahead.empty()) {
     return;
   }
-  const std::string& peer = ahead[random_.Below(ahead.size())];
+  const std::string peer = PickPeer(ahead);
   peer::wire::TargetsRequest request;
   request.above_revision = held_->revision();
   if (!peers_.send(peer, request).is_ok()) {
@@ -131,6 +132,15 @@
                           [self = shared_from_this()] { self->Request(); });
 }
 
+std::string PeerExchange::PickPeer(const std::vector<std::string>& ahead) {
+  // One that does not answer is not preferred a second time.
+  const std::string latest = std::exchange(latest_ahead_, "");
+  if (std::find(ahead.begin(), ahead.end(), latest) != ahead.end()) {
+    return latest;
+  }
+  return ahead[random_.Below(ahead.size())];
+}
+
 std::vector<std::string> PeerExchange::PeersAhead() const {
   std::map<std::string, std::int64_t> revisions = revisions_;
   const auto membership = blackboard_.membership.Read();
--- a/src/targets/targets_record.h
+++ b/src/targets/targets_record.h
@@ -23,7 +23,7 @@
 
 // Changes that a record remembers. A change_id that is submitted again after
 // that many others is taken for a new change.
-constexpr std::size_t kMaxChangeMarks = 128;
+constexpr std::size_t kMaxChangeMarks = 64;
 // With this bound a record stays far below the store's limit of 1 MB.
 constexpr std::size_t kMaxClasses = 1000;
 
