Burn: Judge each request by the percentiles in force

Cause: the session left out the two percentiles of a class, so that every error budget would have been that of 99 in 100. They are recorded now, and a record that leaves them out allows nothing, which shows, instead of being lenient.

Outside src/burn: two lines in the query session, and a test of its record.

--- a/src/burn/request_record.h
+++ b/src/burn/request_record.h
@@ -23,8 +23,10 @@
   base::Duration latency_target{};
   double coverage_target = 0.0;
   // Out of 100: how many requests must meet the latency and coverage targets.
-  double latency_percentile = 99.0;
-  double coverage_percentile = 99.0;
+  // All of them, unless said otherwise: a target is never made easier by
+  // forgetting to state it.
+  double latency_percentile = 100.0;
+  double coverage_percentile = 100.0;
 
   RequestOutcome outcome = RequestOutcome::kRefused;
   base::Duration latency{};
--- a/src/burn/roll_up_runner.cc
+++ b/src/burn/roll_up_runner.cc
@@ -102,7 +102,9 @@
   // nothing up for long.
   const std::string hour = "/" + std::to_string(NowHour());
   for (const std::string& failure_domain : failure_domains) {
-    if (IsHolder(*view, "burn/domain/" + failure_domain + hour)) {
+    std::string subject = "burn/domain/";
+    subject.append(failure_domain).append(hour);
+    if (IsHolder(*view, subject)) {
       Push([this, failure_domain] { StartDomain(failure_domain); });
     }
   }
--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -425,6 +425,8 @@
   record.targets_revision = targets_revision_;
   record.latency_target = targets_.latency;
   record.coverage_target = targets_.coverage;
+  record.latency_percentile = targets_.percentile;
+  record.coverage_percentile = targets_.coverage_percentile;
   record.latency = dependencies_->clock.Now() - arrived_;
   record.upstream_sends = upstream_sends_;
   if (const auto* answered = std::get_if<Answered>(&answer)) {
--- a/tests/burn/burn_controller_test.cc
+++ b/tests/burn/burn_controller_test.cc
@@ -21,6 +21,8 @@
   record.targets_revision = 1;
   record.latency_target = base::Milliseconds(91);
   record.coverage_target = 0.98;
+  record.latency_percentile = 99.0;
+  record.coverage_percentile = 99.0;
   record.outcome = RequestOutcome::kAnswered;
   record.latency = base::Milliseconds(latency_ms);
   record.coverage = coverage;
--- a/tests/burn/burn_property_test.cc
+++ b/tests/burn/burn_property_test.cc
@@ -118,6 +118,7 @@
       record.latency_target = base::Milliseconds(90 + revision_);
       record.coverage_target = revision_ % 2 == 0 ? 0.9 : 0.99;
       record.latency_percentile = revision_ % 3 == 0 ? 99.9 : 95.0;
+      record.coverage_percentile = 99.0;
       record.outcome = *rc::gen::element(
           RequestOutcome::kAnswered, RequestOutcome::kAnswered,
           RequestOutcome::kRefused, RequestOutcome::kUnknown);
--- a/tests/query/query_session_test.cc
+++ b/tests/query/query_session_test.cc
@@ -126,6 +126,23 @@
   EXPECT_EQ(records_[0].upstream_sends, 2);
 }
 
+TEST_F(QuerySessionTest, RecordsTheTargetsThatItIsJudgedBy) {
+  auto view = *world_.blackboard.targets.Read();
+  view.classes["counter"].percentile = 99.5;
+  view.classes["counter"].coverage = 0.75;
+  view.classes["counter"].coverage_percentile = 95.0;
+  world_.blackboard.targets.Write(view);
+  const auto answer = Submit();
+  world_.Answer(0, "[1]");
+  world_.Answer(1, "[2]");
+  ASSERT_TRUE(answer->has_value());
+  ASSERT_EQ(records_.size(), 1U);
+  EXPECT_EQ(records_[0].latency_target, Milliseconds(100));
+  EXPECT_EQ(records_[0].latency_percentile, 99.5);
+  EXPECT_EQ(records_[0].coverage_target, 0.75);
+  EXPECT_EQ(records_[0].coverage_percentile, 95.0);
+}
+
 TEST_F(QuerySessionTest, AnswersAtTheTargetOnceCoverageIsMet) {
   const auto audit = Submit("audit");
   const auto counter = Submit("counter");
