--- /dev/null
+++ b/src/daemon/operator_pages.h
@@ -0,0 +1,44 @@
+// What this daemon shows to operators beside the targets: its queues, the burn
+// report and the metrics.
+
+#ifndef MEDLARSPREAD_DAEMON_OPERATOR_PAGES_H_
+#define MEDLARSPREAD_DAEMON_OPERATOR_PAGES_H_
+
+#include <string>
+
+#include "src/admin_api/admin_api.h"
+#include "src/daemon/controllers.h"
+#include "src/daemon/metering.h"
+#include "src/daemon/traffic.h"
+#include "src/http/listener.h"
+#include "src/peer/peer_network.h"
+
+namespace medlarspread::daemon {
+
+// Safe to use from any thread. The parts must outlive it.
+class OperatorPages {
+ public:
+  OperatorPages(Controllers& controllers,
+                Traffic& traffic,
+                const peer::PeerNetwork& network,
+                const blackboard::Blackboard& blackboard,
+                Metering& metering);
+
+  admin_api::AdminPorts ports();
+
+ private:
+  // {"sessions", "sub_queries", "collections": [{"collection", "queued",
+  // "running"}]}.
+  std::string DescribeQueues() const;
+  void ReportBurn(const std::string& format, http::Responder respond);
+
+  Controllers& controllers_;
+  Traffic& traffic_;
+  const peer::PeerNetwork& network_;
+  const blackboard::Blackboard& blackboard_;
+  Metering& metering_;
+};
+
+}  // namespace medlarspread::daemon
+
+#endif  // MEDLARSPREAD_DAEMON_OPERATOR_PAGES_H_
--- /dev/null
+++ b/src/daemon/serve.cc
@@ -0,0 +1,59 @@
+// Signals, the log and the daemon's whole life.
+
+#include "src/daemon/serve.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "src/base/log.h"
+#include "src/daemon/daemon.h"
+
+namespace medlarspread::daemon {
+
+namespace {
+
+// Written by the signal handler, so they can only be global and lock-free.
+std::atomic<bool> should_stop = false;
+std::atomic<bool> should_end_now = false;
+static_assert(std::atomic<bool>::is_always_lock_free);
+
+extern "C" void DidReceiveStopSignal(int) {
+  if (should_stop.exchange(true)) {
+    should_end_now = true;
+  }
+}
+
+void InstallSignalHandlers() {
+  struct sigaction action {};
+  action.sa_handler = DidReceiveStopSignal;
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  // A peer that is gone must be an error of the write, not the end of us.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+}  // namespace
+
+int Serve(const settings::DaemonSettings& settings) {
+  InstallSignalHandlers();
+  const base::Log log({.level = settings.log.level,
+                       .format = settings.log.format,
+                       .vm = settings.vm.name},
+                      std::cerr);
+  // NOTE: never destroyed. The HTTP library's threads run until the process
+  // exits and may still hold callbacks that refer to the daemon.
+  auto* daemon = new Daemon(settings, log, std::cout);
+  const auto started = daemon->Start();
+  if (!started.is_ok()) {
+    log.DidFail(started.error(), "the daemon can't start");
+    std::_Exit(EXIT_FAILURE);
+  }
+  const bool is_whole = daemon->RunUntil(should_stop, should_end_now);
+  // Skips destructors of globals, which would race with those threads.
+  std::cout.flush();
+  std::_Exit(is_whole ? EXIT_SUCCESS : EXIT_FAILURE);
+}
+
+}  // namespace medlarspread::daemon
--- a/src/daemon/traffic.cc
+++ b/src/daemon/traffic.cc
@@ -68,8 +68,10 @@
     return ForwardSecondSend(request, done);
   };
   return std::make_shared<routing::Dispatcher>(
-      collection, options_.attempt_prefix, options_.policy, clock_, random_,
-      runner_.MakeSequence(), blackboard_, windows_, std::move(ports));
+      routing::DispatcherOptions{collection, options_.attempt_prefix,
+                                 options_.policy, options_.second_send_share},
+      clock_, random_, runner_.MakeSequence(), blackboard_, windows_,
+      std::move(ports));
 }
 
 bool Traffic::ForwardSecondSend(const routing::ShardRequest& request,
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -39,6 +39,8 @@
   // Makes attempt identifiers unique over daemons and incarnations.
   std::string attempt_prefix;
   routing::Policy policy;
+  // Second sends as a share of first sends, at most.
+  double second_send_share = 0.0;
   int most_in_flight = 0;
 };
 
@@ -53,6 +55,7 @@
           TrafficPorts ports);
 
   query::QueryService& queries() { return *queries_; }
+  const query::QueryService& queries() const { return *queries_; }
   routing::SubQueryClient& sub_query_client() { return *client_; }
   routing::SubQueryServer& sub_query_server() { return *server_; }
   const routing::DispatcherSet& dispatchers() const { return *dispatchers_; }
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -35,25 +35,22 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(std::string collection,
-                       std::string attempt_prefix,
-                       Policy policy,
+Dispatcher::Dispatcher(DispatcherOptions options,
                        base::Clock clock,
                        std::shared_ptr<base::Random> random,
                        base::TaskRunner runner,
                        const blackboard::Blackboard& blackboard,
                        std::shared_ptr<LeafWindows> windows,
                        DispatcherPorts ports)
-    : collection_(std::move(collection)),
-      attempt_prefix_(std::move(attempt_prefix)),
-      policy_(policy),
+    : options_(std::move(options)),
       clock_(std::move(clock)),
       random_(std::move(random)),
       runner_(std::move(runner)),
       blackboard_(blackboard),
       windows_(std::move(windows)),
       ports_(std::move(ports)),
-      queues_(blackboard, OrderOf(policy_)) {}
+      queues_(blackboard, OrderOf(options_.policy)),
+      second_sends_(options_.second_send_share) {}
 
 std::uint64_t Dispatcher::Submit(ShardRequest request, ShardCallback done) {
   const std::uint64_t id = next_job_++;
@@ -117,7 +114,7 @@
 bool Dispatcher::MayUse(const ShardJob& job,
                         const blackboard::Upstream& upstream) const {
   return !job.tried.contains(upstream.name) &&
-         MaySendTo(policy_, *blackboard_.membership.Read(), upstream);
+         MaySendTo(options_.policy, *blackboard_.membership.Read(), upstream);
 }
 
 std::vector<const blackboard::Upstream*> Dispatcher::UsableReplicas(
@@ -141,11 +138,12 @@
   double best_score = 0.0;
   for (const auto* replica : Index().ReplicasOf(key)) {
     if (exhausted.contains(replica->name) ||
-        !MaySendTo(policy_, *view, *replica) || !windows_->has_room(*replica)) {
+        !MaySendTo(options_.policy, *view, *replica) ||
+        !windows_->has_room(*replica)) {
       continue;
     }
     const bool ignores_load =
-        std::holds_alternative<RandomReplicaPolicy>(policy_);
+        std::holds_alternative<RandomReplicaPolicy>(options_.policy);
     const double score =
         random_->Unit() * (ignores_load ? 1.0 : 0.01) +
         (ignores_load ? 0.0
@@ -226,7 +224,8 @@
     return;
   }
   const MonotonicTime now = clock_.Now();
-  const std::string attempt_id = attempt_prefix_ + "-" + collection_ + "-" +
+  const std::string attempt_id = options_.attempt_prefix + "-" +
+                                 options_.collection + "-" +
                                  std::to_string(next_attempt_++);
   job.attempts.push_back({attempt_id, upstream});
   job.tried.insert(upstream.name);
@@ -239,7 +238,7 @@
   upstream::LeafRequest request{.attempt_id = attempt_id,
                                 .request_id = job.request.request_id,
                                 .class_name = job.request.class_name,
-                                .collection = collection_,
+                                .collection = options_.collection,
                                 .snapshot = job.request.snapshot,
                                 .range = job.request.range,
                                 .deadline_left = job.request.deadline - now,
@@ -273,7 +272,7 @@
 // Step 3. The delay counts from the send to the leaf, not from the arrival of
 // the request: waiting in the queue is no sign of a slow replica.
 void Dispatcher::ArmSecondSend(std::uint64_t id, ShardJob& job) {
-  if (!HasSecondSends(policy_) || job.request.is_at_most_once ||
+  if (!HasSecondSends(options_.policy) || job.request.is_at_most_once ||
       job.request.is_hedge) {
     return;
   }
@@ -494,12 +493,12 @@
   load.queued = static_cast<int>(queues_.queued(key));
   const auto view = blackboard_.membership.Read();
   for (const auto* replica : Index().ReplicasOf(key)) {
-    if (MaySendTo(policy_, *view, *replica)) {
+    if (MaySendTo(options_.policy, *view, *replica)) {
       load.running += windows_->in_flight(*replica);
       load.slots += windows_->limit(*replica);
     }
   }
-  if (HasEntryGate(policy_)) {
+  if (HasEntryGate(options_.policy)) {
     load.expected_wait = ExpectedWait(request, load);
   }
   return load;
@@ -530,7 +529,7 @@
 const ReplicaIndex& Dispatcher::Index() {
   auto view = blackboard_.upstreams.Read();
   if (!index_ || index_->view() != view) {
-    index_.emplace(std::move(view), collection_);
+    index_.emplace(std::move(view), options_.collection);
   }
   return *index_;
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -55,11 +55,18 @@
   std::function<bool(const ShardRequest&, ShardCallback)> forward_second_send;
 };
 
+struct DispatcherOptions {
+  std::string collection;
+  // Makes attempt identifiers unique over daemons and incarnations.
+  std::string attempt_prefix;
+  Policy policy;
+  // Second sends as a share of first sends, at most.
+  double second_send_share = admission::SecondSendPolicy::kDefaultShare;
+};
+
 class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
  public:
-  Dispatcher(std::string collection,
-             std::string attempt_prefix,
-             Policy policy,
+  Dispatcher(DispatcherOptions options,
              base::Clock clock,
              std::shared_ptr<base::Random> random,
              base::TaskRunner runner,
@@ -122,10 +129,7 @@
                               const ShardLoad& load) const;
   const ReplicaIndex& Index();
 
-  const std::string collection_;
-  // Makes attempt identifiers unique over daemons and incarnations.
-  const std::string attempt_prefix_;
-  const Policy policy_;
+  const DispatcherOptions options_;
   const base::Clock clock_;
   const std::shared_ptr<base::Random> random_;
   const base::TaskRunner runner_;
--- a/src/routing/policy.cc
+++ b/src/routing/policy.cc
@@ -38,27 +38,6 @@
 
 }  // namespace
 
-const char* PolicyName(const Policy& policy) {
-  return std::visit(
-      Overloaded{
-          [](const QueueOwnerPolicy&) { return "queue_owner"; },
-          [](const FixedSharePolicy&) { return "fixed_share"; },
-          [](const RandomReplicaPolicy&) { return "random_replica"; },
-      },
-      policy);
-}
-
-std::optional<Policy> PolicyFromName(std::string_view name, int bundles) {
-  for (const Policy& policy :
-       {Policy(QueueOwnerPolicy{bundles}), Policy(FixedSharePolicy{}),
-        Policy(RandomReplicaPolicy{})}) {
-    if (name == PolicyName(policy)) {
-      return policy;
-    }
-  }
-  return std::nullopt;
-}
-
 std::string OwnerKey(const Policy& policy,
                      const std::string& collection,
                      const std::string& region,
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -4,9 +4,7 @@
 #ifndef MEDLARSPREAD_ROUTING_POLICY_H_
 #define MEDLARSPREAD_ROUTING_POLICY_H_
 
-#include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -31,9 +29,6 @@
 using Policy =
     std::variant<QueueOwnerPolicy, FixedSharePolicy, RandomReplicaPolicy>;
 
-const char* PolicyName(const Policy& policy);
-std::optional<Policy> PolicyFromName(std::string_view name, int bundles);
-
 // Ranges of one collection and region that share this key share their owners.
 std::string OwnerKey(const Policy& policy,
                      const std::string& collection,
--- a/tests/support/routing_world.h
+++ b/tests/support/routing_world.h
@@ -110,8 +110,9 @@
       return has_other_region;
     };
     return std::make_shared<routing::Dispatcher>(
-        collection, "vm-a.1", policy, clock, random, runner.MakeSequence(),
-        blackboard, std::make_shared<routing::LeafWindows>(policy, clock),
+        routing::DispatcherOptions{collection, "vm-a.1", policy}, clock, random,
+        runner.MakeSequence(), blackboard,
+        std::make_shared<routing::LeafWindows>(policy, clock),
         std::move(ports));
   }
 
