HTTP, Daemon: Close the callers' listener without cutting requests off

Cause: a daemon that stops answered everything it had read, then exited while a request was arriving on an open connection; its caller saw the connection reset. Ruled out: the sessions (none in flight at the end) and the order of the stop steps. The HTTP library can only close a listener together with its connections.

Change: once new requests are being refused, the listening socket is shut down, responses ask to close their connection, and the open connections get 200 ms more before the process goes on.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -22,6 +22,9 @@
 // How long peers may need to hear that this daemon leaves, before its queues
 // are refused to them.
 constexpr Duration kLeaveNotice = base::Milliseconds(500);
+// How long requests may take to arrive on connections that are open when no
+// more are accepted.
+constexpr Duration kCloseNotice = base::Milliseconds(200);
 
 // Unpredictable, so that identifiers of different VMs do not meet. The seed is
 // not logged: nothing that it decides needs to be replayed on a live VM.
@@ -227,6 +230,8 @@
          return traffic_->queries().in_flight() + callers_->in_flight();
        },
        kLeaveNotice},
+      {"close the callers' listener", [this] { callers_->StopAccepting(); },
+       [this] { return callers_->in_flight(); }, kCloseNotice},
       {"finish peers' sub-queries",
        [this] { traffic_->sub_query_server().StopAccepting(); },
        [this] { return traffic_->sub_query_server().in_flight(); }},
--- a/src/daemon/graceful_stop.h
+++ b/src/daemon/graceful_stop.h
@@ -2,7 +2,8 @@
 // new. Steps, each waiting for the one before:
 //   1. Report not ready, so that the platform's balancer turns elsewhere, and
 //      tell the peers, so that the queues of this daemon move to others.
-//   2. Refuse new requests of callers as not run; finish those in flight.
+//   2. Refuse new requests of callers as not run; finish those in flight; then
+//      accept no more connections.
 //   3. Once the peers have had time to hear, refuse their new sub-queries as
 //      not run; finish those in flight.
 //   4. Write what must last (claims, counts), then close the links.
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -11,6 +11,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include "src/base/task_runner.h"
+#include "src/http/listening_socket.h"
 
 namespace medlarspread::http {
 
@@ -50,14 +51,20 @@
   return request;
 }
 
+// Shared by a listener and its exchanges, which may outlive it.
+struct ListenerCounts {
+  std::atomic<int> in_flight = 0;
+  std::atomic<bool> is_closing = false;
+};
+
 // One request from arrival to answer. It keeps itself alive through the
 // callbacks that refer to it.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(const web::http::http_request& message,
-           std::shared_ptr<std::atomic<int>> in_flight)
-      : message_(message), in_flight_(std::move(in_flight)) {
-    ++*in_flight_;
+           std::shared_ptr<ListenerCounts> counts)
+      : message_(message), counts_(std::move(counts)) {
+    ++counts_->in_flight;
   }
 
   void Reply(Response response) {
@@ -70,9 +77,12 @@
     for (const auto& [name, value] : response.headers) {
       reply.headers()[name] = value;
     }
+    if (counts_->is_closing) {
+      reply.headers()["Connection"] = "close";
+    }
     message_.reply(reply).then(
         [self = shared_from_this()](pplx::task<void> task) {
-          --*self->in_flight_;
+          --self->counts_->in_flight;
           try {
             task.get();
           } catch (const std::exception&) {
@@ -89,7 +99,7 @@
 
  private:
   web::http::http_request message_;
-  std::shared_ptr<std::atomic<int>> in_flight_;
+  std::shared_ptr<ListenerCounts> counts_;
   std::atomic<bool> is_answered_ = false;
 };
 
@@ -112,9 +122,10 @@
         timers_(TrafficContext()) {}
 
   base::Status Open();
+  void StopAccepting();
   void Close();
   const std::string& address() const { return address_; }
-  int in_flight() const { return in_flight_->load(); }
+  int in_flight() const { return counts_->in_flight.load(); }
 
  private:
   void DidReceive(const web::http::http_request& message);
@@ -125,9 +136,7 @@
   const base::TaskRunner timers_;
   std::string address_;
   std::unique_ptr<http_listener> listener_;
-  // Shared with exchanges that outlive this object.
-  std::shared_ptr<std::atomic<int>> in_flight_ =
-      std::make_shared<std::atomic<int>>(0);
+  std::shared_ptr<ListenerCounts> counts_ = std::make_shared<ListenerCounts>();
 };
 
 base::Status Listener::Impl::Open() {
@@ -159,11 +168,16 @@
                          settings_.address, detail);
 }
 
+void Listener::Impl::StopAccepting() {
+  counts_->is_closing = true;
+  ShutDownListeningSocket(address_);
+}
+
 void Listener::Impl::Close() {
   if (!listener_) {
     return;
   }
-  while (in_flight_->load() > 0) {
+  while (counts_->in_flight.load() > 0) {
     std::this_thread::sleep_for(kCloseInterval);
   }
   try {
@@ -175,7 +189,7 @@
 }
 
 void Listener::Impl::DidReceive(const web::http::http_request& message) {
-  auto exchange = std::make_shared<Exchange>(message, in_flight_);
+  auto exchange = std::make_shared<Exchange>(message, counts_);
   const auto length = message.headers().content_length();
   if (length > settings_.max_body_bytes) {
     exchange->Fail(kPayloadTooLarge, "body too large");
@@ -221,6 +235,10 @@
   return impl_->Open();
 }
 
+void Listener::StopAccepting() {
+  impl_->StopAccepting();
+}
+
 void Listener::Close() {
   impl_->Close();
 }
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -44,6 +44,9 @@
   Listener& operator=(const Listener&) = delete;
 
   base::Status Open();
+  // Refuses new connections, while those that are open are still served; each
+  // is asked to close with its next response.
+  void StopAccepting();
   // Stops accepting and waits until the requests in flight are answered.
   void Close();
 
--- /dev/null
+++ b/src/http/listening_socket.h
@@ -0,0 +1,19 @@
+// Access to a listening socket that the HTTP library keeps to itself.
+
+#ifndef MEDLARSPREAD_HTTP_LISTENING_SOCKET_H_
+#define MEDLARSPREAD_HTTP_LISTENING_SOCKET_H_
+
+#include <string>
+
+namespace medlarspread::http {
+
+// Makes this process's listening socket on `address` ("ip:port") refuse new
+// connections; accepted ones live on. Does nothing if there is none.
+//
+// NOTE: the library can only close a listener together with all its
+// connections, which would cut off requests that are just arriving on them.
+void ShutDownListeningSocket(const std::string& address);
+
+}  // namespace medlarspread::http
+
+#endif  // MEDLARSPREAD_HTTP_LISTENING_SOCKET_H_
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -100,5 +100,22 @@
   kept.get_future().get()({});
 }
 
+TEST_F(ExchangeTest, StoppedListenerServesOpenConnectionsOnly) {
+  Listener listener(
+      {.address = "127.0.0.1:0"},
+      [](const Request&, const Responder& respond) { respond({}); });
+  ASSERT_TRUE(listener.Open().is_ok());
+  Client client({.address = listener.address()}, timers_);
+  ASSERT_TRUE(SendAndWait(client, {}, kLongTimeout).is_ok());
+  listener.StopAccepting();
+  // The connection that is open serves once more and is then closed.
+  const auto last = SendAndWait(client, {}, kLongTimeout);
+  ASSERT_TRUE(last.is_ok()) << last.error().ToString();
+  EXPECT_EQ(last.value().headers.at("connection"), "close");
+  const auto refused = SendAndWait(client, {}, kLongTimeout);
+  ASSERT_FALSE(refused.is_ok());
+  EXPECT_EQ(refused.error().code, base::ErrorCode::kUnreachable);
+}
+
 }  // namespace
 }  // namespace medlarspread::http
