Targets: Ask a peer at once, and only trust a settled membership

Cause: the delay before asking was chosen against heartbeats that go to all each second. Membership probes two daemons each 250 ms instead, and its view is not complete from the start.

Change: the sender of the heartbeat is asked at once; no delay, no setting for one. A daemon is ready only once membership has settled and a second more has passed, and refuses changes while it is not settled.

Ruled out: any delay.

--- a/src/targets/peer_exchange.cc
+++ b/src/targets/peer_exchange.cc
@@ -41,8 +41,12 @@
     return;
   }
   if (revision > held_->revision()) {
-    latest_ahead_ = peer;
-    ScheduleRequest();
+    // NOTE: at once. Heartbeats go to a few peers at a time, so that those who
+    // ask spread over those who hold the targets by then; a random delay only
+    // slows that down, see docs/design/08-targets.md.
+    if (!is_waiting_) {
+      Request(peer);
+    }
   }
 }
 
@@ -66,7 +70,10 @@
   if (body.body.empty()) {
     return;
   }
-  held_->Offer(body.body, sender.name);
+  if (held_->Offer(body.body, sender.name) == OfferOutcome::kApplied) {
+    timer_.Cancel();
+    is_waiting_ = false;
+  }
 }
 
 std::int64_t PeerExchange::HighestLive() const {
@@ -88,57 +95,40 @@
 }
 
 void PeerExchange::RequestNow() {
-  if (is_stopped_ || PeersAhead().empty()) {
-    return;
+  if (!is_waiting_) {
+    RequestAny();
   }
-  timer_.Cancel();
-  Request();
 }
 
 void PeerExchange::Stop() {
   is_stopped_ = true;
   timer_.Cancel();
+  is_waiting_ = false;
 }
 
-void PeerExchange::ScheduleRequest() {
-  if (is_scheduled_ || is_stopped_) {
-    return;
-  }
-  is_scheduled_ = true;
-  // A daemon that has nothing yet is starting and asks at once.
-  const base::Duration delay =
-      held_->is_known()
-          ? base::Duration(random_.Below(settings_.request_jitter.count() + 1))
-          : base::Duration(0);
-  timer_ =
-      control_.After(delay, [self = shared_from_this()] { self->Request(); });
-}
-
-void PeerExchange::Request() {
-  is_scheduled_ = false;
-  const std::vector<std::string> ahead = PeersAhead();
-  if (is_stopped_ || ahead.empty()) {
+void PeerExchange::Request(const std::string& peer) {
+  if (is_stopped_) {
     return;
   }
-  const std::string peer = PickPeer(ahead);
   peer::wire::TargetsRequest request;
   request.above_revision = held_->revision();
   if (!peers_.send(peer, request).is_ok()) {
     // Not reachable: its next heartbeat brings it back.
     revisions_.erase(peer);
   }
-  is_scheduled_ = true;
-  timer_ = control_.After(settings_.request_timeout,
-                          [self = shared_from_this()] { self->Request(); });
+  is_waiting_ = true;
+  timer_ =
+      control_.After(settings_.request_timeout, [self = shared_from_this()] {
+        self->is_waiting_ = false;
+        self->RequestAny();
+      });
 }
 
-std::string PeerExchange::PickPeer(const std::vector<std::string>& ahead) {
-  // One that does not answer is not preferred a second time.
-  const std::string latest = std::exchange(latest_ahead_, "");
-  if (std::find(ahead.begin(), ahead.end(), latest) != ahead.end()) {
-    return latest;
+void PeerExchange::RequestAny() {
+  const std::vector<std::string> ahead = PeersAhead();
+  if (!ahead.empty()) {
+    Request(ahead[random_.Below(ahead.size())]);
   }
-  return ahead[random_.Below(ahead.size())];
 }
 
 std::vector<std::string> PeerExchange::PeersAhead() const {
--- a/src/targets/peer_exchange.h
+++ b/src/targets/peer_exchange.h
@@ -50,12 +50,10 @@
   void Stop();
 
  private:
-  void ScheduleRequest();
-  // One attempt; another follows unless we have caught up by then.
-  void Request();
-  // The peer that was seen last to be ahead, because the first ones, the
-  // readers of the store, would be asked by everybody; else any.
-  std::string PickPeer(const std::vector<std::string>& ahead);
+  // Asks `peer`; another attempt follows unless we have caught up by then.
+  void Request(const std::string& peer);
+  // Asks any peer that is ahead, if there is one.
+  void RequestAny();
   std::vector<std::string> PeersAhead() const;
 
   const TargetsSettings settings_;
@@ -67,13 +65,11 @@
   const base::Log log_;
 
   std::map<std::string, std::int64_t> revisions_;
-  // The sender of the last heartbeat that showed a higher revision than ours,
-  // until it is asked.
-  std::string latest_ahead_;
   std::int64_t highest_seen_ = 0;
   bool is_stopped_ = false;
-  // Invariant: set exactly while `timer_` is due to call Request().
-  bool is_scheduled_ = false;
+  // Invariant: set exactly while an answer is waited for, that is, while
+  // `timer_` is due.
+  bool is_waiting_ = false;
   base::Timer timer_;
 };
 
--- a/src/targets/targets_controller.cc
+++ b/src/targets/targets_controller.cc
@@ -3,6 +3,7 @@
 #include "src/targets/targets_controller.h"
 
 #include <atomic>
+#include <optional>
 #include <utility>
 
 #include "src/targets/change_session.h"
@@ -40,6 +41,7 @@
         clock_(clock),
         control_(control),
         store_(store),
+        blackboard_(blackboard),
         held_(std::make_shared<HeldTargets>(clock, blackboard, log)),
         peers_(std::make_shared<PeerExchange>(settings,
                                               random,
@@ -56,7 +58,6 @@
                                               held_)) {}
 
   void Start() {
-    started_at_ = clock_.Now();
     reader_->Start();
     CheckReady();
   }
@@ -75,6 +76,7 @@
   TargetsAlarms alarms() const { return held_->alarms(); }
 
  private:
+  bool is_settled() const { return blackboard_.membership.Read()->is_settled; }
   // Looks again later until the answer is yes.
   void CheckReady();
   // Why no change can be taken on now, if so.
@@ -84,11 +86,13 @@
   const base::Clock clock_;
   const base::TaskRunner control_;
   const platform::Store store_;
+  const blackboard::Blackboard& blackboard_;
   const std::shared_ptr<HeldTargets> held_;
   const std::shared_ptr<PeerExchange> peers_;
   const std::shared_ptr<StoreReader> reader_;
 
-  base::MonotonicTime started_at_;
+  // Since when membership has been settled, while the daemon starts.
+  std::optional<base::MonotonicTime> settled_at_;
   bool is_stopped_ = false;
   std::atomic<bool> is_ready_ = false;
   // Invariant: at most settings_.max_changes.
@@ -96,9 +100,15 @@
 };
 
 void TargetsController::Impl::CheckReady() {
+  if (!is_settled()) {
+    settled_at_.reset();
+  } else if (!settled_at_) {
+    settled_at_ = clock_.Now();
+  }
   // NOTE: word from one peer is not enough: it may have started from the same
-  // restored store. The wait gives every peer the time for a heartbeat.
-  const bool has_waited = clock_.Now() - started_at_ >= settings_.peer_wait;
+  // restored store. The wait gives more of them the time for a heartbeat.
+  const bool has_waited =
+      settled_at_ && clock_.Now() - *settled_at_ >= settings_.peer_wait;
   if (held_->is_known() && has_waited &&
       peers_->HighestLive() <= held_->revision()) {
     is_ready_ = true;
@@ -118,6 +128,10 @@
     return NotNow(base::ErrorCode::kUnavailable,
                   "this VM has not learnt the targets yet");
   }
+  if (!is_settled()) {
+    return NotNow(base::ErrorCode::kUnavailable,
+                  "this VM does not know its peers now");
+  }
   if (changes_ >= settings_.max_changes) {
     return NotNow(base::ErrorCode::kOverloaded, "too many changes at once");
   }
--- a/src/targets/targets_settings.h
+++ b/src/targets/targets_settings.h
@@ -30,14 +30,12 @@
   // A restored store is written back after a random part of this.
   base::Duration repair_delay = base::Milliseconds(2000);
 
-  // A peer is asked for targets after a random part of `request_jitter`, which
-  // spreads the requests over the daemons that hold them by then.
-  base::Duration request_jitter = base::Milliseconds(1500);
+  // How long a peer that was asked for targets may take before another is.
   base::Duration request_timeout = base::Milliseconds(1000);
-  // A starting daemon waits so long for the heartbeats of its peers, because
-  // the store may have been restored to older targets than theirs. Invariant:
-  // longer than the interval of heartbeats.
-  base::Duration peer_wait = base::Milliseconds(2000);
+  // Once membership has settled, a starting daemon waits so long for the
+  // heartbeats of its peers, because the store may have been restored to older
+  // targets than theirs. Invariant: several intervals of heartbeats.
+  base::Duration peer_wait = base::Milliseconds(1000);
 
   // Within it a change is accepted, refused or reported as unknown.
   base::Duration change_timeout = base::Milliseconds(5000);
--- a/tests/admin_api/admin_api_test.cc
+++ b/tests/admin_api/admin_api_test.cc
@@ -72,6 +72,9 @@
 class AdminApiTest : public testing::Test {
  protected:
   AdminApiTest() {
+    blackboard::MembershipView membership;
+    membership.is_settled = true;
+    blackboard_.membership.Write(membership);
     controller_.Start();
     scheduler_->Advance(kLong);
   }
--- a/tests/targets/fake_fleet.cc
+++ b/tests/targets/fake_fleet.cc
@@ -41,6 +41,7 @@
   TargetsSettings settings;
   settings.self = name;
   settings.failure_domain = "domain";
+  settings.peer_wait = 2 * kHeartbeat;
   daemon->controller = std::make_unique<TargetsController>(
       settings, base::Clock(time_), *daemon->random, runner_, store_.store(),
       MakePort(name), daemon->blackboard);
@@ -149,6 +150,7 @@
   for (const auto& [self, daemon] : daemons_) {
     blackboard::MembershipView view;
     view.self = self;
+    view.is_settled = true;
     for (const auto& [name, other] : daemons_) {
       if (!IsLinked(self, name)) {
         continue;
--- a/tests/targets/targets_controller_test.cc
+++ b/tests/targets/targets_controller_test.cc
@@ -285,6 +285,16 @@
   fleet_.store().choose_fault = nullptr;
 }
 
+TEST_F(TargetsControllerTest, ChangeIsRefusedWhileMembershipIsNotSettled) {
+  // As after a pause of the VM: who its peers are, and what they hold, is not
+  // known.
+  daemon().blackboard.membership.Write({});
+  const auto outcome =
+      fleet_.ChangeAndWait("a", MakeChange("c1", "counter", 50));
+  ASSERT_TRUE(std::holds_alternative<ChangeRefused>(outcome));
+  EXPECT_EQ(fleet_.store().writes(), 0);
+}
+
 TEST_F(TargetsControllerTest, StoppedDaemonRefusesChanges) {
   daemon().controller->Stop();
   const auto outcome =
