--- a/src/burn/burn_controller.cc
+++ b/src/burn/burn_controller.cc
@@ -221,7 +221,7 @@
   state_->control.Post([self = shared_from_this(), query = std::move(query),
                         callback = std::move(callback)] {
     State& state = *self->state_;
-    ReadCounts(state.store, state.settings,
+    ReadCounts(state.store, state.settings, state.control,
                [self, query, callback](base::Result<StoredCounts> read) {
                  callback(self->MakeReport(query, std::move(read)));
                });
--- a/src/burn/segment_reader.cc
+++ b/src/burn/segment_reader.cc
@@ -2,6 +2,8 @@
 
 #include "src/burn/segment_reader.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <utility>
 
@@ -12,12 +14,19 @@
 
 namespace {
 
+// About 10 ms of work for segments of ten minutes and eight classes.
+constexpr std::size_t kAtOnce = 50;
+
 class Reader : public std::enable_shared_from_this<Reader> {
  public:
   Reader(const platform::Store& store,
          base::Duration timeout,
+         const base::TaskRunner& control,
          ReadCountsCallback callback)
-      : store_(store), timeout_(timeout), callback_(std::move(callback)) {}
+      : store_(store),
+        timeout_(timeout),
+        control_(control),
+        callback_(std::move(callback)) {}
 
   void Next() {
     if (prefixes_.empty()) {
@@ -33,18 +42,32 @@
                     self->callback_(result.error());
                     return;
                   }
-                  self->Add(result.value());
-                  self->Next();
+                  self->entries_ = result.value();
+                  self->AddSome(0);
                 });
   }
 
  private:
+  // Decodes some entries from `first` on and leaves the rest to another task.
+  void AddSome(std::size_t first) {
+    const std::size_t end = std::min(entries_.size(), first + kAtOnce);
+    const auto begin = entries_.begin();
+    Add({begin + static_cast<std::ptrdiff_t>(first),
+         begin + static_cast<std::ptrdiff_t>(end)});
+    if (end == entries_.size()) {
+      entries_.clear();
+      Next();
+      return;
+    }
+    control_.Post([self = shared_from_this(), end] { self->AddSome(end); });
+  }
+
   void Add(const std::vector<platform::Entry>& entries) {
-    std::vector<platform::Entry> rest;
+    std::vector<platform::Entry> segments;
     for (const platform::Entry& entry : entries) {
       const auto gone = ParseGoneKey(entry.key);
       if (!gone) {
-        rest.push_back(entry);
+        segments.push_back(entry);
         continue;
       }
       const auto wall_ms = ParseMark(entry.value);
@@ -54,16 +77,18 @@
         counts_.damaged.push_back(entry.key);
       }
     }
-    for (StoredSegment& stored : DecodeEntries(rest, counts_.damaged)) {
+    for (StoredSegment& stored : DecodeEntries(segments, counts_.damaged)) {
       counts_.segments[stored.key] = std::move(stored.segment);
     }
   }
 
   const platform::Store store_;
   const base::Duration timeout_;
+  const base::TaskRunner control_;
   const ReadCountsCallback callback_;
   std::vector<std::string> prefixes_{kRawPrefix, kHourPrefix, kDayPrefix,
                                      kGonePrefix};
+  std::vector<platform::Entry> entries_;
   StoredCounts counts_;
 };
 
@@ -71,8 +96,10 @@
 
 void ReadCounts(const platform::Store& store,
                 const BurnSettings& settings,
+                const base::TaskRunner& control,
                 ReadCountsCallback callback) {
-  std::make_shared<Reader>(store, settings.store_timeout, std::move(callback))
+  std::make_shared<Reader>(store, settings.store_timeout, control,
+                           std::move(callback))
       ->Next();
 }
 
--- a/src/burn/segment_reader.h
+++ b/src/burn/segment_reader.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "src/base/task_runner.h"
 #include "src/burn/burn_settings.h"
 #include "src/burn/segment.h"
 #include "src/platform/store.h"
@@ -26,9 +27,11 @@
 
 // Four calls, from the finest segments to the coarsest: what is rolled up and
 // erased meanwhile is then found in the coarser list, and what is found in both
-// is recognised by the sources.
+// is recognised by the sources. The values are decoded a few at a time in tasks
+// of `control`, so that a report over a large fleet holds up nothing else.
 void ReadCounts(const platform::Store& store,
                 const BurnSettings& settings,
+                const base::TaskRunner& control,
                 ReadCountsCallback callback);
 
 }  // namespace medlarspread::burn
