--- a/bench/burn/burn_bench.cc
+++ b/bench/burn/burn_bench.cc
@@ -263,7 +263,11 @@
 
 // Adding up alone, the part of a report that is one task.
 void BuildAndFormat(benchmark::State& state) {
-  const ReportInput input = MakeInput(MakeEntries(state.range(0)));
+  const std::vector<platform::Entry> entries = MakeEntries(state.range(0));
+  const auto before = mallinfo2().uordblks;
+  const ReportInput input = MakeInput(entries);
+  state.counters["held_bytes"] =
+      static_cast<double>(mallinfo2().uordblks - before);
   for (auto _ : state) {
     benchmark::DoNotOptimize(
         FormatReport(BuildReport(input), ReportFormat::kHtml));
