--- a/src/claims/bucket.cc
+++ b/src/claims/bucket.cc
@@ -11,6 +11,10 @@
 
 constexpr int kMostDoublings = 5;
 
+// Identifiers of that many slices before the present one count as on time:
+// that is how long a request takes to get here.
+constexpr std::int64_t kSlicesOnTime = 2;
+
 }  // namespace
 
 Bucket::Bucket(std::shared_ptr<ClaimContext> context,
@@ -42,9 +46,20 @@
     Pause(pause);
     return;
   }
+  if (!is_known_ && is_late()) {
+    // Somebody else has probably written it: a read costs less than a conflict.
+    Read();
+    return;
+  }
   Swap();
 }
 
+bool Bucket::is_late() const {
+  const std::int64_t slice_now = SliceOf(context_->clock.WallMilliseconds());
+  return !queue_.empty() &&
+         SliceOf(queue_.front().made_at_ms) + kSlicesOnTime < slice_now;
+}
+
 void Bucket::Pause(base::Duration duration) {
   phase_ = Phase::kPausing;
   context_->runner.After(duration, [self = shared_from_this()] {
@@ -54,13 +69,15 @@
 }
 
 void Bucket::Swap() {
+  next_swap_at_ = context_->clock.Now() +
+                  (is_late() ? context_->settings.late_group_interval
+                             : context_->settings.group_interval);
   const RecordedClaims added = TakeGroup();
   if (group_.empty() && !must_rewrite_) {
     return;
   }
   must_rewrite_ = false;
   phase_ = Phase::kSwapping;
-  next_swap_at_ = context_->clock.Now() + context_->settings.group_interval;
   store_->Swap(key_, claims_.text() + added.text(), version_,
                [self = shared_from_this(),
                 added](const base::Result<std::int64_t>& result) {
@@ -93,6 +110,7 @@
     return;
   }
   failures_in_a_row_ = 0;
+  is_known_ = true;
   version_ = result.value();
   for (const auto& [request_id, nonce] : added.nonces()) {
     claims_.Add(request_id, nonce);
@@ -145,6 +163,7 @@
     return;
   }
   failures_in_a_row_ = 0;
+  is_known_ = true;
   const platform::Entry entry = result.value().value_or(platform::Entry());
   const base::Result<RecordedClaims> stored =
       RecordedClaims::Parse(entry.value);
--- a/src/claims/bucket.h
+++ b/src/claims/bucket.h
@@ -50,6 +50,8 @@
   // Starts the next step if none is under way.
   void Pump();
   void Pause(base::Duration duration);
+  // Whether the claims that wait are of a slice that ended some time ago.
+  bool is_late() const;
   void Swap();
   // Moves the claims that fit into one value from the queue to the group and
   // returns the lines to be added.
@@ -90,6 +92,8 @@
   RecordedClaims claims_;
   // The key's version when it was last read or swapped.
   std::int64_t version_ = platform::kAbsent;
+  // Whether the key was read or swapped at all.
+  bool is_known_ = false;
   std::deque<PendingClaim> queue_;
   // The claims of the swap under way. Invariant: empty unless kSwapping.
   std::deque<PendingClaim> group_;
--- a/src/claims/claim_settings.h
+++ b/src/claims/claim_settings.h
@@ -14,6 +14,10 @@
   // The least time between two swaps of one key. Claims that arrive meanwhile
   // are committed together.
   base::Duration group_interval = base::Milliseconds(25);
+  // The same for keys of slices that ended some time ago. There are many more
+  // of them, so each has to be written less often. Must stay well below
+  // forward_timeout, or askers go elsewhere while their claim waits here.
+  base::Duration late_group_interval = base::Milliseconds(100);
   // Bound of one call to the store.
   base::Duration store_timeout = base::Milliseconds(250);
   // Pause after the store refused a call; doubles with each refusal in a row.
