--- a/src/burn/gap_finder.cc
+++ b/src/burn/gap_finder.cc
@@ -10,6 +10,8 @@
 
 // A minute of which less than this is covered says little about the rate.
 constexpr std::int64_t kShortestSampleMs = 1'000;
+// An incarnation of which less than this is known has no rate of its own yet.
+constexpr std::int64_t kEnoughToEstimateMs = kMillisecondsPerMinute;
 
 std::int64_t DivideRoundingUp(std::int64_t dividend, std::int64_t divisor) {
   return (dividend + divisor - 1) / divisor;
@@ -42,6 +44,20 @@
   return DivideRoundingUp(asked * length_ms, sample);
 }
 
+// Raises each class's estimate to the requests in `length_ms` at the rate of
+// the busiest minute of `history`.
+void RaiseEstimates(const IncarnationHistory& history,
+                    std::int64_t length_ms,
+                    std::map<std::string, std::int64_t>& estimates) {
+  for (const auto& [class_name, minutes] : AskedPerMinute(history.cells)) {
+    std::int64_t& most = estimates[class_name];
+    for (const auto& [minute, asked] : minutes) {
+      most =
+          std::max(most, Extrapolate(minute, asked, history.range, length_ms));
+    }
+  }
+}
+
 // What remains of `gap` after `covered` is cut out: none, one or two pieces.
 std::vector<Gap> CutOut(const Gap& gap, const WallRange& covered) {
   std::vector<Gap> pieces;
@@ -111,19 +127,19 @@
 }
 
 Gap GapAfter(const VmIncarnation& of,
-             const IncarnationHistory& history,
+             const Histories& histories,
              std::int64_t until_ms,
              base::Duration longest_request) {
-  Gap gap{of, {history.range.until_ms, until_ms}, {}};
+  const IncarnationHistory& own = histories.at(of);
+  Gap gap{of, {own.range.until_ms, until_ms}, {}};
   const std::int64_t length_ms =
       gap.range.length_ms() +
       std::chrono::duration_cast<std::chrono::milliseconds>(longest_request)
           .count();
-  for (const auto& [class_name, minutes] : AskedPerMinute(history.cells)) {
-    std::int64_t& most = gap.requests[class_name];
-    for (const auto& [minute, asked] : minutes) {
-      most =
-          std::max(most, Extrapolate(minute, asked, history.range, length_ms));
+  RaiseEstimates(own, length_ms, gap.requests);
+  if (own.range.length_ms() < kEnoughToEstimateMs) {
+    for (const auto& [other, history] : histories) {
+      RaiseEstimates(history, length_ms, gap.requests);
     }
   }
   return gap;
--- a/src/burn/gap_finder.h
+++ b/src/burn/gap_finder.h
@@ -36,10 +36,11 @@
                     std::int64_t now_wall_ms);
 
 // The gap of an incarnation after its last counts, with the requests estimated
-// from its busiest minute. `longest_request` is added to the time, because
-// requests under way at the last write were not counted in it.
+// from its busiest minute; from the busiest minute of all if less than a minute
+// of its own is known. `longest_request` is added to the time, because requests
+// under way at the last write were not counted in it.
 Gap GapAfter(const VmIncarnation& of,
-             const IncarnationHistory& history,
+             const Histories& histories,
              std::int64_t until_ms,
              base::Duration longest_request);
 
--- a/src/burn/report_builder.cc
+++ b/src/burn/report_builder.cc
@@ -140,15 +140,15 @@
     }
     for (const auto& [of, history] : histories_) {
       if (history.is_open) {
-        AddOpenGap(of, history);
+        AddOpenGap(of);
       }
     }
   }
 
-  void AddOpenGap(const VmIncarnation& of, const IncarnationHistory& history) {
+  void AddOpenGap(const VmIncarnation& of) {
     const std::int64_t gone_by =
         GoneBy(of, histories_, input_.gone_wall_ms, input_.now_wall_ms);
-    Gap gap = GapAfter(of, history, gone_by, input_.longest_request);
+    Gap gap = GapAfter(of, histories_, gone_by, input_.longest_request);
     if (gap.range.length_ms() == 0) {
       return;
     }
--- a/src/burn/roll_up.cc
+++ b/src/burn/roll_up.cc
@@ -107,7 +107,7 @@
       // whichever of the swaps fail.
       if (raws.size() == 1 && history.is_open) {
         sealed.back().segment.gaps.push_back(
-            GapAfter(of, history, gone_by, settings.longest_request));
+            GapAfter(of, histories, gone_by, settings.longest_request));
       }
     }
   }
--- a/tests/burn/burn_controller_test.cc
+++ b/tests/burn/burn_controller_test.cc
@@ -119,6 +119,19 @@
   EXPECT_EQ(report.gaps[0].vm, "entry-2");
 }
 
+TEST_F(BurnControllerTest, VmLostBeforeItsFirstCountsIsEstimatedFromOthers) {
+  fleet_.StartVm("entry-1");
+  RunTraffic("entry-1", 100);
+  fleet_.StartVm("entry-2");
+  RunTraffic("entry-2", 20);
+  fleet_.KillVm("entry-2");
+  fleet_.Advance(100);
+  ASSERT_EQ(fleet_.Lost().size(), 20U);
+  const BurnReport report = fleet_.ReportFrom("entry-1");
+  ExpectExact(report, fleet_.Kept());
+  EXPECT_GE(report.classes[0].windows[1].unaccounted.requests_estimate, 20);
+}
+
 TEST_F(BurnControllerTest, JudgesByTheTargetInForceWhenAsked) {
   fleet_.StartVm("entry-1");
   fleet_.StartVm("entry-2");
--- a/tests/burn/gap_finder_test.cc
+++ b/tests/burn/gap_finder_test.cc
@@ -35,7 +35,8 @@
 }
 
 TEST(GapFinderTest, EstimatesFromTheBusiestMinute) {
-  IncarnationHistory history;
+  Histories histories;
+  IncarnationHistory& history = histories[kFirst];
   history.range = {0, 150'000};
   history.cells[{0, "desk", {}}].asked = 30;
   history.cells[{1, "desk", {1, 0, 0, 0, 0}}].asked = 40;
@@ -43,12 +44,26 @@
   // Half a minute is covered of the last one: that is 50 a minute.
   history.cells[{2, "desk", {}}].asked = 25;
   const Gap gap =
-      GapAfter(kFirst, history, 180'000, base::Milliseconds(10'000));
+      GapAfter(kFirst, histories, 180'000, base::Milliseconds(10'000));
   EXPECT_EQ(gap.range, (WallRange{150'000, 180'000}));
   // 60 a minute over 40 seconds.
   EXPECT_EQ(gap.requests.at("desk"), 40);
 }
 
+TEST(GapFinderTest, EstimatesFromOthersIfLittleIsKnown) {
+  Histories histories;
+  histories[kFirst].range = {0, 59'999};
+  histories[kFirst].cells[{0, "audit", {}}].asked = 9;
+  histories[kOther].range = {0, 60'000};
+  histories[kOther].cells[{0, "desk", {}}].asked = 120;
+  const Gap gap = GapAfter(kFirst, histories, 79'999, base::Duration{});
+  EXPECT_EQ(gap.requests.at("desk"), 40);
+  EXPECT_EQ(gap.requests.at("audit"), 4);
+  histories[kFirst].range.until_ms = 60'000;
+  const Gap own = GapAfter(kFirst, histories, 80'000, base::Duration{});
+  EXPECT_FALSE(own.requests.contains("desk"));
+}
+
 TEST(GapFinderTest, CutsCoveredTimeOut) {
   const Gap gap{kFirst, {100, 200}, {{"desk", 50}}};
   const auto around = TrimGaps({gap}, {{kFirst, {120, 150}}});
