--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -18,10 +18,7 @@
 // How often a non-empty queue is looked at again when no reply does so: a leaf
 // may have become usable by news from elsewhere.
 constexpr Duration kTick = base::Milliseconds(10);
-// Weight of the newest service time in the running mean.
-constexpr double kMeanWeight = 0.05;
 constexpr int kMostRetries = 3;
-constexpr double kMicrosecondsPerSecond = 1e6;
 
 // A request stands in the queue at most twice: once for its first send (or a
 // retry) and once for its second send.
@@ -49,7 +46,13 @@
       blackboard_(blackboard),
       windows_(std::move(windows)),
       ports_(std::move(ports)),
+      replicas_(options_.collection,
+                options_.policy,
+                blackboard,
+                random_,
+                windows_),
       queues_(blackboard, OrderOf(options_.policy)),
+      loads_(options_.policy, clock_, blackboard, replicas_, queues_),
       second_sends_(options_.second_send_share) {}
 
 std::uint64_t Dispatcher::Submit(ShardRequest request, ShardCallback done) {
@@ -87,7 +90,7 @@
     GiveUp(id, ShardOutcome::kRefused);
     return;
   }
-  if (UsableReplicas(job).empty()) {
+  if (!replicas_.HasUsable(job.key(), job.tried)) {
     job.last_error =
         base::MakeError(ErrorCode::kWrongSnapshot, Step::kQueue, "",
                         "no replica here holds the shard in this snapshot");
@@ -111,52 +114,6 @@
   ScheduleTick();
 }
 
-bool Dispatcher::MayUse(const ShardJob& job,
-                        const blackboard::Upstream& upstream) const {
-  return !job.tried.contains(upstream.name) &&
-         MaySendTo(options_.policy, *blackboard_.membership.Read(), upstream);
-}
-
-std::vector<const blackboard::Upstream*> Dispatcher::UsableReplicas(
-    const ShardJob& job) {
-  std::vector<const blackboard::Upstream*> usable;
-  for (const auto* replica : Index().ReplicasOf(job.key())) {
-    if (MayUse(job, *replica)) {
-      usable.push_back(replica);
-    }
-  }
-  return usable;
-}
-
-// The replica with the smallest share of its places taken that has room; a tie
-// is broken at random, so that several daemons do not all pick the same one.
-const blackboard::Upstream* Dispatcher::PickReplica(
-    const ShardKey& key,
-    std::set<std::string>& exhausted) {
-  const auto view = blackboard_.membership.Read();
-  const blackboard::Upstream* best = nullptr;
-  double best_score = 0.0;
-  for (const auto* replica : Index().ReplicasOf(key)) {
-    if (exhausted.contains(replica->name) ||
-        !MaySendTo(options_.policy, *view, *replica) ||
-        !windows_->has_room(*replica)) {
-      continue;
-    }
-    const bool ignores_load =
-        std::holds_alternative<RandomReplicaPolicy>(options_.policy);
-    const double score =
-        random_->Unit() * (ignores_load ? 1.0 : 0.01) +
-        (ignores_load ? 0.0
-                      : static_cast<double>(windows_->in_flight(*replica)) /
-                            windows_->limit(*replica));
-    if (best == nullptr || score < best_score) {
-      best = replica;
-      best_score = score;
-    }
-  }
-  return best;
-}
-
 // Step 2.
 void Dispatcher::Pump(const ShardKey& key) {
   // Leaves that have room but that no queued request may go to.
@@ -165,7 +122,7 @@
     if (queues_.queued(key) == 0) {
       return;
     }
-    const blackboard::Upstream* replica = PickReplica(key, exhausted);
+    const blackboard::Upstream* replica = replicas_.Pick(key, exhausted);
     if (replica == nullptr) {
       return;
     }
@@ -173,7 +130,7 @@
     const blackboard::Upstream target = *replica;
     const auto queue_id =
         queues_.Pop(key, clock_.Now(), [&](const admission::QueueItem& item) {
-          return MayUse(jobs_.at(item.id / 2), target);
+          return replicas_.MayUse(jobs_.at(item.id / 2).tried, target);
         });
     if (!queue_id) {
       exhausted.insert(target.name);
@@ -291,7 +248,7 @@
     return;
   }
   ShardJob& job = row->second;
-  const bool has_other_replica = !UsableReplicas(job).empty();
+  const bool has_other_replica = replicas_.HasUsable(job.key(), job.tried);
   if (!second_sends_.TakeBudget()) {
     return;
   }
@@ -338,9 +295,7 @@
                           const upstream::LeafReply& reply) {
   if (reply.outcome == LeafOutcome::kAnswered) {
     second_sends_.DidReply(reply.service_time);
-    mean_service_ += Duration(static_cast<std::int64_t>(
-        kMeanWeight *
-        static_cast<double>((reply.service_time - mean_service_).count())));
+    loads_.DidAnswer(reply.service_time);
   }
   const auto row = jobs_.find(id);
   if (row == jobs_.end()) {
@@ -405,7 +360,7 @@
   if (job.request.is_at_most_once && job.may_have_run) {
     return NextStep::kGiveUp;
   }
-  const bool has_other_replica = !UsableReplicas(job).empty();
+  const bool has_other_replica = replicas_.HasUsable(job.key(), job.tried);
   if (IsRefusal(reply.outcome) && has_other_replica) {
     // NOTE: a refusal costs the leaf next to nothing, so another replica is
     // asked without paying from the budget.
@@ -456,7 +411,7 @@
   result.outcome = outcome;
   result.error = job.last_error;
   result.retry_after =
-      std::max(job.retry_after, LoadOf(job.request).expected_wait);
+      std::max(job.retry_after, loads_.LoadOf(job.request).expected_wait);
   Deliver(id, std::move(result));
 }
 
@@ -467,7 +422,7 @@
   ShardCallback done = std::move(job.done);
   const ShardRequest request = job.request;
   Forget(id, job);
-  result.load = LoadOf(request);
+  result.load = loads_.LoadOf(request);
   done(std::move(result));
 }
 
@@ -487,51 +442,4 @@
   jobs_.erase(id);
 }
 
-ShardLoad Dispatcher::LoadOf(const ShardRequest& request) {
-  const ShardKey key{request.snapshot, request.range};
-  ShardLoad load;
-  load.queued = static_cast<int>(queues_.queued(key));
-  const auto view = blackboard_.membership.Read();
-  for (const auto* replica : Index().ReplicasOf(key)) {
-    if (MaySendTo(options_.policy, *view, *replica)) {
-      load.running += windows_->in_flight(*replica);
-      load.slots += windows_->limit(*replica);
-    }
-  }
-  if (HasEntryGate(options_.policy)) {
-    load.expected_wait = ExpectedWait(request, load);
-  }
-  return load;
-}
-
-Duration Dispatcher::ExpectedWait(const ShardRequest& request,
-                                  const ShardLoad& load) const {
-  const Duration per_slot = std::max(mean_service_, Duration(1));
-  const int slots = std::max(1, load.slots);
-  const int busy = std::max(0, load.running - load.slots + 1);
-  const auto targets = blackboard_.targets.Read();
-  const auto row = targets->classes.find(request.class_name);
-  const admission::QueueItem newcomer{
-      .id = QueueIdOf(next_job_.load(), false),
-      .class_name = request.class_name,
-      .target_due = row == targets->classes.end()
-                        ? request.target_due
-                        : clock_.Now() + row->second.latency,
-      .deadline = request.deadline,
-      .is_hedge = false};
-  const double completions_per_second =
-      slots * kMicrosecondsPerSecond / static_cast<double>(per_slot.count());
-  return per_slot * busy / slots +
-         queues_.ExpectedWait({request.snapshot, request.range}, newcomer,
-                              completions_per_second);
-}
-
-const ReplicaIndex& Dispatcher::Index() {
-  auto view = blackboard_.upstreams.Read();
-  if (!index_ || index_->view() != view) {
-    index_.emplace(std::move(view), options_.collection);
-  }
-  return *index_;
-}
-
 }  // namespace medlarspread::routing
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -36,8 +36,9 @@
 #include "src/blackboard/blackboard.h"
 #include "src/routing/leaf_windows.h"
 #include "src/routing/policy.h"
-#include "src/routing/replica_index.h"
+#include "src/routing/replica_pool.h"
 #include "src/routing/shard_job.h"
+#include "src/routing/shard_load_estimator.h"
 #include "src/routing/shard_queues.h"
 #include "src/routing/shard_request.h"
 #include "src/upstream/leaf_port.h"
@@ -94,10 +95,6 @@
   void PumpLeaf(const blackboard::Upstream& upstream);
   void PumpAll();
   void ScheduleTick();
-  bool MayUse(const ShardJob& job, const blackboard::Upstream& upstream) const;
-  const blackboard::Upstream* PickReplica(const ShardKey& key,
-                                          std::set<std::string>& exhausted);
-  std::vector<const blackboard::Upstream*> UsableReplicas(const ShardJob& job);
   void Send(std::uint64_t id,
             ShardJob& job,
             const blackboard::Upstream& upstream);
@@ -123,11 +120,7 @@
   void CancelAttempts(ShardJob& job);
   void Forget(std::uint64_t id, ShardJob& job);
   // What a new request like `request` would meet.
-  ShardLoad LoadOf(const ShardRequest& request);
   // How long a new request of the same class would wait for a place.
-  base::Duration ExpectedWait(const ShardRequest& request,
-                              const ShardLoad& load) const;
-  const ReplicaIndex& Index();
 
   const DispatcherOptions options_;
   const base::Clock clock_;
@@ -141,11 +134,11 @@
   // The members below are used on `runner_` only.
   std::uint64_t next_attempt_ = 1;
   std::map<std::uint64_t, ShardJob> jobs_;
+  ReplicaPool replicas_;
   ShardQueues queues_;
+  ShardLoadEstimator loads_;
   admission::SecondSendPolicy second_sends_;
   admission::RetryBudget retries_;
-  base::Duration mean_service_ = base::Milliseconds(1);
-  std::optional<ReplicaIndex> index_;
   bool is_tick_armed_ = false;
 };
 
--- /dev/null
+++ b/src/routing/replica_pool.h
@@ -0,0 +1,62 @@
+// The replicas that one dispatcher may send to, and the choice among those that
+// have room.
+
+#ifndef MEDLARSPREAD_ROUTING_REPLICA_POOL_H_
+#define MEDLARSPREAD_ROUTING_REPLICA_POOL_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/base/random.h"
+#include "src/blackboard/blackboard.h"
+#include "src/routing/leaf_windows.h"
+#include "src/routing/policy.h"
+#include "src/routing/replica_index.h"
+#include "src/routing/shard_request.h"
+
+namespace medlarspread::routing {
+
+// Used on one sequence. Pointers that it returns are valid until the next call.
+class ReplicaPool {
+ public:
+  // `blackboard` must outlive the pool.
+  ReplicaPool(std::string collection,
+              const Policy& policy,
+              const blackboard::Blackboard& blackboard,
+              std::shared_ptr<base::Random> random,
+              std::shared_ptr<LeafWindows> windows);
+
+  // Whether a request that has tried some leaves may go to `upstream`.
+  bool MayUse(const std::set<std::string>& tried,
+              const blackboard::Upstream& upstream) const;
+
+  // Whether any replica of the shard is left for such a request.
+  bool HasUsable(const ShardKey& shard, const std::set<std::string>& tried);
+
+  // The replica with room that has the smallest share of its places taken, or
+  // null. A tie is broken at random, so that daemons don't all pick the same.
+  const blackboard::Upstream* Pick(const ShardKey& shard,
+                                   const std::set<std::string>& exhausted);
+
+  // Adds up what is in flight at the replicas, and how much may be.
+  void CountPlaces(const ShardKey& shard, ShardLoad& load);
+
+ private:
+  const ReplicaIndex& Index();
+  double ScoreOf(const blackboard::Upstream& replica);
+
+  const std::string collection_;
+  const Policy policy_;
+  const blackboard::Blackboard& blackboard_;
+  const std::shared_ptr<base::Random> random_;
+  const std::shared_ptr<LeafWindows> windows_;
+  // Replaced when the view of the upstreams changes.
+  std::optional<ReplicaIndex> index_;
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_REPLICA_POOL_H_
--- /dev/null
+++ b/src/routing/shard_load_estimator.h
@@ -0,0 +1,47 @@
+// How full a shard's queue is and how long a new request would wait in it.
+
+#ifndef MEDLARSPREAD_ROUTING_SHARD_LOAD_ESTIMATOR_H_
+#define MEDLARSPREAD_ROUTING_SHARD_LOAD_ESTIMATOR_H_
+
+#include <cstdint>
+
+#include "src/base/clock.h"
+#include "src/blackboard/blackboard.h"
+#include "src/routing/policy.h"
+#include "src/routing/replica_pool.h"
+#include "src/routing/shard_queues.h"
+#include "src/routing/shard_request.h"
+
+namespace medlarspread::routing {
+
+// Used on one sequence. All arguments of the constructor must outlive it.
+class ShardLoadEstimator {
+ public:
+  ShardLoadEstimator(const Policy& policy,
+                     const base::Clock& clock,
+                     const blackboard::Blackboard& blackboard,
+                     ReplicaPool& replicas,
+                     const ShardQueues& queues);
+
+  // An answer took so long from the send to the reply.
+  void DidAnswer(base::Duration service_time);
+
+  // For the next request of the class that `request` is of. Its wait is left at
+  // zero under a policy whose entries do not ask for it.
+  ShardLoad LoadOf(const ShardRequest& request);
+
+ private:
+  base::Duration ExpectedWait(const ShardRequest& request,
+                              const ShardLoad& load) const;
+
+  const Policy policy_;
+  const base::Clock clock_;
+  const blackboard::Blackboard& blackboard_;
+  ReplicaPool& replicas_;
+  const ShardQueues& queues_;
+  base::Duration mean_service_ = base::Milliseconds(1);
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_SHARD_LOAD_ESTIMATOR_H_
