HTTP: Stop accepting without running into the library's own listener

Cause: ExchangeTest.StoppedListenerServesOpenConnectionsOnly crashed in the HTTP library. After shutdown() of the listening socket each accept fails at once and the library tries the next at once; one of them then runs into the listener that close() destroys. A daemon that stops could end the same way, and span a thread until then.

Ruled out: never destroying the listener (the failing accepts go on).

Change: another socket takes the descriptor's place. The port refuses, the accept stays pending, and close() cancels it.

--- a/src/http/listening_socket.cc
+++ b/src/http/listening_socket.cc
@@ -3,8 +3,10 @@
 #include "src/http/listening_socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -39,14 +41,23 @@
 }  // namespace
 
 void ShutDownListeningSocket(const std::string& address) {
+  // NOTE: shutdown() would do for the kernel, but then each accept of the
+  // library fails at once and is tried again at once, until one of them runs
+  // into the listener that is being destroyed. Under a socket that takes its
+  // place the accept stays pending, and closing the listener cancels it.
+  const int idle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (idle < 0) {
+    return;
+  }
   std::error_code ignored;
   for (const auto& entry :
        std::filesystem::directory_iterator("/proc/self/fd", ignored)) {
     const int descriptor = std::atoi(entry.path().filename().c_str());
     if (IsListening(descriptor) && AddressOf(descriptor) == address) {
-      shutdown(descriptor, SHUT_RD);
+      dup3(idle, descriptor, O_CLOEXEC);
     }
   }
+  close(idle);
 }
 
 }  // namespace medlarspread::http
