Tests: Settle the membership in the world of the golden sessions

Cause: the eight sessions and the targets' rule that a daemon takes changes only while its membership is settled landed at the same time; the world's views were never settled, so that every session ended with its first change refused.

Change: the world's views are settled. The records are unchanged.

--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -110,6 +110,7 @@
 void SessionWorld::Publish() {
   for (auto& [name, node] : nodes_) {
     membership_.self = name;
+    membership_.is_settled = true;
     node->blackboard.membership.Write(membership_);
     node->blackboard.upstreams.Write(upstreams_);
   }
