--- /dev/null
+++ b/src/base/overloaded.h
@@ -0,0 +1,17 @@
+// One visitor for std::visit out of several lambdas.
+
+#ifndef MEDLARSPREAD_BASE_OVERLOADED_H_
+#define MEDLARSPREAD_BASE_OVERLOADED_H_
+
+namespace medlarspread::base {
+
+template <typename... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <typename... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+}  // namespace medlarspread::base
+
+#endif  // MEDLARSPREAD_BASE_OVERLOADED_H_
--- a/src/routing/policy.cc
+++ b/src/routing/policy.cc
@@ -4,6 +4,7 @@
 
 #include <limits>
 
+#include "src/base/overloaded.h"
 #include "src/base/rendezvous.h"
 
 namespace medlarspread::routing {
@@ -13,13 +14,6 @@
 using blackboard::MembershipView;
 using blackboard::MemberState;
 
-template <typename... Visitors>
-struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 std::vector<std::string> LiveMembersOf(const MembershipView& view,
                                        const std::string& region) {
   std::vector<std::string> names;
@@ -64,7 +58,7 @@
 bool MaySendTo(const Policy& policy,
                const MembershipView& view,
                const blackboard::Upstream& upstream) {
-  return std::visit(Overloaded{
+  return std::visit(base::Overloaded{
                         [&](const QueueOwnerPolicy&) {
                           return upstream.region == RegionOfSelf(view);
                         },
@@ -75,7 +69,7 @@
 }
 
 int InFlightLimit(const Policy& policy, const blackboard::Upstream& upstream) {
-  return std::visit(Overloaded{
+  return std::visit(base::Overloaded{
                         [&](const QueueOwnerPolicy&) { return upstream.slots; },
                         [](const FixedSharePolicy&) { return 1; },
                         [](const RandomReplicaPolicy&) {
--- a/tests/golden/message_text.cc
+++ b/tests/golden/message_text.cc
@@ -4,6 +4,7 @@
 
 #include <variant>
 
+#include "src/base/overloaded.h"
 #include "src/claims/claim_port.h"
 #include "src/routing/shard_request.h"
 
@@ -13,13 +14,6 @@
 
 namespace wire = peer::wire;
 
-template <typename... Visitors>
-struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 std::string RangeText(int low, int high) {
   return "[" + std::to_string(low) + "," + std::to_string(high) + ")";
 }
@@ -58,7 +52,7 @@
 
 std::string TextOf(const peer::Message& message) {
   return std::visit(
-      Overloaded{
+      base::Overloaded{
           [](const wire::SubQuery& body) { return SubQueryText(body); },
           [](const wire::ShardReply& body) { return ShardReplyText(body); },
           [](const wire::CancelSubQuery& body) {
@@ -98,7 +92,7 @@
 
 std::string TextOf(const targets::ChangeOutcome& outcome) {
   return std::visit(
-      Overloaded{
+      base::Overloaded{
           [](const targets::ChangeAccepted& change) {
             return "accepted revision " + std::to_string(change.revision);
           },
--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/base/overloaded.h"
 #include "src/caller_api/answer_renderer.h"
 #include "tests/golden/message_text.h"
 
@@ -25,13 +26,6 @@
 constexpr base::Duration kSettle = Milliseconds(5000);
 constexpr std::int64_t kWallStart = 1'764'691'200'000;
 
-template <typename... Visitors>
-struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 targets::TargetsSettings MakeTargetsSettings(const std::string& name) {
   targets::TargetsSettings settings;
   settings.self = name;
@@ -200,7 +194,7 @@
   Node& node = *nodes_.at(receiver);
   const peer::Sender from{sender, 1};
   node.traffic->sub_query_client().DidHearFrom(sender);
-  std::visit(Overloaded{
+  std::visit(base::Overloaded{
                  [&](const wire::SubQuery& body) {
                    node.traffic->sub_query_server().DidReceive(from, body);
                  },
