--- a/src/membership/domain_prober.cc
+++ b/src/membership/domain_prober.cc
@@ -64,12 +64,12 @@
 }
 
 void DomainProber::Probe(const std::string& name) {
-  if (name.empty()) {
+  if (table_.Find(name) == nullptr) {
     return;
   }
   probes_.DidProbe(name, clock_.Now());
   peer::wire::Heartbeat probe = messenger_.Compose(HeartbeatKind::kProbe);
-  probe.domains = messenger_.Summarize();
+  probe.domains = messenger_.SummarizeFor(table_.Find(name)->failure_domain);
   messenger_.Send(name, std::move(probe));
 }
 
--- a/src/membership/draining_news.cc
+++ b/src/membership/draining_news.cc
@@ -32,13 +32,19 @@
 
 std::map<std::string, std::int32_t> DrainingNews::Current(
     base::MonotonicTime now) {
-  std::erase_if(heard_at_,
-                [&](const auto& row) { return now - row.second >= lifetime_; });
+  // Kept for longer than it is passed on: another daemon may have it a little
+  // younger, and what that one still passes on must not be taken for new.
+  std::erase_if(heard_at_, [&](const auto& row) {
+    return now - row.second >= 2 * lifetime_;
+  });
   std::map<std::string, std::int32_t> current;
   for (const auto& [upstream, heard_at] : heard_at_) {
     if (current.size() == max_passed_on_) {
       break;
     }
+    if (now - heard_at >= lifetime_) {
+      continue;
+    }
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - heard_at);
     current[upstream] = static_cast<std::int32_t>(age.count());
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -2,6 +2,7 @@
 
 #include "src/membership/failure_detector.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/membership/shuffle.h"
@@ -24,13 +25,31 @@
 
 void FailureDetector::ProbeNext(std::size_t count) {
   for (std::size_t i = 0; i < count; ++i) {
-    const std::string name = NextInTurn();
-    if (name.empty()) {
-      return;
+    is_successor_next_ = !is_successor_next_;
+    std::string name = is_successor_next_ ? Successor() : std::string();
+    if (name.empty() || probes_.IsPending(name)) {
+      name = NextInTurn();
     }
-    probes_.DidProbe(name, clock_.Now());
-    messenger_.Send(name, messenger_.ComposeWithRecent(HeartbeatKind::kProbe));
+    if (!name.empty()) {
+      Probe(name);
+    }
+  }
+}
+
+void FailureDetector::Probe(const std::string& name) {
+  probes_.DidProbe(name, clock_.Now());
+  messenger_.Send(name, messenger_.ComposeWithRecent(HeartbeatKind::kProbe));
+}
+
+// The present daemon that follows this one, in a circle; empty if alone.
+std::string FailureDetector::Successor() const {
+  const auto names = table_.PresentIn(table_.self().failure_domain);
+  const auto next =
+      std::upper_bound(names.begin(), names.end(), table_.self().name);
+  if (next != names.end()) {
+    return *next;
   }
+  return names.empty() ? std::string() : names.front();
 }
 
 // The next daemon that is present and has no probe pending; empty if none has.
--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -1,6 +1,9 @@
 // Finds out which daemons of the own failure domain are gone.
 //
-// 1. Each round a few of them are probed, in a shuffled order that visits all.
+// 1. Each round probes one. Every other time that is the daemon that follows in
+//    the order of names, so that each is probed in time by one other; the rest
+//    go to all in a shuffled order, so that the loss of neighbours is noticed
+//    too and news spreads fast.
 // 2. A probe without an answer raises a suspicion: the daemon is probed again
 //    and some others are asked to probe it as well. They do so with the
 //    suspicion attached, which the daemon contradicts in its answer, and they
@@ -41,7 +44,8 @@
                   MemberTable& table,
                   Messenger& messenger);
 
-  // Probes the next `count` daemons in turn.
+  // Probes the next `count` daemons: by turns the one that follows this daemon
+  // in the order of names, and one at random.
   void ProbeNext(std::size_t count);
   // Sends one probe without following it up, to a daemon that may be gone.
   void TryAbsent(const std::string& name);
@@ -71,6 +75,8 @@
     base::MonotonicTime expires;
   };
 
+  void Probe(const std::string& name);
+  std::string Successor() const;
   std::string NextInTurn();
   void Suspect(const std::string& name);
   void DeclareGone(const std::vector<std::string>& names);
@@ -82,6 +88,7 @@
   MemberTable& table_;
   Messenger& messenger_;
   ProbeTracker probes_;
+  bool is_successor_next_ = false;
   // Those still to be probed in this pass over the domain.
   std::vector<std::string> turn_;
   std::map<std::string, Askers> askers_;
--- a/src/membership/heartbeat_handling.cc
+++ b/src/membership/heartbeat_handling.cc
@@ -13,8 +13,8 @@
 
 using peer::wire::Heartbeat;
 
-// More changes than this at once come from comparing tables. The others compare
-// theirs too, so they are not passed on.
+// More changes than this at once come from a table. The others have tables too,
+// so they are not passed on: a newcomer would be busy with that for minutes.
 constexpr std::size_t kMaxPassedOn = 16;
 // How often the records of one domain are asked for, and of how many at once:
 // that bounds what comparing tables may cost.
@@ -104,10 +104,14 @@
   if (!changed.empty()) {
     MarkChanged();
   }
-  if (changed.size() <= kMaxPassedOn &&
-      KindOf(heartbeat) != HeartbeatKind::kTable) {
-    PassOn(changed, is_own_domain(heartbeat.sender.failure_domain));
+  if (changed.size() > kMaxPassedOn ||
+      KindOf(heartbeat) == HeartbeatKind::kTable) {
+    return;
   }
+  for (const Record& record : changed) {
+    messenger_.AddRecent(record.name);
+  }
+  PassOn(changed, is_own_domain(heartbeat.sender.failure_domain));
 }
 
 void MembershipCore::MergeOne(const Record& record,
@@ -135,7 +139,6 @@
       if (IsPresent(record)) {
         detector_.DidConfirm(record.name);
       }
-      messenger_.AddRecent(record.name);
       changed.push_back(*table_.Find(record.name));
       return;
     case MergeResult::kSelfContradicted:
@@ -246,7 +249,9 @@
       break;
     }
     const auto [asked, is_first] = wanted_at_.try_emplace(domain, now);
-    if (table_.DigestOf(domain) == summary.digest ||
+    const std::int64_t digest =
+        messenger_.DigestFor(domain, heartbeat.sender.failure_domain);
+    if (digest == summary.digest ||
         (!is_first && now - asked->second < kWantedInterval)) {
       continue;
     }
@@ -279,7 +284,9 @@
       is_table ? HeartbeatKind::kTable : HeartbeatKind::kAnswer);
   if (heartbeat.wants_table) {
     reply.others = table_.AllRecords();
-    reply.domains = messenger_.Summarize();
+    const std::string& domain = heartbeat.sender.failure_domain;
+    reply.domains = is_own_domain(domain) ? messenger_.SummarizeAll()
+                                          : messenger_.SummarizeFor(domain);
   }
   for (const std::string& domain : heartbeat.wanted_domains) {
     const auto records = table_.RecordsOf(domain);
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -3,6 +3,7 @@
 #include "src/membership/member_table.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <xxhash.h>
@@ -211,7 +212,8 @@
   return records;
 }
 
-std::int64_t MemberTable::DigestOf(const std::string& domain) const {
+std::int64_t MemberTable::DigestOf(const std::string& domain,
+                                   DigestScope scope) const {
   std::uint64_t digest = 0;
   const auto row = names_by_domain_.find(domain);
   if (row == names_by_domain_.end()) {
@@ -222,13 +224,15 @@
     if (!IsPresent(record)) {
       continue;
     }
-    const std::uint64_t seed =
-        (static_cast<std::uint64_t>(record.incarnation) << 1U) +
-        static_cast<std::uint64_t>(record.state);
+    const std::array<std::int64_t, 3> facts{
+        record.incarnation, record.state,
+        scope == DigestScope::kMembers ? 0 : record.targets_revision};
+    const std::uint64_t seed = XXH64(facts.data(), sizeof(facts), 0);
     // A sum, so that the order of names plays no part.
     digest += XXH64(name.data(), name.size(), seed);
   }
-  return static_cast<std::int64_t>(digest);
+  // Half of it tells tables apart as well and is shorter on the wire.
+  return static_cast<std::uint32_t>(digest);
 }
 
 std::int64_t MemberTable::LowestRevisionOf(const std::string& domain) const {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -51,7 +51,8 @@
   const Record* Find(const std::string& name) const;
   bool IsPresentMember(const std::string& name) const;
 
-  // Names of live and leaving daemons of one domain, this one left out.
+  // Names of live and leaving daemons of one domain in their order, this one
+  // left out.
   std::vector<std::string> PresentIn(const std::string& domain) const;
   // Names of daemons of one domain that are gone and not yet forgotten.
   std::vector<std::string> GoneIn(const std::string& domain) const;
@@ -64,8 +65,11 @@
 
   std::vector<Record> AllRecords() const;
   std::vector<Record> RecordsOf(const std::string& domain) const;
-  // Over name, incarnation and state of the present daemons of a domain.
-  std::int64_t DigestOf(const std::string& domain) const;
+  // Over name, incarnation and state of the present daemons of a domain, and
+  // over the revision of targets of each if wanted: only the daemons of a
+  // domain itself know these.
+  enum class DigestScope { kMembers, kMembersAndRevisions };
+  std::int64_t DigestOf(const std::string& domain, DigestScope scope) const;
   // The lowest revision in force on the live daemons of a domain; 0 if none.
   std::int64_t LowestRevisionOf(const std::string& domain) const;
 
--- a/src/membership/membership_core.cc
+++ b/src/membership/membership_core.cc
@@ -214,19 +214,26 @@
   next_summary_ = clock_.Now() + settings_.summary_interval;
   std::vector<std::string> receivers;
   if (messenger_.IsDelegate()) {
-    receivers =
+    // One of the others at a time: they watch the same domains.
+    auto fellows =
         table_.DelegatesOf(settings_.failure_domain, settings_.delegates);
-    std::erase(receivers, settings_.name);
+    std::erase(fellows, settings_.name);
+    if (!fellows.empty()) {
+      receivers.push_back(fellows[random_.Below(fellows.size())]);
+    }
   }
   const auto present = table_.PresentIn(settings_.failure_domain);
   if (!present.empty()) {
-    receivers.push_back(present[random_.Below(present.size())]);
+    const std::string& name = present[random_.Below(present.size())];
+    if (receivers.empty() || receivers.front() != name) {
+      receivers.push_back(name);
+    }
   }
   if (receivers.empty()) {
     return;
   }
   peer::wire::Heartbeat heartbeat = messenger_.Compose(HeartbeatKind::kNews);
-  heartbeat.domains = messenger_.Summarize();
+  heartbeat.domains = messenger_.SummarizeAll();
   for (const std::string& name : receivers) {
     messenger_.Send(name, heartbeat);
   }
@@ -287,6 +294,9 @@
     is_announcement_due_ = true;
   }
   if (!changed.empty()) {
+    for (const Record& record : changed) {
+      messenger_.AddRecent(record.name);
+    }
     messenger_.SpreadInDomain(changed);
     messenger_.SpreadToDomains(changed);
   }
--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -23,13 +23,13 @@
   std::int64_t incarnation = 0;
 
   // One round of probes.
-  base::Duration round = base::Milliseconds(250);
+  base::Duration round = base::Milliseconds(200);
   // Daemons of the own failure domain that are probed in each round.
-  std::size_t probes_per_round = 2;
+  std::size_t probes_per_round = 1;
   // A probe without an answer for so long raises a suspicion; a suspicion that
   // nobody contradicts for so long is the verdict.
-  base::Duration answer_timeout = base::Milliseconds(500);
-  base::Duration suspicion_timeout = base::Milliseconds(500);
+  base::Duration answer_timeout = base::Milliseconds(450);
+  base::Duration suspicion_timeout = base::Milliseconds(450);
   // Others who are asked about a suspected daemon.
   std::size_t helpers = 3;
 
--- a/src/membership/messenger.cc
+++ b/src/membership/messenger.cc
@@ -117,20 +117,46 @@
   recent_[name] = kRecentCopies;
 }
 
-std::map<std::string, peer::wire::DomainSummary> Messenger::Summarize() const {
+std::map<std::string, peer::wire::DomainSummary> Messenger::SummarizeAll()
+    const {
   std::map<std::string, peer::wire::DomainSummary> summaries;
-  const base::MonotonicTime now = clock_.Now();
   for (const std::string& domain : table_.Domains()) {
-    peer::wire::DomainSummary& summary = summaries[domain];
-    summary.digest = table_.DigestOf(domain);
-    summary.lowest_revision = LowestRevisionOf(domain);
-    summary.age_ms = domain == table_.self().failure_domain
-                         ? 0
-                         : ToMilliseconds(watch_.AgeOf(domain, now));
+    summaries[domain] = SummaryOf(domain, table_.self().failure_domain);
   }
   return summaries;
 }
 
+std::map<std::string, peer::wire::DomainSummary> Messenger::SummarizeFor(
+    const std::string& other_domain) const {
+  std::map<std::string, peer::wire::DomainSummary> summaries;
+  for (const std::string& domain :
+       {table_.self().failure_domain, other_domain}) {
+    summaries[domain] = SummaryOf(domain, other_domain);
+  }
+  return summaries;
+}
+
+peer::wire::DomainSummary Messenger::SummaryOf(
+    const std::string& domain,
+    const std::string& peer_domain) const {
+  peer::wire::DomainSummary summary;
+  summary.digest = DigestFor(domain, peer_domain);
+  summary.lowest_revision = LowestRevisionOf(domain);
+  summary.age_ms = domain == table_.self().failure_domain
+                       ? 0
+                       : ToMilliseconds(watch_.AgeOf(domain, clock_.Now()));
+  return summary;
+}
+
+std::int64_t Messenger::DigestFor(const std::string& domain,
+                                  const std::string& peer_domain) const {
+  const bool is_within =
+      domain == table_.self().failure_domain && domain == peer_domain;
+  return table_.DigestOf(
+      domain, is_within ? MemberTable::DigestScope::kMembersAndRevisions
+                        : MemberTable::DigestScope::kMembers);
+}
+
 std::int64_t Messenger::LowestRevisionOf(const std::string& domain) const {
   if (domain == table_.self().failure_domain) {
     return table_.LowestRevisionOf(domain);
--- a/src/membership/messenger.h
+++ b/src/membership/messenger.h
@@ -51,8 +51,16 @@
 
   // Lets the record ride on the next heartbeats.
   void AddRecent(const std::string& name);
-  // Summaries of all domains, to be compared with another daemon's.
-  std::map<std::string, peer::wire::DomainSummary> Summarize() const;
+  // Summaries of all domains, to be compared with those of another daemon of
+  // the own domain.
+  std::map<std::string, peer::wire::DomainSummary> SummarizeAll() const;
+  // Summaries of the own and one other domain, for a daemon of the other. Each
+  // of the two knows best about itself.
+  std::map<std::string, peer::wire::DomainSummary> SummarizeFor(
+      const std::string& other_domain) const;
+  // What the other side's digest of `domain` is compared with.
+  std::int64_t DigestFor(const std::string& domain,
+                         const std::string& peer_domain) const;
   // The lowest revision in force in a domain, as known here.
   std::int64_t LowestRevisionOf(const std::string& domain) const;
   // Takes over what a daemon nearer to the domain says.
@@ -64,6 +72,9 @@
   std::string PickDelegateOf(const std::string& domain);
 
  private:
+  peer::wire::DomainSummary SummaryOf(const std::string& domain,
+                                      const std::string& peer_domain) const;
+
   const MembershipSettings& settings_;
   const base::Clock clock_;
   base::Random& random_;
--- /dev/null
+++ b/tests/membership/draining_news_test.cc
@@ -0,0 +1,50 @@
+// News of draining upstreams is new once, also where clocks disagree a little
+// about its age.
+
+#include "src/membership/draining_news.h"
+
+#include <gtest/gtest.h>
+
+namespace medlarspread::membership {
+namespace {
+
+constexpr base::Duration kLifetime = base::Milliseconds(30'000);
+constexpr base::MonotonicTime kStart{1'000'000'000};
+
+class DrainingNewsTest : public testing::Test {
+ protected:
+  DrainingNews news_{kLifetime, 2};
+};
+
+TEST_F(DrainingNewsTest, IsNewOnceAndPassedOnWithItsAge) {
+  EXPECT_TRUE(news_.Add("leaf-1", base::Milliseconds(10), kStart));
+  EXPECT_FALSE(news_.Add("leaf-1", base::Milliseconds(0), kStart));
+  const auto current = news_.Current(kStart + base::Milliseconds(90));
+  ASSERT_EQ(current.size(), 1U);
+  EXPECT_EQ(current.at("leaf-1"), 100);
+}
+
+TEST_F(DrainingNewsTest, AnEchoAtTheEndOfItsLifeIsNotNew) {
+  ASSERT_TRUE(news_.Add("leaf-1", base::Milliseconds(0), kStart));
+  const auto end = kStart + kLifetime;
+  EXPECT_TRUE(news_.Current(end).empty());
+  EXPECT_FALSE(news_.Add("leaf-1", kLifetime - base::Milliseconds(5), end));
+}
+
+TEST_F(DrainingNewsTest, DrainingAgainLaterIsNew) {
+  ASSERT_TRUE(news_.Add("leaf-1", base::Milliseconds(0), kStart));
+  EXPECT_TRUE(news_.Add("leaf-1", base::Milliseconds(0), kStart + kLifetime));
+}
+
+TEST_F(DrainingNewsTest, BoundsWhatIsPassedOnAndRefusesOldNews) {
+  for (const char* leaf : {"leaf-1", "leaf-2", "leaf-3"}) {
+    EXPECT_TRUE(news_.Add(leaf, base::Milliseconds(0), kStart));
+  }
+  EXPECT_EQ(news_.Current(kStart).size(), 2U);
+  EXPECT_FALSE(news_.Add("leaf-4", kLifetime, kStart));
+  EXPECT_FALSE(news_.Add("leaf-4", base::Milliseconds(-1), kStart));
+  EXPECT_FALSE(news_.Add("", base::Milliseconds(0), kStart));
+}
+
+}  // namespace
+}  // namespace medlarspread::membership
