Tests: Never destroy the HTTP clients of the failure tests

Cause: failure_test crashed at its end now and then (AtMostOnceTest.StoreIsDown, AnswerTest.RefusesTrulyUnderOverload). Valgrind: the static map of clients is destroyed after the HTTP library's threads, and each client's connections read freed memory (170 errors in one run of StoreIsDown).

Ruled out: a fault in http::Client: the reads all come from the destructor of the map. No check of a test is touched.

Change: the map is never destroyed.

--- a/tests/support/http_call.cc
+++ b/tests/support/http_call.cc
@@ -16,7 +16,10 @@
 
 std::shared_ptr<http::Client> ClientFor(const std::string& address) {
   static std::mutex mutex;
-  static std::map<std::string, std::shared_ptr<http::Client>> clients;
+  // NOTE: never destroyed. The HTTP library's threads end before the statics
+  // that were made before them, and a client must not outlive those threads.
+  static auto& clients =
+      *new std::map<std::string, std::shared_ptr<http::Client>>;
   const std::lock_guard lock(mutex);
   std::shared_ptr<http::Client>& client = clients[address];
   if (!client) {
