--- a/bench/upstream/leaf_client_load.cc
+++ b/bench/upstream/leaf_client_load.cc
@@ -211,12 +211,13 @@
   load.Stop();
   const auto counters = client->counters();
   std::printf(
-      "fan_out=%d concurrency=%d leaves=%zu requests_per_s=%.0f failed=%ld "
+      "threads=%d fan_out=%d concurrency=%d at_most_once=%d "
+      "requests_per_s=%.0f failed=%ld "
       "cpu_us_per_request=%.1f cpu_us_per_fan_out=%.0f cores=%.2f "
       "fan_out_p50_ms=%.2f fan_out_p99_ms=%.2f sockets=%d resident_mb=%.1f "
       "refused=%ld\n",
-      options.fan_out, options.concurrency, leaves.size(),
-      static_cast<double>(requests) / seconds,
+      options.threads, options.fan_out, options.concurrency,
+      options.is_at_most_once ? 1 : 0, static_cast<double>(requests) / seconds,
       static_cast<long>(load.failures()), cpu / static_cast<double>(requests),
       cpu / static_cast<double>(requests) * options.fan_out,
       cpu / kMicrosecondsPerSecond / seconds, Percentile(latencies, 0.5),
--- a/src/upstream/health_poller.cc
+++ b/src/upstream/health_poller.cc
@@ -114,8 +114,8 @@
     return;
   }
   if (callbacks_.find(name) != nullptr) {
-    queue_.Set(name, clock_.Now() + Jitter(random_, settings_.health_interval));
     callbacks_.did_read(name, asked, health);
+    queue_.Set(name, clock_.Now() + Jitter(random_, callbacks_.interval(name)));
   }
   Schedule();
 }
--- a/src/upstream/health_poller.h
+++ b/src/upstream/health_poller.h
@@ -1,5 +1,5 @@
 // Decides when this daemon reads the health of which leaf: of those that it
-// has a role for every health interval, jittered, and never more than a few at
+// has a role for at their intervals, jittered, and never more than a few at
 // once. The others are only asked about their role, more seldom.
 
 #ifndef MEDLARSPREAD_UPSTREAM_HEALTH_POLLER_H_
@@ -29,6 +29,8 @@
   // The leaf, or null if it is gone.
   std::function<const blackboard::Upstream*(const std::string& name)> find;
   std::function<bool(const blackboard::Upstream&)> should_poll;
+  // How long the next read of the leaf, which is known, may wait.
+  std::function<base::Duration(const std::string& name)> interval;
   std::function<void(const std::string& name,
                      base::MonotonicTime asked,
                      const base::Result<LeafHealth>&)>
--- a/src/upstream/upstream_controller.cc
+++ b/src/upstream/upstream_controller.cc
@@ -207,6 +207,11 @@
     const auto row = records_.find(name);
     return row == records_.end() ? nullptr : &row->second.upstream();
   };
+  callbacks.interval = [this](const std::string& name) {
+    return records_.at(name).NeedsCloseWatch(clock_.Now())
+               ? settings_.health_interval
+               : settings_.relaxed_health_interval;
+  };
   callbacks.did_read = [this](const std::string& name, MonotonicTime asked,
                               const base::Result<LeafHealth>& health) {
     Change(name, [&](UpstreamRecord& record) {
--- a/src/upstream/upstream_record.cc
+++ b/src/upstream/upstream_record.cc
@@ -288,6 +288,11 @@
   UpdateState();
 }
 
+bool UpstreamRecord::NeedsCloseWatch(MonotonicTime now) const {
+  return upstream_.state != UpstreamState::kServing ||
+         now >= last_working_reply_ + settings_->health_interval;
+}
+
 bool UpstreamRecord::ShouldForget(MonotonicTime now) const {
   const MonotonicTime last_seen = std::max(last_listed_, last_alive_);
   return now >= last_seen + settings_->vanished_hold ||
--- a/src/upstream/upstream_record.h
+++ b/src/upstream/upstream_record.h
@@ -46,6 +46,9 @@
   // which could therefore never be seen to recover.
   void LapseUnread(base::MonotonicTime now);
 
+  // Whether health is the only source that would show a change soon: the leaf
+  // does not serve, or did not answer within the last health interval.
+  bool NeedsCloseWatch(base::MonotonicTime now) const;
   // Whether the leaf left the list and shows no life any more.
   bool ShouldForget(base::MonotonicTime now) const;
   // Whether this daemon has news of its own, from reply, health or list, that
--- a/src/upstream/upstream_settings.h
+++ b/src/upstream/upstream_settings.h
@@ -11,10 +11,12 @@
   // Between two reads of the platform's list, and how long one may take.
   base::Duration list_interval = base::Milliseconds(5'000);
   base::Duration list_timeout = base::Milliseconds(3'000);
-  // Between two reads of one leaf's health, and how long one may take. Each
-  // interval is drawn anew from 75 to 125 of 100, so that daemons and leaves
-  // don't fall into step.
+  // Between two reads of one leaf's health, and how long one may take: the
+  // longer interval while the leaf serves and its own replies tell of it, which
+  // leaves only its holdings to health. Each interval is drawn anew from 75 to
+  // 125 of 100, so that daemons and leaves don't fall into step.
   base::Duration health_interval = base::Milliseconds(1'000);
+  base::Duration relaxed_health_interval = base::Milliseconds(2'500);
   base::Duration health_timeout = base::Milliseconds(800);
   int max_health_reads_in_flight = 64;
   // How often it is asked again whether this daemon reads the health of a
@@ -23,7 +25,7 @@
   // Changes are written to the blackboard at most this often; news that a leaf
   // drains at most as often as the second says.
   base::Duration publish_interval = base::Milliseconds(250);
-  base::Duration urgent_publish_interval = base::Milliseconds(20);
+  base::Duration urgent_publish_interval = base::Milliseconds(100);
   // Replies that bring no news of a leaf are taken note of at most this often.
   base::Duration observe_interval = base::Milliseconds(500);
 
