Upstream, Membership: Hold a drained leaf out for 10 s, and tell of each drain

Ruled out: keeping 30 s; telling peers at shorter intervals (dropped as known).

Change: membership takes news of a leaf that is later by 5 s for another one (touches membership/draining_news); the hold is 10 s again. Each new drain is told at once, a lasting one every 30 s. New test: a second drain after 11 s is heard by all within 200 ms.

--- a/src/membership/draining_news.cc
+++ b/src/membership/draining_news.cc
@@ -7,6 +7,14 @@
 
 namespace medlarspread::membership {
 
+namespace {
+
+// More than all hops take; less than an upstream is held out after it drained
+// (UpstreamSettings::draining_hold).
+constexpr base::Duration kSameNews = base::Milliseconds(5'000);
+
+}  // namespace
+
 DrainingNews::DrainingNews(base::Duration lifetime, std::size_t max_passed_on)
     : lifetime_(lifetime), max_passed_on_(max_passed_on) {}
 
@@ -21,9 +29,10 @@
   if (is_new) {
     return true;
   }
-  // NOTE: ages grow a little on the way, so the same news arrives with slightly
-  // different times. Only news a whole lifetime younger is another one.
-  if (heard_at - row->second < lifetime_) {
+  // NOTE: ages don't count the time on the way, so the same news arrives with
+  // slightly later times. News that is later by more than that is another one:
+  // the upstream came back and drains again.
+  if (heard_at - row->second < kSameNews) {
     return false;
   }
   row->second = heard_at;
--- a/src/membership/draining_news.h
+++ b/src/membership/draining_news.h
@@ -19,8 +19,8 @@
   // News is passed on for `lifetime`, at most `max_passed_on` at a time.
   DrainingNews(base::Duration lifetime, std::size_t max_passed_on);
 
-  // Whether it is new: not known, or known from so long ago that the upstream
-  // must have come back in between.
+  // Whether it is new: not known, or later than what is known by so much that
+  // it can't be the same word that took another way.
   bool Add(const std::string& upstream,
            base::Duration age,
            base::MonotonicTime now);
@@ -31,7 +31,7 @@
  private:
   const base::Duration lifetime_;
   const std::size_t max_passed_on_;
-  // When each upstream was first heard to be draining.
+  // When each upstream was heard to be draining.
   std::map<std::string, base::MonotonicTime> heard_at_;
 };
 
--- a/src/upstream/upstream_record.cc
+++ b/src/upstream/upstream_record.cc
@@ -245,7 +245,9 @@
   }
   is_draining_ = false;
   draining_cleared_ = now;
+  // The next drain is told at once.
   has_announcement_ = false;
+  last_announced_ = kNever;
 }
 
 void UpstreamRecord::MarkUnreachable(MonotonicTime now) {
--- a/src/upstream/upstream_settings.h
+++ b/src/upstream/upstream_settings.h
@@ -35,17 +35,18 @@
   // The same for the holdings of a reply, which change seldom.
   base::Duration holdings_hold = base::Milliseconds(10'000);
   // A draining leaf gets no work for this long after it was last said to be
-  // draining, whatever else says that it serves. Must exceed the lag of
-  // health, and must not be less than membership's draining_lifetime: within
-  // that, a second drain of the leaf would pass for old news of the first.
-  // Doubles, up to the maximum, each time the return proved wrong.
-  base::Duration draining_hold = base::Milliseconds(30'000);
-  base::Duration max_draining_hold = base::Milliseconds(240'000);
+  // draining, whatever else says that it serves. Should exceed the lag of
+  // health, and must exceed the span within which membership takes two words
+  // of one leaf for the same news (5 s). Doubles, up to the maximum, each time
+  // the return proved wrong.
+  base::Duration draining_hold = base::Milliseconds(10'000);
+  base::Duration max_draining_hold = base::Milliseconds(160'000);
   // Where this daemon doesn't read the leaf's health itself, news that it
   // drains or can't be reached lapses after this time.
   base::Duration lapse_time = base::Milliseconds(60'000);
-  // News of one draining leaf is passed on at most this often.
-  base::Duration announce_interval = base::Milliseconds(10'000);
+  // While a leaf goes on draining, peers are told again at this interval. Must
+  // be less than lapse_time.
+  base::Duration announce_interval = base::Milliseconds(30'000);
 
   // Refused or lost connections in a row after which a leaf is unreachable.
   int max_connection_failures = 3;
--- a/tests/membership/membership_controller_test.cc
+++ b/tests/membership/membership_controller_test.cc
@@ -286,6 +286,19 @@
   EXPECT_EQ(world_["a-0"].heard_draining, heard);
 }
 
+TEST_P(MembershipControllerTest, SecondDrainOfAnUpstreamIsHeardToo) {
+  world_["b-3"].controller().NoteDrainingUpstream("leaf-7");
+  world_.Advance(base::Milliseconds(11'000));
+  world_["a-0"].controller().NoteDrainingUpstream("leaf-7");
+  world_.Advance(base::Milliseconds(200));
+  const std::vector<std::string> heard{"leaf-7", "leaf-7"};
+  for (const Vm* vm : world_.running()) {
+    if (vm->name() != "b-3" && vm->name() != "a-0") {
+      EXPECT_EQ(vm->heard_draining, heard) << vm->name();
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, MembershipControllerTest, testing::Range(1, 6));
 
 }  // namespace
--- a/tests/upstream/upstream_controller_test.cc
+++ b/tests/upstream/upstream_controller_test.cc
@@ -218,7 +218,7 @@
 }
 
 // A leaf that drains while its health lies for ever gets one request after
-// each hold, and the hold doubles: after 30, 90 and 210 s.
+// each hold, and the hold doubles: after 10, 30, 70 and 150 s.
 TEST_F(UpstreamControllerTest, LyingHealthLetsFewRequestsThrough) {
   Start();
   int requests = 0;
@@ -229,7 +229,9 @@
     }
     Advance(settings_.urgent_publish_interval.count() / 1'000);
   }
-  EXPECT_EQ(requests, 4);
+  EXPECT_EQ(requests, 5);
+  // Each drain is told to the peers at once.
+  EXPECT_EQ(found_draining_.size(), 5u);
 }
 
 TEST_F(UpstreamControllerTest, ReplyOverrulesOlderHealthButNotForEver) {
