--- a/tests/support/process_group.cc
+++ b/tests/support/process_group.cc
@@ -160,6 +160,12 @@
   return exit_status_;
 }
 
+ProcessGroup::~ProcessGroup() {
+  while (!processes_.empty()) {
+    processes_.pop_back();
+  }
+}
+
 Process& ProcessGroup::Start(const std::string& program,
                              const std::vector<std::string>& arguments) {
   processes_.push_back(std::make_unique<Process>(program, arguments));
--- a/tests/support/process_group.h
+++ b/tests/support/process_group.h
@@ -62,6 +62,12 @@
 
 class ProcessGroup {
  public:
+  ProcessGroup() = default;
+  // Kills the processes, the last one first.
+  ~ProcessGroup();
+  ProcessGroup(const ProcessGroup&) = delete;
+  ProcessGroup& operator=(const ProcessGroup&) = delete;
+
   // The process lives until the group goes.
   Process& Start(const std::string& program,
                  const std::vector<std::string>& arguments);
