--- a/emulator/leaf/leaf_control.cc
+++ b/emulator/leaf/leaf_control.cc
@@ -2,6 +2,8 @@
 
 #include "emulator/leaf/leaf_service.h"
 
+#include <utility>
+
 #include <cpprest/json.h>
 
 #include "emulator/leaf/holding_json.h"
@@ -76,6 +78,11 @@
     run_log_.SetDraining(*state == LeafState::kDraining);
   }
   if (json.has_field("faults")) {
+    // The callers gave up on these long ago; their connections end now.
+    for (const http::Responder& respond : std::exchange(lost_, {})) {
+      respond(ErrorReply(http::kGatewayTimeout, "deadline", /*ran=*/true, {},
+                         StateName()));
+    }
     for (const auto& [fault, name] : kReplyFaults.rows) {
       fault_shares_.set_share(fault, NumberOf(json.at("faults"), name, 0.0));
     }
--- a/emulator/leaf/reply_faults.h
+++ b/emulator/leaf/reply_faults.h
@@ -27,7 +27,7 @@
   kDuplicated,
   // The whole answer, but only after `late`.
   kLate,
-  // Never a reply, until the leaf stops.
+  // Never a reply, until the faults are set anew.
   kLost,
   // No fault.
   kNone,
