Daemon: Wait four heartbeats for peers' targets, whatever their interval

A starting daemon waits for its peers' heartbeats before it trusts the store's targets. That wait was a second, also with heartbeats set to several seconds.

--- a/src/daemon/controllers.cc
+++ b/src/daemon/controllers.cc
@@ -29,6 +29,9 @@
   result.readers_per_failure_domain =
       settings.targets.readers_per_failure_domain;
   result.store_timeout = settings.platform.timeout;
+  // Time for a few peers to show which targets they have in force.
+  constexpr int kHeartbeats = 4;
+  result.peer_wait = kHeartbeats * settings.membership.heartbeat;
   return result;
 }
 
