--- a/bench/claims/calls_bench.cc
+++ b/bench/claims/calls_bench.cc
@@ -59,6 +59,15 @@
                                   : "to 500 s old",
             load, seed);
   }
+  for (const double rate : {100.0, 1000.0}) {
+    Load load;
+    load.claims_per_second = rate;
+    load.settings.group_interval = {};
+    Measure("no pause", load, seed);
+    load.settings = {};
+    load.settings.forwards = 0;
+    Measure("nobody groups", load, seed);
+  }
   // Long enough for the first identifiers to expire and be erased.
   for (const double rate : {1.0, 100.0, 1000.0}) {
     Load load;
--- a/bench/claims/fleet.cc
+++ b/bench/claims/fleet.cc
@@ -47,7 +47,7 @@
   }
   daemon->blackboard.membership.Write(view);
   daemon->service = std::make_unique<ClaimService>(
-      ClaimSettings(), base::Clock(time_), random_, runner_, store_->store(),
+      load_.settings, base::Clock(time_), random_, runner_, store_->store(),
       peer::PeerPort{
           [this, index](const std::string& to, peer::Message message) {
             return Send(index, to, std::move(message));
--- a/bench/claims/fleet.h
+++ b/bench/claims/fleet.h
@@ -24,6 +24,8 @@
   // How long before its submission an identifier was made, at most; drawn
   // evenly from 0 to this.
   std::int64_t oldest_ms = 50;
+  // Varied to weigh other ways against the settings in use.
+  ClaimSettings settings{};
   base::Duration warm_up = base::Milliseconds(5'000);
   base::Duration measured = base::Milliseconds(60'000);
 };
