Claims: Let askers wait for longer than a group gathers

claims.group_ms may be set up to 1 s, but an asker went to the next daemon after 150 ms, while its claim was still waiting for the next group: two daemons then wrote one key and conflicted. The forward timeout now follows the pause.

--- a/src/claims/claim_service.cc
+++ b/src/claims/claim_service.cc
@@ -46,6 +46,17 @@
   return result;
 }
 
+// An asker that goes elsewhere while its claim waits for the next group makes a
+// second daemon write the key, so it has to wait for longer than a group does.
+ClaimSettings MakeConsistent(ClaimSettings settings) {
+  settings.late_group_interval =
+      std::max(settings.late_group_interval, settings.group_interval);
+  settings.forward_timeout =
+      std::max(settings.forward_timeout,
+               settings.late_group_interval + settings.late_group_interval / 2);
+  return settings;
+}
+
 base::Duration BoundWait(base::Duration wait) {
   return std::clamp(wait, base::Duration::zero(), kLongestWait);
 }
@@ -313,7 +324,7 @@
                            const blackboard::Blackboard& blackboard,
                            base::Log log)
     : impl_(std::make_shared<Impl>(
-          std::make_shared<ClaimContext>(ClaimContext{settings,
+          std::make_shared<ClaimContext>(ClaimContext{MakeConsistent(settings),
                                                       clock,
                                                       random,
                                                       runner,
--- a/src/claims/claim_settings.h
+++ b/src/claims/claim_settings.h
@@ -15,8 +15,8 @@
   // are committed together.
   base::Duration group_interval = base::Milliseconds(25);
   // The same for keys of slices that ended some time ago. There are many more
-  // of them, so each has to be written less often. Must stay well below
-  // forward_timeout, or askers go elsewhere while their claim waits here.
+  // of them, so each has to be written less often. Never below
+  // group_interval.
   base::Duration late_group_interval = base::Milliseconds(100);
   // Bound of one call to the store.
   base::Duration store_timeout = base::Milliseconds(250);
@@ -25,6 +25,7 @@
   // Failed calls to the store after which a claim is given up.
   int store_attempts = 3;
   // How long the asker waits for the daemon that groups the claims of a key.
+  // Never below one and a half of late_group_interval.
   base::Duration forward_timeout = base::Milliseconds(150);
   // Daemons that are asked before the asker commits the claim itself.
   int forwards = 2;
--- a/tests/claims/claim_service_test.cc
+++ b/tests/claims/claim_service_test.cc
@@ -68,6 +68,25 @@
   EXPECT_EQ(world.Counts(0).swaps, 2 * kBucketsPerSlice);
 }
 
+TEST(ClaimServiceTest, AskersWaitForALongPauseBetweenGroups) {
+  ClaimsWorld world(3);
+  world.settings.group_interval = base::Milliseconds(400);
+  for (int daemon = 0; daemon < 3; ++daemon) {
+    world.Restart(daemon);
+  }
+  for (int count = 0; count < 60; ++count) {
+    world.Ask(count % 3, world.MakeId("abcdefgh" + std::to_string(count)));
+    world.Advance(base::Milliseconds(10));
+  }
+  world.Advance(kLong);
+  std::int64_t granted = 0;
+  for (int daemon = 0; daemon < 3; ++daemon) {
+    granted += world.Counts(daemon).granted;
+    EXPECT_EQ(world.Counts(daemon).conflicts, 0);
+  }
+  EXPECT_EQ(granted, 60);
+}
+
 TEST(ClaimServiceTest, SettlesALostReplyByReadingBack) {
   ClaimsWorld world(1);
   world.store().next_fault = InOrder({StoreFault::kLoseReply});
