--- a/src/daemon/graceful_stop.cc
+++ b/src/daemon/graceful_stop.cc
@@ -26,8 +26,11 @@
   for (const StopStep& step : steps) {
     step.start();
     // After an early end the later steps are still started, but not waited
-    // for: what they would write is worth an attempt.
-    is_whole = is_whole && RunStep(step, end, should_end_now);
+    // for: what they would write is worth an attempt. Each says what it cuts.
+    const bool should_wait = is_whole;
+    is_whole =
+        RunStep(step, should_wait ? end : clock_.Now(), should_end_now) &&
+        is_whole;
   }
   return is_whole;
 }
