Burn: Split rolling up and judging into classes of their own

Rolling up is now DomainRollUp and DayRollUp over StoreSteps, sums and verdicts are in judgement.h. No change of behaviour.

--- a/src/burn/burn_controller.cc
+++ b/src/burn/burn_controller.cc
@@ -61,11 +61,7 @@
         writer(std::make_shared<CountWriter>(settings, store, own, log)),
         gone_watch(
             std::make_shared<GoneWatch>(settings, clock, store, board, log)),
-        roll_up(std::make_shared<RollUpRunner>(settings,
-                                               clock,
-                                               store,
-                                               board,
-                                               log)) {}
+        roll_up(settings, clock, store, board, log) {}
 
   const BurnSettings settings;
   const base::Clock clock;
@@ -82,7 +78,7 @@
   OwnCounts own;
   const std::shared_ptr<CountWriter> writer;
   const std::shared_ptr<GoneWatch> gone_watch;
-  const std::shared_ptr<RollUpRunner> roll_up;
+  RollUpRunner roll_up;
 
   // The counts that the last successful read gave, for reports in an outage.
   StoredCounts last_read;
@@ -181,7 +177,7 @@
   if (state_->is_stopping) {
     return;
   }
-  state_->roll_up->Run([self = shared_from_this()] { self->ScheduleRollUp(); });
+  state_->roll_up.Run([self = shared_from_this()] { self->ScheduleRollUp(); });
 }
 
 void BurnController::Stop(std::function<void()> done) {
--- a/src/burn/burn_view.cc
+++ b/src/burn/burn_view.cc
@@ -6,39 +6,25 @@
 #include <map>
 #include <string>
 
-#include "src/burn/report_builder.h"
+#include "src/burn/judgement.h"
 
 namespace medlarspread::burn {
 
 namespace {
 
-struct ClassSum {
-  Counts counts;
-  Allowance allowance;
-};
-
-std::map<std::string, ClassSum> SumSince(const Cells& cells,
-                                         std::int64_t first_minute) {
-  std::map<std::string, ClassSum> sums;
+std::map<std::string, JudgedSum> SumSince(const Cells& cells,
+                                          std::int64_t first_minute) {
+  std::map<std::string, JudgedSum> sums;
   for (auto cell = cells.lower_bound(CellKey{first_minute, "", {}});
        cell != cells.end(); ++cell) {
-    ClassSum& sum = sums[cell->first.class_name];
-    sum.counts += cell->second;
-    const Allowance allowed = AllowanceOf(cell->first.judged_by, cell->second);
-    sum.allowance.latency_millionths += allowed.latency_millionths;
-    sum.allowance.coverage_millionths += allowed.coverage_millionths;
+    sums[cell->first.class_name].Add(cell->first.judged_by, cell->second);
   }
   return sums;
 }
 
-double WorseBurn(const ClassSum& sum) {
-  const Counts& counts = sum.counts;
-  const auto latency =
-      BurnRate(counts.asked - counts.in_time, sum.allowance.latency_millionths);
-  const auto coverage = BurnRate(counts.asked - counts.coverage_met,
-                                 sum.allowance.coverage_millionths);
-  return std::max(latency.value_or(kBurnWithoutBudget),
-                  coverage.value_or(kBurnWithoutBudget));
+double WorseBurn(const JudgedSum& sum) {
+  return std::max(sum.latency_burn().value_or(kBurnWithoutBudget),
+                  sum.coverage_burn().value_or(kBurnWithoutBudget));
 }
 
 }  // namespace
--- /dev/null
+++ b/src/burn/day_roll_up.h
@@ -0,0 +1,45 @@
+// Rolls up the hours of all failure domains into days.
+
+#ifndef MEDLARSPREAD_BURN_DAY_ROLL_UP_H_
+#define MEDLARSPREAD_BURN_DAY_ROLL_UP_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/burn/roll_up.h"
+#include "src/burn/store_steps.h"
+
+namespace medlarspread::burn {
+
+// Works by steps of `steps`, which must outlive it.
+class DayRollUp {
+ public:
+  explicit DayRollUp(StoreSteps& steps);
+
+  // One step, which pushes the others: rolls up one hour, counted from 1970.
+  void Start(std::int64_t hour);
+  // One step.
+  void EraseDay(std::int64_t day);
+
+ private:
+  struct HourPass {
+    std::int64_t hour = 0;
+    // The hour's segments of all failure domains.
+    std::vector<StoredSegment> hours;
+  };
+
+  void CloseHours(std::shared_ptr<HourPass> pass);
+  void CheckSources(std::shared_ptr<HourPass> pass);
+  void KeepThoseWithoutSources(std::shared_ptr<HourPass> pass,
+                               const std::string& failure_domain);
+  void FoldInto(StoredSegment day, std::shared_ptr<HourPass> pass);
+  void EraseHours(const HourPass& pass);
+
+  StoreSteps& steps_;
+};
+
+}  // namespace medlarspread::burn
+
+#endif  // MEDLARSPREAD_BURN_DAY_ROLL_UP_H_
--- /dev/null
+++ b/src/burn/domain_roll_up.cc
@@ -0,0 +1,206 @@
+// A pass over a failure domain, by the VM that holds it:
+// 1. Read the marks of VMs seen to be gone, and the segments of the VMs.
+// 2. Seal open segments of writers that are gone.
+// 3. Fold closed segments into the one of their hour, by one swap an hour.
+// 4. Erase what is contained there. Only now may it go.
+
+#include "src/burn/domain_roll_up.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "src/burn/keys.h"
+
+namespace medlarspread::burn {
+
+namespace {
+
+constexpr std::int64_t kHoursPerDay = kMinutesPerDay / kMinutesPerHour;
+constexpr std::int64_t kMarkKeptMs = kMinutesPerDay * kMillisecondsPerMinute;
+// A younger hour cannot have been rolled up into its day.
+constexpr std::int64_t kSurelyNotInDayHours = 2;
+// Well below what the store takes; the next generation takes the rest.
+constexpr std::size_t kLargestRollUp = 500'000;
+
+std::int64_t NextGeneration(const Segment& day,
+                            const std::vector<StoredSegment>& hours,
+                            std::int64_t hour,
+                            const std::string& failure_domain) {
+  std::int64_t next = 0;
+  const auto note = [&](const std::string& id) {
+    const auto key = ParseHourKey(id);
+    if (key && key->hour == hour && key->failure_domain == failure_domain) {
+      next = std::max(next, key->generation + 1);
+    }
+  };
+  for (const Source& source : day.sources) {
+    note(source.id);
+  }
+  for (const StoredSegment& stored : hours) {
+    note(stored.key);
+  }
+  return next;
+}
+
+bool ContainsAny(const std::vector<StoredSegment>& roll_ups,
+                 const std::string& key) {
+  return std::any_of(roll_ups.begin(), roll_ups.end(),
+                     [&key](const StoredSegment& roll_up) {
+                       return Contains(roll_up.segment, key);
+                     });
+}
+
+}  // namespace
+
+DomainRollUp::DomainRollUp(BurnSettings settings,
+                           base::Clock clock,
+                           const blackboard::Blackboard& board,
+                           StoreSteps& steps)
+    : settings_(std::move(settings)),
+      clock_(std::move(clock)),
+      board_(board),
+      steps_(steps) {}
+
+void DomainRollUp::Start(const std::string& failure_domain) {
+  auto pass = std::make_shared<DomainPass>();
+  pass->failure_domain = failure_domain;
+  pass->input.members = MembersOf(*board_.membership.Read());
+  pass->input.now_wall_ms = clock_.WallMilliseconds();
+  steps_.List(kGonePrefix + failure_domain + "/",
+              [this, pass](const std::vector<platform::Entry>& marks) {
+                DidListMarks(pass, marks);
+              });
+}
+
+void DomainRollUp::DidListMarks(std::shared_ptr<DomainPass> pass,
+                                const std::vector<platform::Entry>& marks) {
+  for (const platform::Entry& entry : marks) {
+    const auto key = ParseGoneKey(entry.key);
+    const auto wall_ms = ParseMark(entry.value);
+    if (!key || !wall_ms) {
+      continue;
+    }
+    pass->input.gone_wall_ms[key->of] = *wall_ms;
+    if (pass->input.now_wall_ms - *wall_ms > kMarkKeptMs) {
+      pass->old_marks.push_back(entry);
+    }
+  }
+  steps_.List(kRawPrefix + pass->failure_domain + "/",
+              [this, pass](const std::vector<platform::Entry>& raws) {
+                pass->input.raws = steps_.Decode(raws);
+                DidListRaws(pass);
+              });
+}
+
+void DomainRollUp::DidListRaws(std::shared_ptr<DomainPass> pass) {
+  for (StoredSegment& sealed : SealGone(pass->input, settings_)) {
+    steps_.Push([this, sealed = std::move(sealed)] {
+      steps_.Swap(sealed, [this](std::int64_t) { steps_.Next(); });
+    });
+  }
+  std::map<std::int64_t, std::shared_ptr<HourPass>> hours;
+  std::set<VmIncarnation> left;
+  for (StoredSegment& raw : pass->input.raws) {
+    const auto key = ParseRawKey(raw.key);
+    if (!key || !raw.segment.is_closed) {
+      left.insert(raw.segment.writer);
+      continue;
+    }
+    auto& hour = hours[key->hour()];
+    if (!hour) {
+      hour = std::make_shared<HourPass>();
+      hour->hour = key->hour();
+      hour->failure_domain = pass->failure_domain;
+    }
+    hour->raws.push_back(std::move(raw));
+  }
+  for (const auto& [number, hour] : hours) {
+    steps_.Push([this, hour = hour] { StartHour(hour); });
+  }
+  EraseOldMarks(*pass, left);
+  steps_.Next();
+}
+
+// A mark has to stay as long as a segment of its VM is open.
+void DomainRollUp::EraseOldMarks(const DomainPass& pass,
+                                 const std::set<VmIncarnation>& left) {
+  for (const platform::Entry& mark : pass.old_marks) {
+    if (!left.contains(ParseGoneKey(mark.key)->of)) {
+      steps_.Push([this, mark] { steps_.Erase(mark.key, mark.version); });
+    }
+  }
+}
+
+void DomainRollUp::StartHour(std::shared_ptr<HourPass> pass) {
+  const std::string prefix = kHourPrefix + std::to_string(pass->hour) + "/" +
+                             pass->failure_domain + "/";
+  steps_.List(prefix,
+              [this, pass](const std::vector<platform::Entry>& entries) {
+                pass->hours = steps_.Decode(entries);
+                if (pass->hours.size() != entries.size()) {
+                  // What a damaged roll-up contains is not known.
+                  steps_.Next();
+                  return;
+                }
+                // NOTE: the day is read after the list of hours. An hour that
+                // is missing from the list is in the day by then.
+                const std::int64_t now_hour =
+                    MinuteOf(clock_.WallMilliseconds()) / kMinutesPerHour;
+                if (now_hour - pass->hour < kSurelyNotInDayHours) {
+                  FoldIntoHour(pass);
+                  return;
+                }
+                steps_.Read(DayKey(pass->hour / kHoursPerDay),
+                            [this, pass](StoredSegment day) {
+                              pass->day = std::move(day);
+                              FoldIntoHour(pass);
+                            });
+              });
+}
+
+// The hour's open segment, or a new one.
+StoredSegment DomainRollUp::TargetFor(const HourPass& pass) const {
+  for (const StoredSegment& hour : pass.hours) {
+    if (!hour.segment.is_closed &&
+        EncodeSegment(hour.segment).size() < kLargestRollUp) {
+      return hour;
+    }
+  }
+  StoredSegment target;
+  target.key = HourKey{pass.hour, pass.failure_domain,
+                       NextGeneration(pass.day.segment, pass.hours, pass.hour,
+                                      pass.failure_domain)}
+                   .ToString();
+  target.version = platform::kAbsent;
+  return target;
+}
+
+void DomainRollUp::FoldIntoHour(std::shared_ptr<HourPass> pass) {
+  StoredSegment target = TargetFor(*pass);
+  bool has_new = false;
+  for (const StoredSegment& raw : pass->raws) {
+    if (!ContainsAny(pass->hours, raw.key)) {
+      Fold(raw, false, target.segment);
+      has_new = true;
+    }
+  }
+  if (!has_new) {
+    EraseRaws(*pass);
+    return;
+  }
+  target.segment.sequence += 1;
+  steps_.Swap(target, [this, pass](std::int64_t) { EraseRaws(*pass); });
+}
+
+void DomainRollUp::EraseRaws(const HourPass& pass) {
+  for (const StoredSegment& raw : pass.raws) {
+    steps_.Push([this, key = raw.key, version = raw.version] {
+      steps_.Erase(key, version);
+    });
+  }
+  steps_.Next();
+}
+
+}  // namespace medlarspread::burn
--- a/src/burn/report_builder.cc
+++ b/src/burn/report_builder.cc
@@ -1,20 +1,20 @@
-// Adds cells up over windows and judges the sums.
+// Puts the report together from sums over windows and from gaps.
 
 #include "src/burn/report_builder.h"
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include "src/burn/gap_finder.h"
+#include "src/burn/judgement.h"
 #include "src/burn/keys.h"
 
 namespace medlarspread::burn {
 
 namespace {
 
-constexpr std::int64_t kMillisecondsPerDay =
-    kMinutesPerDay * kMillisecondsPerMinute;
 constexpr std::int64_t kHistoryMinutes = 360;
 constexpr std::int64_t kHistoryStepMinutes = 5;
 constexpr std::size_t kListedGaps = 20;
@@ -29,57 +29,11 @@
 constexpr std::size_t kHourWindow = 1;
 constexpr std::size_t kQuarterWindow = 3;
 
-// Counts together with what their targets allow.
-struct Sum {
-  Counts counts;
-  Allowance allowance;
-
-  void Add(const JudgedBy& judged_by, const Counts& added) {
-    counts += added;
-    const Allowance allowed = AllowanceOf(judged_by, added);
-    allowance.latency_millionths += allowed.latency_millionths;
-    allowance.coverage_millionths += allowed.coverage_millionths;
-  }
-};
-
 struct NotedGap {
   Gap gap;
   bool is_pending = false;
 };
 
-Verdict Judge(std::int64_t bad,
-              std::int64_t allowed_millionths,
-              std::int64_t unaccounted,
-              std::int64_t allowed_ppm) {
-  if (bad * kMillion > allowed_millionths) {
-    return Verdict::kMissed;
-  }
-  const std::int64_t at_worst = (bad + unaccounted) * kMillion;
-  const std::int64_t allowed_at_worst =
-      allowed_millionths + unaccounted * allowed_ppm;
-  return at_worst > allowed_at_worst ? Verdict::kOpen : Verdict::kMet;
-}
-
-TargetReport MakeTarget(std::int64_t good,
-                        std::int64_t asked,
-                        std::int64_t allowed_millionths,
-                        std::int64_t unaccounted,
-                        std::int64_t allowed_ppm) {
-  TargetReport target;
-  target.good = good;
-  target.bad = asked - good;
-  target.allowed_millionths = allowed_millionths;
-  target.burn_rate = BurnRate(target.bad, allowed_millionths);
-  if (asked > 0) {
-    target.share = static_cast<double>(good) / static_cast<double>(asked);
-  }
-  if (asked + unaccounted > 0) {
-    target.verdict =
-        Judge(target.bad, allowed_millionths, unaccounted, allowed_ppm);
-  }
-  return target;
-}
-
 std::set<std::string> ContainedIn(
     const std::map<std::string, Segment>& segments) {
   std::set<std::string> contained;
@@ -237,17 +191,6 @@
     return latest;
   }
 
-  static Sum SumOver(const Cells& cells, const WallRange& range) {
-    Sum sum;
-    for (const auto& [key, counts] : cells) {
-      const std::int64_t start_ms = key.minute * kMillisecondsPerMinute;
-      if (start_ms >= range.from_ms && start_ms < range.until_ms) {
-        sum.Add(key.judged_by, counts);
-      }
-    }
-    return sum;
-  }
-
   Unaccounted UnaccountedIn(const WallRange& range,
                             const std::string& class_name) const {
     Unaccounted sum;
@@ -276,7 +219,7 @@
                            const JudgedBy& latest,
                            const std::string& class_name,
                            const Cells& cells) const {
-    const Sum sum = SumOver(cells, range);
+    const JudgedSum sum = SumOver(cells, range);
     const Counts& counts = sum.counts;
     WindowReport window;
     window.name = name;
@@ -285,12 +228,12 @@
     window.counts = counts;
     window.unaccounted = UnaccountedIn(range, class_name);
     const std::int64_t unaccounted = window.unaccounted.requests_estimate;
-    window.latency = MakeTarget(counts.in_time, counts.asked,
-                                sum.allowance.latency_millionths, unaccounted,
-                                latest.latency_allowed_ppm);
-    window.coverage = MakeTarget(counts.coverage_met, counts.asked,
-                                 sum.allowance.coverage_millionths, unaccounted,
-                                 latest.coverage_allowed_ppm);
+    window.latency = JudgeTarget(counts.in_time, counts.asked,
+                                 sum.latency_allowed_millionths, unaccounted,
+                                 latest.latency_allowed_ppm);
+    window.coverage = JudgeTarget(counts.coverage_met, counts.asked,
+                                  sum.coverage_allowed_millionths, unaccounted,
+                                  latest.coverage_allowed_ppm);
     if (counts.shard_answers > 0) {
       window.extra_load = static_cast<double>(counts.upstream_sends) /
                               static_cast<double>(counts.shard_answers) -
@@ -348,17 +291,15 @@
         end_ms_ - kHistoryMinutes * kMillisecondsPerMinute;
     for (std::int64_t from = start_ms; from < end_ms_; from += step_ms) {
       const WallRange range{from, from + step_ms};
-      const Sum sum = SumOver(cells, range);
+      const JudgedSum sum = SumOver(cells, range);
       const Counts& counts = sum.counts;
       const Unaccounted unaccounted = UnaccountedIn(range, report.name);
       HistoryPoint point{from, kHistoryStepMinutes, counts, {}, {}, 0};
       point.unaccounted_vm_milliseconds =
           unaccounted.vm_milliseconds + unaccounted.pending_vm_milliseconds;
       if (counts.asked > 0) {
-        point.latency_burn = BurnRate(counts.asked - counts.in_time,
-                                      sum.allowance.latency_millionths);
-        point.coverage_burn = BurnRate(counts.asked - counts.coverage_met,
-                                       sum.allowance.coverage_millionths);
+        point.latency_burn = sum.latency_burn();
+        point.coverage_burn = sum.coverage_burn();
       }
       report.history.push_back(point);
     }
@@ -404,38 +345,4 @@
   return Builder(input).Build();
 }
 
-WallRange QuarterOf(std::int64_t wall_ms) {
-  using std::chrono::days;
-  using std::chrono::months;
-  using std::chrono::sys_days;
-  constexpr unsigned kMonthsPerQuarter = 3;
-  const sys_days today{days(MinuteOf(wall_ms) / kMinutesPerDay -
-                            (MinuteOf(wall_ms) % kMinutesPerDay < 0 ? 1 : 0))};
-  const std::chrono::year_month_day date(today);
-  const unsigned first_month = (static_cast<unsigned>(date.month()) - 1) /
-                                   kMonthsPerQuarter * kMonthsPerQuarter +
-                               1;
-  const auto start = date.year() / std::chrono::month(first_month) / 1;
-  const auto end = start + months(kMonthsPerQuarter);
-  return {sys_days{start}.time_since_epoch().count() * kMillisecondsPerDay,
-          sys_days{end}.time_since_epoch().count() * kMillisecondsPerDay};
-}
-
-std::optional<double> BurnRate(std::int64_t bad,
-                               std::int64_t allowed_millionths) {
-  if (bad == 0) {
-    return 0.0;
-  }
-  if (allowed_millionths == 0) {
-    return std::nullopt;
-  }
-  return static_cast<double>(bad) * kMillion /
-         static_cast<double>(allowed_millionths);
-}
-
-Allowance AllowanceOf(const JudgedBy& judged_by, const Counts& counts) {
-  return {counts.asked * judged_by.latency_allowed_ppm,
-          counts.asked * judged_by.coverage_allowed_ppm};
-}
-
 }  // namespace medlarspread::burn
--- a/src/burn/report_builder.h
+++ b/src/burn/report_builder.h
@@ -38,20 +38,6 @@
 
 BurnReport BuildReport(const ReportInput& input);
 
-// Start of the calendar quarter (UTC) that `wall_ms` lies in, and of the next.
-WallRange QuarterOf(std::int64_t wall_ms);
-
-// Bad over allowed. Absent when nothing is allowed although something was bad.
-std::optional<double> BurnRate(std::int64_t bad,
-                               std::int64_t allowed_millionths);
-
-// Bad requests that the targets of `cells`' requests allow, in millionths.
-struct Allowance {
-  std::int64_t latency_millionths = 0;
-  std::int64_t coverage_millionths = 0;
-};
-Allowance AllowanceOf(const JudgedBy& judged_by, const Counts& counts);
-
 }  // namespace medlarspread::burn
 
 #endif  // MEDLARSPREAD_BURN_REPORT_BUILDER_H_
--- a/tests/burn/report_format_test.cc
+++ b/tests/burn/report_format_test.cc
@@ -8,6 +8,7 @@
 // NOTE: defines a macro U that GoogleTest's headers must not see.
 #include <cpprest/json.h>
 
+#include "src/burn/judgement.h"
 #include "src/burn/report_builder.h"
 #include "src/burn/report_writers.h"
 
