Tests: Start, freeze and kill daemons during outages and changes

A daemon that starts while the key-value service hangs must take the targets from its peers; the stand-in can now keep the VM list up meanwhile, as the two are separate services. A frozen daemon must catch up with a change, and the others must do without a killed one.

--- a/emulator/platform/platform_control.cc
+++ b/emulator/platform/platform_control.cc
@@ -122,6 +122,9 @@
 
 http::Response PlatformService::SetFaults(const std::string& body) {
   const value json = value::parse(body);
+  if (json.has_field("outage_spares_vms")) {
+    faults_.outage_spares_vms = json.at("outage_spares_vms").as_bool();
+  }
   if (json.has_field("outage")) {
     const auto outage = kOutages.ValueOf(json.at("outage").as_string());
     faults_.outage = outage.value_or(Outage::kNone);
--- a/emulator/platform/platform_service.cc
+++ b/emulator/platform/platform_service.cc
@@ -136,11 +136,12 @@
     respond(ReplyError(http::kTooManyRequests, "over rate"));
     return;
   }
-  if (faults_.outage == Outage::kHang) {
+  const bool is_spared = *kind == CallKind::kVms && faults_.outage_spares_vms;
+  if (faults_.outage == Outage::kHang && !is_spared) {
     held_.push_back(respond);
     return;
   }
-  if (faults_.outage == Outage::kRefuse) {
+  if (faults_.outage == Outage::kRefuse && !is_spared) {
     respond(ReplyError(http::kServiceUnavailable, "outage"));
     return;
   }
--- a/emulator/platform/platform_service.h
+++ b/emulator/platform/platform_service.h
@@ -7,7 +7,8 @@
 //                                             state "gone" removes a row
 //   POST /control/faults {"outage":"none"|"refuse"|"hang","delay_ms",
 //        "reply_delay_ms","lose_write_replies","lost_reply":"hang"|"error",
-//        "fail_writes","key_prefix"}          sets the fields that are given
+//        "fail_writes","key_prefix",
+//        "outage_spares_vms"}                 sets the fields that are given
 //   POST /control/checkpoint, POST /control/restore {"repeats_versions"}
 //   GET  /control/counts
 
@@ -40,6 +41,8 @@
 
 struct PlatformFaults {
   Outage outage = Outage::kNone;
+  // The outage is of the key-value service alone; the VM list stays up.
+  bool outage_spares_vms = false;
   // Passes before the call takes effect, and again before its reply.
   base::Duration delay{};
   base::Duration reply_delay{};
--- a/tests/failure/leaving_test.cc
+++ b/tests/failure/leaving_test.cc
@@ -94,6 +94,29 @@
   EXPECT_TRUE(cluster_.AwaitWhole(cluster_.daemons()[0]));
 }
 
+// Killed, not stopped: what was in flight may be lost, but nothing false comes,
+// and the others soon serve without it.
+TEST_F(LeavingTest, KilledDaemonIsDoneWithout) {
+  cluster_.StartSmall(3, {"--service-ms", "20"});
+  std::vector<Ask> asks;
+  std::vector<std::future<base::Result<http::Response>>> replies;
+  for (int index = 0; index < 20; ++index) {
+    asks.push_back(cluster_.MakeAsk());
+    replies.push_back(
+        cluster_.Start(cluster_.daemons()[index % 2], asks.back()));
+  }
+  cluster_.daemons()[2].process->Signal(SIGKILL);
+  for (std::size_t index = 0; index < replies.size(); ++index) {
+    const auto result = replies[index].get();
+    ASSERT_TRUE(result.is_ok()) << result.error().ToString();
+    EXPECT_EQ(ViolationOf(asks[index], result.value()),
+              emulator::Violation::kNone)
+        << result.value().body;
+  }
+  EXPECT_TRUE(cluster_.AwaitWhole(cluster_.daemons()[0]));
+  EXPECT_TRUE(cluster_.AwaitWhole(cluster_.daemons()[1]));
+}
+
 // New requests that meet a stopping daemon are refused as not run, or find
 // nobody listening; none is cut off.
 TEST_F(LeavingTest, StoppingDaemonRefusesNewWork) {
--- a/tests/failure/targets_test.cc
+++ b/tests/failure/targets_test.cc
@@ -83,6 +83,28 @@
   EXPECT_TRUE(AwaitEverywhere(800));
 }
 
+TEST_F(TargetsTest, DaemonThatStartsDuringAnOutageLearnsFromPeers) {
+  cluster_.StartSmall(2, {});
+  cluster_.ControlPlatform("faults",
+                           R"({"outage":"hang","outage_spares_vms":true})");
+  const Daemon& late = cluster_.StartDaemon("vm-late");
+  EXPECT_TRUE(cluster_.AwaitWhole(late));
+  EXPECT_EQ(cluster_.TargetsOf(late).revision,
+            cluster_.TargetsOf(cluster_.daemons()[0]).revision);
+  cluster_.ControlPlatform("faults", R"({"outage":"none"})");
+}
+
+TEST_F(TargetsTest, FrozenDaemonCatchesUp) {
+  cluster_.StartSmall(3, {});
+  const Daemon& frozen = cluster_.daemons()[1];
+  frozen.process->Signal(SIGSTOP);
+  const auto response =
+      cluster_.PutTargets(cluster_.daemons()[0], "change", 700, std::nullopt);
+  EXPECT_EQ(response.status, http::kOk) << response.body;
+  frozen.process->Signal(SIGCONT);
+  EXPECT_TRUE(AwaitEverywhere(700));
+}
+
 TEST_F(TargetsTest, RestoredStoreRevertsNothing) {
   cluster_.StartSmall(2, {});
   cluster_.ControlPlatform("checkpoint", "");
