--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -2,6 +2,7 @@
 // replies, refused connections.
 
 #include <future>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -107,6 +108,10 @@
   ASSERT_TRUE(listener.Open().is_ok());
   Client client({.address = listener.address()}, timers_);
   ASSERT_TRUE(SendAndWait(client, {}, kLongTimeout).is_ok());
+  // The connection goes back to the client's pool only after the callback.
+  while (client.in_flight() > 0) {
+    std::this_thread::yield();
+  }
   listener.StopAccepting();
   // The connection that is open serves once more and is then closed.
   const auto last = SendAndWait(client, {}, kLongTimeout);
