Metrics: Drop what nothing feeds and count invalid requests

A counter that is never counted reads as a true zero, so those of second sends and of the queue wait are gone until a part feeds them. The caller API counts invalid requests.

--- a/src/caller_api/caller_api.cc
+++ b/src/caller_api/caller_api.cc
@@ -64,6 +64,7 @@
                             const http::Responder& respond) {
   ParsedRequest parsed = ParseCallerRequest(request.body);
   if (const auto* invalid = std::get_if<InvalidField>(&parsed)) {
+    ++invalid_requests_;
     respond(RenderInvalid(http::kBadRequest, "invalid", invalid->field,
                           invalid->detail));
     return;
@@ -77,6 +78,7 @@
   }
   if (blackboard_.targets.Read()->classes.count(caller_request.class_name) ==
       0) {
+    ++invalid_requests_;
     respond(RenderInvalid(http::kNotFound, "unknown_class", "class",
                           "no targets are set for this class"));
     return;
--- a/src/caller_api/caller_api.h
+++ b/src/caller_api/caller_api.h
@@ -5,6 +5,7 @@
 #define MEDLARSPREAD_CALLER_API_CALLER_API_H_
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,9 @@
   // Requests submitted and not yet answered.
   int in_flight() const { return in_flight_->load(); }
 
+  // Requests that were malformed or of an unknown class, since the start.
+  std::uint64_t invalid_requests() const { return invalid_requests_; }
+
  private:
   void HandleQuery(const http::Request& request,
                    const http::Responder& respond);
@@ -49,6 +53,7 @@
   // Shared with answers that outlive this object.
   const std::shared_ptr<std::atomic<int>> in_flight_ =
       std::make_shared<std::atomic<int>>(0);
+  std::atomic<std::uint64_t> invalid_requests_ = 0;
 };
 
 }  // namespace medlarspread::caller_api
--- a/src/metrics/metric_names.cc
+++ b/src/metrics/metric_names.cc
@@ -20,9 +20,6 @@
       {Counter::kUpstreamSends,
        {"medlarspread_upstream_sends_total",
         "Shard requests sent to upstreams, second sends included."}},
-      {Counter::kUpstreamSecondSends,
-       {"medlarspread_upstream_second_sends_total",
-        "Shard requests sent to another replica while the first was open."}},
       {Counter::kUpstreamAnswers,
        {"medlarspread_upstream_answers_total",
         "Whole answers received from upstreams."}},
@@ -92,10 +89,6 @@
        {"medlarspread_shard_latency_seconds",
         "From the send to an upstream to its answer; quantiles are "
         "estimates."}},
-      {Distribution::kQueueWait,
-       {"medlarspread_queue_wait_seconds",
-        "Time that shard requests waited for a slot; quantiles are "
-        "estimates."}},
       {Distribution::kStoreLatency,
        {"medlarspread_store_latency_seconds",
         "Duration of calls to the platform's key-value service; quantiles are "
--- a/src/metrics/metric_names.h
+++ b/src/metrics/metric_names.h
@@ -12,7 +12,6 @@
 enum class Counter {
   kRequestsInvalid,
   kUpstreamSends,
-  kUpstreamSecondSends,
   kUpstreamAnswers,
   kUpstreamRefusals,
   kUpstreamLosses,
@@ -42,7 +41,6 @@
 // Latencies, in seconds when exposed.
 enum class Distribution {
   kShardLatency,
-  kQueueWait,
   kStoreLatency,
 };
 
--- a/tests/caller_api/caller_api_test.cc
+++ b/tests/caller_api/caller_api_test.cc
@@ -191,6 +191,7 @@
   EXPECT_EQ(response.status, http::kNotFound);
   EXPECT_THAT(response.body, HasSubstr(R"("field":"class")"));
   EXPECT_TRUE(submitted_.empty());
+  EXPECT_EQ(api_.invalid_requests(), 1U);
 }
 
 TEST_F(CallerApiTest, WrongPathsAndMethods) {
