Admission: Fit the second-send delay to its budget

Cause: with four times the typical time the real binary waited 180 ms at a mean of 44 ms although the budget was hardly used; with a fixed lower multiple the budget runs out on the wrong requests when service times vary more.

Change: the multiple starts at 2.5 and is adjusted every 500 first sends so that 65% to 85% of the budget is spent.

--- a/src/admission/second_send_policy.cc
+++ b/src/admission/second_send_policy.cc
@@ -18,11 +18,15 @@
 constexpr std::size_t kRelearn = 32;
 // Share of the slowest samples that is left out.
 constexpr double kTrimmed = 0.05;
-// The delay as a multiple of the typical service time. It grows while the
-// budget runs out, so that what there is goes to the slowest requests, and
-// falls back while the budget lasts.
+// The multiple is adjusted after so many first sends: it grows while more than
+// the higher of these parts of the budget is spent, so that the budget never
+// runs out on requests that are not the slowest, and falls while less than the
+// lower part is spent.
+constexpr double kAdjustAfter = 500.0;
+constexpr double kHighestSpending = 0.85;
+constexpr double kLowestSpending = 0.65;
 constexpr double kHighestMultiple = 16.0;
-constexpr double kMultipleGrowth = 1.02;
+constexpr double kMultipleGrowth = 1.05;
 constexpr base::Duration kLowestDelay = base::Milliseconds(1);
 // Bounds a burst of second sends after a quiet time.
 constexpr double kMaximumTokens = 20.0;
@@ -37,10 +41,10 @@
 
 bool SecondSendPolicy::TakeBudget() {
   if (tokens_ < 1.0) {
-    multiple_ = std::min(kHighestMultiple, multiple_ * kMultipleGrowth);
     return false;
   }
   tokens_ -= 1.0;
+  ++taken_;
   return true;
 }
 
@@ -50,6 +54,9 @@
 
 void SecondSendPolicy::DidFirstSend() {
   tokens_ = std::min(kMaximumTokens, tokens_ + share_);
+  if (++first_sends_ == kAdjustAfter) {
+    AdjustMultiple();
+  }
 }
 
 void SecondSendPolicy::DidReply(base::Duration service_time) {
@@ -65,10 +72,18 @@
   }
 }
 
-void SecondSendPolicy::LearnDelay() {
-  if (tokens_ >= 1.0) {
+void SecondSendPolicy::AdjustMultiple() {
+  const double spent = taken_ / first_sends_;
+  if (spent > kHighestSpending * share_) {
+    multiple_ = std::min(kHighestMultiple, multiple_ * kMultipleGrowth);
+  } else if (spent < kLowestSpending * share_) {
     multiple_ = std::max(lowest_multiple_, multiple_ / kMultipleGrowth);
   }
+  taken_ = 0;
+  first_sends_ = 0;
+}
+
+void SecondSendPolicy::LearnDelay() {
   std::vector<base::Duration> sorted = samples_;
   std::sort(sorted.begin(), sorted.end());
   const auto kept = static_cast<std::size_t>(
--- a/src/admission/second_send_policy.h
+++ b/src/admission/second_send_policy.h
@@ -23,7 +23,7 @@
   static constexpr double kMaximumShare = 0.05;
 
   // The delay as a multiple of the typical service time, at the least.
-  static constexpr double kDefaultMultiple = 4.0;
+  static constexpr double kDefaultMultiple = 2.5;
 
   explicit SecondSendPolicy(double share = kDefaultShare,
                             double lowest_multiple = kDefaultMultiple);
@@ -43,6 +43,7 @@
 
  private:
   void LearnDelay();
+  void AdjustMultiple();
 
   const double share_;
   const double lowest_multiple_;
@@ -51,6 +52,9 @@
   // The delay as a multiple of the typical service time. Invariant: at least
   // lowest_multiple_.
   double multiple_;
+  // Since the multiple was last adjusted.
+  double taken_ = 0.0;
+  double first_sends_ = 0.0;
   std::optional<base::Duration> delay_;
   // The latest service times, a ring of at most kSamples.
   std::vector<base::Duration> samples_;
