Routing: Keep one request in the pipe beyond a leaf's slots

Cause: with exactly as many requests in flight as slots, a slot that becomes free stays idle for a round trip.

Slots of other classes are remembered for 200 instead of 1000 pops, because at 46 a second the share of a class lagged 20 s behind.

--- a/src/admission/leaf_window.h
+++ b/src/admission/leaf_window.h
@@ -18,9 +18,10 @@
 
 class LeafWindow {
  public:
-  // A leaf that works on `slots` requests at once and accepts `connections`
-  // connections from all daemons together. Both must be at least 1.
-  LeafWindow(int slots, int connections);
+  // A leaf that takes `places` requests at once from this daemon and accepts
+  // `connections` connections from all daemons together. Both must be at least
+  // 1.
+  LeafWindow(int places, int connections);
 
   // Takes a place if there is one. The first form looks at the limit alone; the
   // second also honours the pause that a shed reply or a cold start asks for.
--- a/src/admission/urgency_queue.cc
+++ b/src/admission/urgency_queue.cc
@@ -18,7 +18,7 @@
 constexpr double kHalfBurn = 2.0;
 // Slots that are remembered to learn the share of each class, and the lowest
 // share that is assumed.
-constexpr double kRememberedPops = 1000.0;
+constexpr double kRememberedPops = 200.0;
 constexpr double kLowestShare = 0.01;
 // Puts the lines of two classes apart whatever the age of their items.
 constexpr double kStrictMultiple = 1e4;
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -47,6 +47,10 @@
                const blackboard::MembershipView& view,
                const blackboard::Upstream& upstream);
 
+// Requests that a queue owner keeps at a leaf beyond its slots, so that a slot
+// that becomes free has work at once and not only after a round trip.
+constexpr int kInPipe = 1;
+
 // How many requests the daemon may keep in flight at a leaf at the most.
 int InFlightLimit(const Policy& policy, const blackboard::Upstream& upstream);
 
