HTTP: Keep the accept waiting after the listener stopped accepting

The socket that takes the listening socket's place did not listen. If an accept completes at that moment, the next one on the new socket fails at once, and the library tries again without end, as it did with shutdown(). The new one now listens on a loopback port that nobody is told, so an accept always waits.

--- a/src/http/listening_socket.cc
+++ b/src/http/listening_socket.cc
@@ -38,26 +38,46 @@
   return std::string(text) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
-}  // namespace
+// A listening socket on a loopback port that nobody is told, or -1.
+int OpenSilentSocket() {
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  if (descriptor >= 0 && bind(descriptor, generic, sizeof(address)) == 0 &&
+      listen(descriptor, 0) == 0) {
+    return descriptor;
+  }
+  close(descriptor);
+  return -1;
+}
 
-void ShutDownListeningSocket(const std::string& address) {
-  // NOTE: shutdown() would do for the kernel, but then each accept of the
-  // library fails at once and is tried again at once, until one of them runs
-  // into the listener that is being destroyed. Under a socket that takes its
-  // place the accept stays pending, and closing the listener cancels it.
-  const int idle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (idle < 0) {
+// NOTE: shutdown() would not do. The library answers a failed accept with
+// another one at once and without end, which takes a whole thread and reads the
+// listener after it was destroyed. A silent socket in its place leaves the
+// library waiting; the old one is closed by the exchange.
+void Silence(int descriptor) {
+  const int silent = OpenSilentSocket();
+  if (silent < 0) {
     return;
   }
+  dup3(silent, descriptor, O_CLOEXEC);
+  close(silent);
+}
+
+}  // namespace
+
+void ShutDownListeningSocket(const std::string& address) {
   std::error_code ignored;
   for (const auto& entry :
        std::filesystem::directory_iterator("/proc/self/fd", ignored)) {
     const int descriptor = std::atoi(entry.path().filename().c_str());
     if (IsListening(descriptor) && AddressOf(descriptor) == address) {
-      dup3(idle, descriptor, O_CLOEXEC);
+      Silence(descriptor);
     }
   }
-  close(idle);
 }
 
 }  // namespace medlarspread::http
