Daemon: Feed the metrics and pass the log on to claims and burn

The claim service and the burn controller were built without the log, so every failure of theirs, lost confirmed claims among them, went unlogged: their log argument defaults to one that discards. They get it now. The calls to the platform's store, lost peer links and invalid requests are counted; before, these metrics stood at 0 whatever happened.

--- a/src/daemon/controllers.cc
+++ b/src/daemon/controllers.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "src/daemon/metered_store.h"
+
 #include "src/claims/claim_settings.h"
 
 namespace medlarspread::daemon {
@@ -78,9 +80,11 @@
                          const base::TaskRunner& traffic,
                          const peer::PeerPort& peers,
                          blackboard::Blackboard& blackboard,
+                         metrics::Registry& registry,
                          const base::Log& log)
     : log_(log),
-      store_({.address = settings.platform.address}, control),
+      store_client_({.address = settings.platform.address}, control),
+      store_(MeterStore(store_client_.store(), registry, clock)),
       vm_list_({.address = settings.platform.address}, control),
       leaves_(MakeLeafClientSettings(), clock, traffic),
       health_(leaves_.connections()),
@@ -96,7 +100,7 @@
                clock,
                random,
                control,
-               store_.store(),
+               store_,
                peers,
                blackboard,
                log),
@@ -113,16 +117,18 @@
               clock,
               random,
               control,
-              store_.store(),
+              store_,
               peers,
-              blackboard),
+              blackboard,
+              log),
       burn_(std::make_shared<burn::BurnController>(
           MakeBurnSettings(settings, identity),
           clock,
           random,
           control,
-          store_.store(),
-          blackboard)) {}
+          store_,
+          blackboard,
+          log)) {}
 
 upstream::UpstreamCallbacks Controllers::MakeUpstreamCallbacks() {
   upstream::UpstreamCallbacks callbacks;
--- a/src/daemon/controllers.h
+++ b/src/daemon/controllers.h
@@ -17,6 +17,7 @@
 #include "src/burn/burn_controller.h"
 #include "src/claims/claim_service.h"
 #include "src/membership/membership_controller.h"
+#include "src/metrics/registry.h"
 #include "src/peer/message.h"
 #include "src/platform/store_client.h"
 #include "src/platform/vm_list_client.h"
@@ -38,7 +39,7 @@
 
 class Controllers {
  public:
-  // `random` and `blackboard` must outlive the control thread.
+  // `random`, `blackboard` and `registry` must outlive the control thread.
   Controllers(const settings::DaemonSettings& settings,
               const DaemonIdentity& identity,
               const base::Clock& clock,
@@ -47,6 +48,7 @@
               const base::TaskRunner& traffic,
               const peer::PeerPort& peers,
               blackboard::Blackboard& blackboard,
+              metrics::Registry& registry,
               const base::Log& log);
 
   void Start();
@@ -69,7 +71,9 @@
 
   const base::Log log_;
   std::atomic<bool> is_replaced_ = false;
-  platform::StoreClient store_;
+  platform::StoreClient store_client_;
+  // The client's calls, counted.
+  const platform::Store store_;
   platform::VmListClient vm_list_;
   upstream::LeafClient leaves_;
   upstream::HealthClient health_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -89,6 +89,7 @@
         }
       },
       [this](const std::string& peer) {
+        metering_.DidLosePeer();
         if (auto* router = router_slot_.load()) {
           router->DidLosePeer(peer);
         }
@@ -101,7 +102,7 @@
   controllers_ = std::make_unique<Controllers>(
       settings_, DaemonIdentity{incarnation_, network_->address()}, clock_,
       *random_, control_.runner(), traffic, network_->port(), blackboard_,
-      log_);
+      metering_.registry(), log_);
   TrafficOptions options;
   options.attempt_prefix =
       settings_.vm.name + "." + std::to_string(incarnation_);
@@ -156,8 +157,9 @@
   if (auto opened = callers_->Open(); !opened.is_ok()) {
     return opened;
   }
-  operator_pages_ = std::make_unique<OperatorPages>(
-      *controllers_, *traffic_, *network_, blackboard_, metering_);
+  operator_pages_ =
+      std::make_unique<OperatorPages>(*controllers_, *traffic_, *network_,
+                                      blackboard_, *caller_api_, metering_);
   admin_api_ = std::make_unique<admin_api::AdminApi>(
       admin_api::AdminSettings{.token = settings_.operators.token},
       operator_pages_->ports(), controllers_->targets(), blackboard_, log_);
--- a/src/daemon/metering.cc
+++ b/src/daemon/metering.cc
@@ -41,6 +41,10 @@
   }
 }
 
+void Metering::DidLosePeer() {
+  registry_.Count(Counter::kPeerLinksLost);
+}
+
 void Metering::CountGrowth(Counter counter,
                            std::uint64_t total,
                            std::uint64_t& last) {
@@ -50,7 +54,8 @@
 
 std::string Metering::Render(const Traffic& traffic,
                              const peer::PeerNetwork& network,
-                             const blackboard::Blackboard& blackboard) {
+                             const blackboard::Blackboard& blackboard,
+                             std::uint64_t invalid_requests) {
   int queued = 0;
   for (const auto& row : traffic.dispatchers().rows()) {
     queued += row.queued;
@@ -67,6 +72,7 @@
                 last_sent_);
     CountGrowth(Counter::kPeerBytesReceived, network.received().total().bytes,
                 last_received_);
+    CountGrowth(Counter::kRequestsInvalid, invalid_requests, last_invalid_);
   }
   return registry_.Render();
 }
--- a/src/daemon/metering.h
+++ b/src/daemon/metering.h
@@ -25,11 +25,16 @@
 
   void DidAnswerCaller(const burn::RequestRecord& record);
   void DidHearLeaf(const upstream::LeafReply& reply);
+  void DidLosePeer();
 
   // The metrics page, with the values of the moment filled in.
   std::string Render(const Traffic& traffic,
                      const peer::PeerNetwork& network,
-                     const blackboard::Blackboard& blackboard);
+                     const blackboard::Blackboard& blackboard,
+                     std::uint64_t invalid_requests);
+
+  // For parts that count by themselves.
+  metrics::Registry& registry() { return registry_; }
 
  private:
   // Counts what `total` has grown by since the last time.
@@ -41,6 +46,7 @@
   std::mutex mutex_;
   std::uint64_t last_sent_ = 0;
   std::uint64_t last_received_ = 0;
+  std::uint64_t last_invalid_ = 0;
 };
 
 }  // namespace medlarspread::daemon
--- a/src/daemon/operator_pages.cc
+++ b/src/daemon/operator_pages.cc
@@ -20,11 +20,13 @@
                              Traffic& traffic,
                              const peer::PeerNetwork& network,
                              const blackboard::Blackboard& blackboard,
+                             const caller_api::CallerApi& caller_api,
                              Metering& metering)
     : controllers_(controllers),
       traffic_(traffic),
       network_(network),
       blackboard_(blackboard),
+      caller_api_(caller_api),
       metering_(metering) {}
 
 admin_api::AdminPorts OperatorPages::ports() {
@@ -35,7 +37,8 @@
     ReportBurn(format, std::move(respond));
   };
   ports.write_metrics = [this] {
-    return metering_.Render(traffic_, network_, blackboard_);
+    return metering_.Render(traffic_, network_, blackboard_,
+                            caller_api_.invalid_requests());
   };
   return ports;
 }
--- a/src/daemon/operator_pages.h
+++ b/src/daemon/operator_pages.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "src/admin_api/admin_api.h"
+#include "src/caller_api/caller_api.h"
 #include "src/daemon/controllers.h"
 #include "src/daemon/metering.h"
 #include "src/daemon/traffic.h"
@@ -22,6 +23,7 @@
                 Traffic& traffic,
                 const peer::PeerNetwork& network,
                 const blackboard::Blackboard& blackboard,
+                const caller_api::CallerApi& caller_api,
                 Metering& metering);
 
   admin_api::AdminPorts ports();
@@ -36,6 +38,7 @@
   Traffic& traffic_;
   const peer::PeerNetwork& network_;
   const blackboard::Blackboard& blackboard_;
+  const caller_api::CallerApi& caller_api_;
   Metering& metering_;
 };
 
