Tests: Let daemons meet the restored store's old targets

The test of a restored store could not fail: a daemon's watch does not end when the version goes back, so within the test nobody read the old record. Now an outage ends the watches, the test waits until the record has been put right, and looks for a daemon that reverted meanwhile.

--- a/tests/failure/targets_test.cc
+++ b/tests/failure/targets_test.cc
@@ -106,30 +106,37 @@
 }
 
 TEST_F(TargetsTest, RestoredStoreRevertsNothing) {
+  // Unlike any other number in the store.
+  constexpr int kNewer = 7351;
   cluster_.StartSmall(2, {});
   cluster_.ControlPlatform("checkpoint", "");
   ASSERT_EQ(
-      cluster_.PutTargets(cluster_.daemons()[0], "a", 700, std::nullopt).status,
+      cluster_.PutTargets(cluster_.daemons()[0], "a", kNewer, std::nullopt)
+          .status,
       http::kOk);
-  ASSERT_TRUE(AwaitEverywhere(700));
+  ASSERT_TRUE(AwaitEverywhere(kNewer));
   const auto before = cluster_.TargetsOf(cluster_.daemons()[0]).revision;
+  // The outage ends the watches, so that the old record is read afterwards.
+  cluster_.ControlPlatform("faults", R"({"outage":"refuse"})");
   cluster_.ControlPlatform("restore", R"({"repeats_versions":true})");
-  // A daemon that starts after the restore must not take the old targets
-  // while others have newer ones in force.
-  const Daemon& late = cluster_.StartDaemon("vm-late");
-  EXPECT_TRUE(cluster_.AwaitWhole(late));
-  EXPECT_TRUE(AwaitEverywhere(700));
-  for (const Daemon& daemon : cluster_.daemons()) {
-    EXPECT_GE(cluster_.TargetsOf(daemon).revision, before) << daemon.name;
-  }
+  cluster_.ControlPlatform("faults", R"({"outage":"none"})");
+  // A daemon that starts now must not take the old targets either.
+  cluster_.StartDaemon("vm-late");
+  ASSERT_TRUE(cluster_.AwaitWhole(cluster_.daemons().back()));
+  // A reader has met the old record once it has put it right.
+  EXPECT_TRUE(WaitUntil([&] {
+    for (const Daemon& daemon : cluster_.daemons()) {
+      EXPECT_GE(cluster_.TargetsOf(daemon).revision, before) << daemon.name;
+      EXPECT_EQ(cluster_.TargetsOf(daemon).latency_ms, kNewer) << daemon.name;
+    }
+    return HasFailure() || cluster_.StoreContents().find(
+                               std::to_string(kNewer)) != std::string::npos;
+  }));
   const auto changed =
       cluster_.PutTargets(cluster_.daemons()[1], "b", 800, std::nullopt);
-  if (changed.status == http::kOk) {
-    EXPECT_TRUE(AwaitEverywhere(800));
-  }
-  for (const Daemon& daemon : cluster_.daemons()) {
-    EXPECT_GE(cluster_.TargetsOf(daemon).revision, before) << daemon.name;
-  }
+  EXPECT_EQ(changed.status, http::kOk) << changed.body;
+  EXPECT_TRUE(AwaitEverywhere(800));
+  EXPECT_GT(cluster_.TargetsOf(cluster_.daemons()[0]).revision, before);
 }
 
 }  // namespace
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -157,6 +157,13 @@
   }
 }
 
+std::string Cluster::StoreContents() const {
+  return AwaitCall({.address = platform_,
+                    .path = "/v1/kv",
+                    .parameters = {{"prefix", ""}}})
+      .body;
+}
+
 LeafRuns Cluster::RunsOf(const Leaf& leaf) const {
   // NOTE: no request has this identifier, so that only the sums come back.
   const value json =
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -78,6 +78,8 @@
   void ControlPlatform(const std::string& call, const std::string& body) const;
   void ControlLeaf(const Leaf& leaf, const std::string& body) const;
   void ControlLeaves(const std::string& body) const;
+  // All entries of the key-value service, as JSON.
+  std::string StoreContents() const;
   LeafRuns RunsOf(const Leaf& leaf) const;
   // How often each range of the request was started, over all leaves; the
   // highest of these numbers.
