Query, Tests: Claim only what can be asked; stop all daemons in turn

Stopping all daemons in turn under load, and stopping while the store is down, had no test; the check of StopUnderLoadCutsNothing serves all three now, with nothing in it loosened: it also counts starts at all leaves instead of one.

--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -75,10 +75,14 @@
     target_timer_ =
         runner_.After(targets_.latency, Guarded(&QuerySession::TargetIsDue));
   }
-  if (is_at_most_once()) {
-    Claim();
-  } else {
+  if (!is_at_most_once()) {
     ChooseSnapshotAndAsk();
+    return;
+  }
+  // A claim uses its identifier up, so it is made only if something can be
+  // asked. The snapshot is chosen anew once it is granted.
+  if (PlanSnapshot()) {
+    Claim();
   }
 }
 
@@ -136,13 +140,20 @@
 }
 
 // Step 3.
-void QuerySession::ChooseSnapshotAndAsk() {
+bool QuerySession::PlanSnapshot() {
   const auto index = dependencies_->router->IndexOf(targets_.collection);
   plan_ = ChooseSnapshot(*index, targets_.coverage);
-  if (!plan_ || plan_->ranges.empty()) {
-    Refuse(base::MakeError(ErrorCode::kUnavailable, Step::kSelectSnapshot, "",
-                           "no upstream serves the collection"),
-           kDefaultRetryAfter, RefusalKind::kUnavailable);
+  if (plan_ && !plan_->ranges.empty()) {
+    return true;
+  }
+  Refuse(base::MakeError(ErrorCode::kUnavailable, Step::kSelectSnapshot, "",
+                         "no upstream serves the collection"),
+         kDefaultRetryAfter, RefusalKind::kUnavailable);
+  return false;
+}
+
+void QuerySession::ChooseSnapshotAndAsk() {
+  if (!PlanSnapshot()) {
     return;
   }
   ++generation_;
--- a/src/query/query_session.h
+++ b/src/query/query_session.h
@@ -80,6 +80,8 @@
   void DoStart();
   void Claim();
   void DidClaim(const claims::ClaimResult& result);
+  // Chooses the snapshot; refuses the request if there is none.
+  bool PlanSnapshot();
   void ChooseSnapshotAndAsk();
   void Ask(const std::vector<blackboard::KeyRange>& ranges);
   void SendSubQuery(routing::SubQueryRequest sub_query);
--- a/tests/failure/leaving_test.cc
+++ b/tests/failure/leaving_test.cc
@@ -27,6 +27,55 @@
           << response.body;
     }
   }
+
+  // Sends requests to the daemons at `entries` and stops the one at `stopping`
+  // while they run. Each request must be answered in full or refused as not
+  // run, and the daemon must say that it cut nothing off.
+  void StopUnderLoad(std::size_t stopping,
+                     const std::vector<std::size_t>& entries) {
+    constexpr std::size_t kInFlight = 30;
+    std::vector<Ask> asks;
+    std::vector<std::future<base::Result<http::Response>>> replies;
+    const auto before = Started();
+    for (std::size_t index = 0; index < kInFlight; ++index) {
+      asks.push_back(cluster_.MakeAsk());
+      const auto& entry = cluster_.daemons()[entries[index % entries.size()]];
+      replies.push_back(cluster_.Start(entry, asks.back()));
+    }
+    ASSERT_TRUE(WaitUntil([&] { return Started() > before; }));
+    cluster_.daemons()[stopping].process->Signal(SIGTERM);
+    int answered = 0;
+    for (std::size_t index = 0; index < kInFlight; ++index) {
+      const auto result = replies[index].get();
+      ASSERT_TRUE(result.is_ok()) << result.error().ToString();
+      answered += ExpectWholeOrNotRun(asks[index], result.value()) ? 1 : 0;
+    }
+    EXPECT_GT(answered, 0);
+    EXPECT_EQ(cluster_.daemons()[stopping].process->AwaitExit(), 0);
+  }
+
+ private:
+  // Requests that all leaves have started.
+  std::int64_t Started() {
+    std::int64_t started = 0;
+    for (const Leaf& leaf : cluster_.leaves()) {
+      started += cluster_.RunsOf(leaf).started;
+    }
+    return started;
+  }
+
+  // Whether it was answered.
+  bool ExpectWholeOrNotRun(const Ask& ask, const http::Response& response) {
+    EXPECT_EQ(ViolationOf(ask, response), emulator::Violation::kNone);
+    EXPECT_NE(response.status, http::kGatewayTimeout) << response.body;
+    if (response.status != http::kOk) {
+      EXPECT_EQ(cluster_.MostRunsOf(ask.asked.request_id), 0) << response.body;
+      return false;
+    }
+    EXPECT_FALSE(CheckAnswer(ask.asked, response.body).is_partial)
+        << response.body;
+    return true;
+  }
 };
 
 // The platform's list and the health page go on saying that all is well: the
@@ -56,44 +105,28 @@
   EXPECT_EQ(cluster_.RunsOf(leaf).arrived, before);
 }
 
+// Requests are in flight on the daemon that stops, and its queues hold those of
+// the others.
 TEST_F(LeavingTest, StopUnderLoadCutsNothing) {
   cluster_.StartSmall(3, {"--service-ms", "150", "--slots", "8"});
-  Daemon& leaving = cluster_.daemons()[1];
-  std::vector<Ask> asks;
-  std::vector<std::future<base::Result<http::Response>>> replies;
-  const auto before = cluster_.RunsOf(cluster_.leaves()[0]).started;
-  constexpr int kInFlight = 30;
-  for (int index = 0; index < kInFlight; ++index) {
-    // Every other request enters at another daemon, whose queues may lie with
-    // the one that stops.
-    const Daemon& entry = cluster_.daemons()[index % 2 == 0 ? 1 : 0];
-    asks.push_back(cluster_.MakeAsk());
-    replies.push_back(cluster_.Start(entry, asks.back()));
-  }
-  ASSERT_TRUE(WaitUntil(
-      [&] { return cluster_.RunsOf(cluster_.leaves()[0]).started > before; }));
-  leaving.process->Signal(SIGTERM);
-  int answered = 0;
-  for (int index = 0; index < kInFlight; ++index) {
-    const auto result = replies[index].get();
-    ASSERT_TRUE(result.is_ok()) << result.error().ToString();
-    const http::Response& response = result.value();
-    EXPECT_EQ(ViolationOf(asks[index], response), emulator::Violation::kNone);
-    EXPECT_NE(response.status, http::kGatewayTimeout) << response.body;
-    if (response.status == http::kOk) {
-      ++answered;
-      EXPECT_FALSE(CheckAnswer(asks[index].asked, response.body).is_partial)
-          << response.body;
-    } else {
-      EXPECT_EQ(cluster_.MostRunsOf(asks[index].asked.request_id), 0)
-          << response.body;
-    }
-  }
-  EXPECT_GT(answered, 0);
-  EXPECT_EQ(leaving.process->AwaitExit(), 0);
+  StopUnderLoad(1, {1, 0});
   EXPECT_TRUE(cluster_.AwaitWhole(cluster_.daemons()[0]));
 }
 
+TEST_F(LeavingTest, AllDaemonsStopInTurn) {
+  cluster_.StartSmall(3, {"--service-ms", "150", "--slots", "8"});
+  StopUnderLoad(0, {0, 1, 2});
+  StopUnderLoad(1, {1, 2});
+  StopUnderLoad(2, {2});
+}
+
+TEST_F(LeavingTest, StopWhileTheStoreIsDownCutsNothing) {
+  cluster_.StartSmall(2, {"--service-ms", "150", "--slots", "8"});
+  cluster_.ControlPlatform("faults", R"({"outage":"refuse"})");
+  StopUnderLoad(0, {0, 1});
+  cluster_.ControlPlatform("faults", R"({"outage":"none"})");
+}
+
 // Killed, not stopped: what was in flight may be lost, but nothing false comes,
 // and the others soon serve without it.
 TEST_F(LeavingTest, KilledDaemonIsDoneWithout) {
--- a/tests/query/query_session_test.cc
+++ b/tests/query/query_session_test.cc
@@ -200,6 +200,15 @@
   EXPECT_FALSE(answer->has_value());
 }
 
+TEST_F(QuerySessionTest, NoClaimIsMadeWhenNothingCanBeAsked) {
+  world_.SetLeafState("low", blackboard::UpstreamState::kDraining);
+  world_.SetLeafState("high", blackboard::UpstreamState::kUnreachable);
+  const auto answer = Submit("counter", false);
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_TRUE(std::holds_alternative<Refused>(answer->value()));
+  EXPECT_TRUE(claims_.empty());
+}
+
 TEST_F(QuerySessionTest, TakenClaimIsUnknownAndOthersAreRefused) {
   auto answer = Submit("counter", false);
   SettleClaim(claims::ClaimOutcome::kTaken);
