Routing: Go round a leaf that has become slow

An owner's expected wait used one mean service time for the whole collection, and a leaf that always lost against the second send never counted as slow, because its answers were cancelled. Ruled out: the windows (they let two requests in, as they should) and the budget of second sends (used up as a consequence).

Change: LeafTimes keeps a mean per leaf and a median over all; cancelled attempts count as having taken at least as long as they ran. The wait is worked out from each replica's own pace, and the excess of a slow shard rides on replies; the router adds it to its delay for 5 s.

--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1405,6 +1405,10 @@
 void QueueLoad::__set_expected_wait_us(const int32_t val) {
   this->expected_wait_us = val;
 }
+
+void QueueLoad::__set_service_excess_us(const int32_t val) {
+  this->service_excess_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj)
 {
   obj.printTo(out);
@@ -1465,6 +1469,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->service_excess_us);
+          this->__isset.service_excess_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1498,6 +1510,10 @@
   xfer += oprot->writeI32(this->expected_wait_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("service_excess_us", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->service_excess_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1509,6 +1525,7 @@
   swap(a.running, b.running);
   swap(a.slots, b.slots);
   swap(a.expected_wait_us, b.expected_wait_us);
+  swap(a.service_excess_us, b.service_excess_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1517,6 +1534,7 @@
   running = other64.running;
   slots = other64.slots;
   expected_wait_us = other64.expected_wait_us;
+  service_excess_us = other64.service_excess_us;
   __isset = other64.__isset;
 }
 QueueLoad::QueueLoad(QueueLoad&& other65) noexcept {
@@ -1524,6 +1542,7 @@
   running = other65.running;
   slots = other65.slots;
   expected_wait_us = other65.expected_wait_us;
+  service_excess_us = other65.service_excess_us;
   __isset = other65.__isset;
 }
 QueueLoad& QueueLoad::operator=(const QueueLoad& other66) noexcept {
@@ -1531,6 +1550,7 @@
   running = other66.running;
   slots = other66.slots;
   expected_wait_us = other66.expected_wait_us;
+  service_excess_us = other66.service_excess_us;
   __isset = other66.__isset;
   return *this;
 }
@@ -1539,6 +1559,7 @@
   running = other67.running;
   slots = other67.slots;
   expected_wait_us = other67.expected_wait_us;
+  service_excess_us = other67.service_excess_us;
   __isset = other67.__isset;
   return *this;
 }
@@ -1549,6 +1570,7 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "expected_wait_us=" << to_string(expected_wait_us);
+  out << ", " << "service_excess_us=" << to_string(service_excess_us);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -515,11 +515,12 @@
 std::ostream& operator<<(std::ostream& out, const SubQuery& obj);
 
 typedef struct _QueueLoad__isset {
-  _QueueLoad__isset() : queued(false), running(false), slots(false), expected_wait_us(false) {}
+  _QueueLoad__isset() : queued(false), running(false), slots(false), expected_wait_us(false), service_excess_us(false) {}
   bool queued :1;
   bool running :1;
   bool slots :1;
   bool expected_wait_us :1;
+  bool service_excess_us :1;
 } _QueueLoad__isset;
 
 class QueueLoad : public virtual ::apache::thrift::TBase {
@@ -533,7 +534,8 @@
             : queued(0),
               running(0),
               slots(0),
-              expected_wait_us(0) {
+              expected_wait_us(0),
+              service_excess_us(0) {
   }
 
   virtual ~QueueLoad() noexcept;
@@ -541,6 +543,7 @@
   int32_t running;
   int32_t slots;
   int32_t expected_wait_us;
+  int32_t service_excess_us;
 
   _QueueLoad__isset __isset;
 
@@ -552,6 +555,8 @@
 
   void __set_expected_wait_us(const int32_t val);
 
+  void __set_service_excess_us(const int32_t val);
+
   bool operator == (const QueueLoad & rhs) const
   {
     if (!(queued == rhs.queued))
@@ -562,6 +567,8 @@
       return false;
     if (!(expected_wait_us == rhs.expected_wait_us))
       return false;
+    if (!(service_excess_us == rhs.service_excess_us))
+      return false;
     return true;
   }
   bool operator != (const QueueLoad &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -94,6 +94,8 @@
   3: i32 slots;
   // Expected wait of a new request of the same class.
   4: i32 expected_wait_us;
+  // By how much the replicas here are slower than is typical.
+  5: i32 service_excess_us;
 }
 
 // One shard's outcome. `outcome` is the index of routing::ShardOutcome.
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -184,7 +184,7 @@
   const std::string attempt_id = options_.attempt_prefix + "-" +
                                  options_.collection + "-" +
                                  std::to_string(next_attempt_++);
-  job.attempts.push_back({attempt_id, upstream});
+  job.attempts.push_back({attempt_id, upstream, now});
   job.tried.insert(upstream.name);
   ++job.sends;
   queues_.DidSend(job.key());
@@ -295,7 +295,7 @@
                           const upstream::LeafReply& reply) {
   if (reply.outcome == LeafOutcome::kAnswered) {
     second_sends_.DidReply(reply.service_time);
-    loads_.DidAnswer(reply.service_time);
+    loads_.DidAnswer(upstream.name, reply.service_time);
   }
   const auto row = jobs_.find(id);
   if (row == jobs_.end()) {
@@ -428,6 +428,9 @@
 
 void Dispatcher::CancelAttempts(ShardJob& job) {
   for (const ShardAttempt& attempt : job.attempts) {
+    // A leaf that always loses against the second send never answers, but it
+    // shows its slowness all the same.
+    loads_.DidTakeAtLeast(attempt.upstream.name, clock_.Now() - attempt.sent);
     ports_.leaves.cancel(attempt.upstream, attempt.id);
   }
 }
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -13,6 +13,8 @@
 constexpr base::Duration kOwnRegionGuess = base::Milliseconds(1);
 constexpr base::Duration kOtherRegionGuess = base::Milliseconds(20);
 constexpr double kNetworkWeight = 0.1;
+// How long the news of a slow leaf holds without being repeated.
+constexpr base::Duration kExcessLifetime = base::Milliseconds(5000);
 
 }  // namespace
 
@@ -25,8 +27,8 @@
                         const ShardLoad& load,
                         base::Duration network) {
   const std::lock_guard lock(mutex_);
-  rows_[{collection, class_name, low, region}] = {load.expected_wait,
-                                                  clock_.Now()};
+  rows_[{collection, class_name, low, region}] = {
+      load.expected_wait, load.service_excess, clock_.Now()};
   const auto [row, is_new] = network_.try_emplace(region, network);
   if (!is_new) {
     row->second += base::Duration(static_cast<std::int64_t>(
@@ -44,7 +46,12 @@
     return base::Duration::zero();
   }
   const base::Duration age = clock_.Now() - row->second.heard;
-  return std::max(base::Duration::zero(), row->second.wait - age);
+  // A queue empties as time passes; a leaf stays slow until it is seen to be
+  // fast again, so now and then a request has to go and see.
+  const base::Duration excess = age < kExcessLifetime
+                                    ? row->second.service_excess
+                                    : base::Duration::zero();
+  return std::max(base::Duration::zero(), row->second.wait - age) + excess;
 }
 
 base::Duration LoadTable::NetworkTime(const std::string& region,
--- a/src/routing/load_table.h
+++ b/src/routing/load_table.h
@@ -45,6 +45,7 @@
  private:
   struct Row {
     base::Duration wait{};
+    base::Duration service_excess{};
     base::MonotonicTime heard;
   };
   using Key = std::tuple<std::string, std::string, std::int32_t, std::string>;
--- a/src/routing/replica_pool.cc
+++ b/src/routing/replica_pool.cc
@@ -74,13 +74,22 @@
   return best;
 }
 
-void ReplicaPool::CountPlaces(const ShardKey& shard, ShardLoad& load) {
+std::vector<const blackboard::Upstream*> ReplicaPool::UsableOf(
+    const ShardKey& shard) {
+  std::vector<const blackboard::Upstream*> usable;
   for (const auto* replica : Index().ReplicasOf(shard)) {
     if (MayUse({}, *replica)) {
-      load.running += windows_->in_flight(*replica);
-      load.slots += windows_->limit(*replica);
+      usable.push_back(replica);
     }
   }
+  return usable;
+}
+
+void ReplicaPool::CountPlaces(const ShardKey& shard, ShardLoad& load) {
+  for (const auto* replica : UsableOf(shard)) {
+    load.running += windows_->in_flight(*replica);
+    load.slots += windows_->limit(*replica);
+  }
 }
 
 }  // namespace medlarspread::routing
--- a/src/routing/replica_pool.h
+++ b/src/routing/replica_pool.h
@@ -41,6 +41,14 @@
   const blackboard::Upstream* Pick(const ShardKey& shard,
                                    const std::set<std::string>& exhausted);
 
+  // The replicas that this daemon may send to.
+  std::vector<const blackboard::Upstream*> UsableOf(const ShardKey& shard);
+
+  // How many requests may be in flight at the replica now.
+  int LimitOf(const blackboard::Upstream& replica) {
+    return windows_->limit(replica);
+  }
+
   // Adds up what is in flight at the replicas, and how much may be.
   void CountPlaces(const ShardKey& shard, ShardLoad& load);
 
--- a/src/routing/shard_job.h
+++ b/src/routing/shard_job.h
@@ -20,6 +20,7 @@
 struct ShardAttempt {
   std::string id;
   blackboard::Upstream upstream;
+  base::MonotonicTime sent;
 };
 
 struct ShardJob {
--- a/src/routing/shard_load_estimator.cc
+++ b/src/routing/shard_load_estimator.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace medlarspread::routing {
 
@@ -11,8 +12,6 @@
 
 using base::Duration;
 
-// Weight of the newest service time in the running mean.
-constexpr double kMeanWeight = 0.05;
 constexpr double kMicrosecondsPerSecond = 1e6;
 // Behind every queued request that is due at the same time.
 constexpr std::uint64_t kNewcomer = std::numeric_limits<std::uint64_t>::max();
@@ -30,10 +29,16 @@
       replicas_(replicas),
       queues_(queues) {}
 
-void ShardLoadEstimator::DidAnswer(Duration service_time) {
-  mean_service_ += Duration(static_cast<std::int64_t>(
-      kMeanWeight *
-      static_cast<double>((service_time - mean_service_).count())));
+void ShardLoadEstimator::DidAnswer(const std::string& leaf,
+                                   Duration service_time) {
+  times_.DidAnswer(leaf, service_time);
+}
+
+void ShardLoadEstimator::DidTakeAtLeast(const std::string& leaf,
+                                        Duration time) {
+  if (time > times_.MeanOf(leaf)) {
+    times_.DidAnswer(leaf, time);
+  }
 }
 
 ShardLoad ShardLoadEstimator::LoadOf(const ShardRequest& request) {
@@ -41,16 +46,29 @@
   ShardLoad load;
   load.queued = static_cast<int>(queues_.queued(shard));
   replicas_.CountPlaces(shard, load);
-  if (HasEntryGate(policy_)) {
-    load.expected_wait = ExpectedWait(request, load);
+  const auto replicas = replicas_.UsableOf(shard);
+  if (!HasEntryGate(policy_) || replicas.empty()) {
+    return load;
+  }
+  // Each replica completes requests at its own pace. The fastest decides how
+  // much longer than elsewhere an answer takes once it has a place.
+  double completions_per_second = 0.0;
+  std::optional<Duration> least_excess;
+  for (const auto* replica : replicas) {
+    completions_per_second +=
+        replicas_.LimitOf(*replica) * kMicrosecondsPerSecond /
+        static_cast<double>(times_.MeanOf(replica->name).count());
+    const Duration excess = times_.ExcessOf(replica->name);
+    least_excess = std::min(excess, least_excess.value_or(excess));
   }
+  load.service_excess = least_excess.value_or(Duration::zero());
+  load.expected_wait = ExpectedWait(request, load, completions_per_second);
   return load;
 }
 
 Duration ShardLoadEstimator::ExpectedWait(const ShardRequest& request,
-                                          const ShardLoad& load) const {
-  const Duration per_slot = std::max(mean_service_, Duration(1));
-  const int slots = std::max(1, load.slots);
+                                          const ShardLoad& load,
+                                          double completions_per_second) const {
   const int busy = std::max(0, load.running - load.slots + 1);
   const auto targets = blackboard_.targets.Read();
   const auto row = targets->classes.find(request.class_name);
@@ -62,11 +80,10 @@
                         : clock_.Now() + row->second.latency,
       .deadline = request.deadline,
       .is_hedge = false};
-  const double completions_per_second =
-      slots * kMicrosecondsPerSecond / static_cast<double>(per_slot.count());
-  return per_slot * busy / slots +
-         queues_.ExpectedWait({request.snapshot, request.range}, newcomer,
-                              completions_per_second);
+  const Duration until_free(static_cast<std::int64_t>(
+      busy * kMicrosecondsPerSecond / completions_per_second));
+  return until_free + queues_.ExpectedWait({request.snapshot, request.range},
+                                           newcomer, completions_per_second);
 }
 
 }  // namespace medlarspread::routing
--- a/src/routing/shard_load_estimator.h
+++ b/src/routing/shard_load_estimator.h
@@ -4,9 +4,11 @@
 #define MEDLARSPREAD_ROUTING_SHARD_LOAD_ESTIMATOR_H_
 
 #include <cstdint>
+#include <string>
 
 #include "src/base/clock.h"
 #include "src/blackboard/blackboard.h"
+#include "src/routing/leaf_times.h"
 #include "src/routing/policy.h"
 #include "src/routing/replica_pool.h"
 #include "src/routing/shard_queues.h"
@@ -24,7 +26,10 @@
                      const ShardQueues& queues);
 
   // An answer took so long from the send to the reply.
-  void DidAnswer(base::Duration service_time);
+  void DidAnswer(const std::string& leaf, base::Duration service_time);
+
+  // An attempt was cancelled after so long without an answer.
+  void DidTakeAtLeast(const std::string& leaf, base::Duration time);
 
   // For the next request of the class that `request` is of. Its wait is left at
   // zero under a policy whose entries do not ask for it.
@@ -32,14 +37,15 @@
 
  private:
   base::Duration ExpectedWait(const ShardRequest& request,
-                              const ShardLoad& load) const;
+                              const ShardLoad& load,
+                              double completions_per_second) const;
 
   const Policy policy_;
   const base::Clock clock_;
   const blackboard::Blackboard& blackboard_;
   ReplicaPool& replicas_;
   const ShardQueues& queues_;
-  base::Duration mean_service_ = base::Milliseconds(1);
+  LeafTimes times_;
 };
 
 }  // namespace medlarspread::routing
--- a/src/routing/shard_request.h
+++ b/src/routing/shard_request.h
@@ -53,6 +53,9 @@
   int slots = 0;
   // Expected wait of a request of the same class that arrives now.
   base::Duration expected_wait{};
+  // By how much the fastest replica here takes longer than leaves of the
+  // collection usually do; zero if it does not stand out.
+  base::Duration service_excess{};
 };
 
 struct ShardResult {
--- a/src/routing/wire_conversion.cc
+++ b/src/routing/wire_conversion.cc
@@ -114,6 +114,7 @@
   message.load.running = result.load.running;
   message.load.slots = result.load.slots;
   message.load.expected_wait_us = ToMicroseconds(result.load.expected_wait);
+  message.load.service_excess_us = ToMicroseconds(result.load.service_excess);
   message.service_us = ToMicroseconds(result.service_time);
   message.held_us = ToMicroseconds(result.held);
   return message;
@@ -134,7 +135,8 @@
   result.upstream = reply.upstream;
   result.sends = reply.sends;
   result.load = {reply.load.queued, reply.load.running, reply.load.slots,
-                 Duration(reply.load.expected_wait_us)};
+                 Duration(reply.load.expected_wait_us),
+                 Duration(reply.load.service_excess_us)};
   result.service_time = Duration(reply.service_us);
   result.held = Duration(reply.held_us);
   return result;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -53,6 +53,16 @@
   EXPECT_EQ(Choose()->region, "north");
 }
 
+TEST_F(RouterTest, GoesRoundASlowLeafAndLooksAgain) {
+  ShardLoad load;
+  load.service_excess = Milliseconds(45);
+  loads_->DidHear("archive", "counter", 0, "north", load, Milliseconds(1));
+  world_.scheduler->Advance(Milliseconds(4900));
+  EXPECT_EQ(Choose()->region, "south");
+  world_.scheduler->Advance(Milliseconds(200));
+  EXPECT_EQ(Choose()->region, "north");
+}
+
 TEST_F(RouterTest, PassesOverSuspectsAndExclusions) {
   const std::string first = Choose()->owner;
   suspects_.insert(first);
