Routing: Ask a leaf that shed again only after its time, with jitter

Cause: RetryLater worked out a delay from the leaf's retry time and a jittered backoff, then queued the request at once; only the leaf's window held it back, so retries of several daemons came together. It now waits out of the queue. ShedLeafIsAskedAgainOnlyAfterItsTime is new.

--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -386,7 +386,15 @@
   }
   // Only a leaf that shed may be asked again: it said when.
   job.tried.clear();
-  Enqueue(id, job, false);
+  job.is_backing_off = true;
+  runner_.After(delay, [self = shared_from_this(), id] {
+    const auto row = self->jobs_.find(id);
+    if (row != self->jobs_.end()) {
+      row->second.is_backing_off = false;
+      self->Enqueue(id, row->second, false);
+      self->Pump(row->second.key());
+    }
+  });
 }
 
 // Step 5.
--- a/src/routing/shard_job.h
+++ b/src/routing/shard_job.h
@@ -35,6 +35,8 @@
   bool did_second_send = false;
   // Invariant: a job stands in the queue at most once at a time.
   bool is_queued = false;
+  // Waits out of the queue until a leaf that shed may be asked again.
+  bool is_backing_off = false;
   // A second send to another region that has not answered yet.
   bool is_forwarded = false;
   // Set once an attempt ended without a reply that excludes a run.
@@ -47,7 +49,7 @@
   ShardKey key() const { return {request.snapshot, request.range}; }
   // Whether an answer may still come without anything being done.
   bool is_pending() const {
-    return !attempts.empty() || is_queued || is_forwarded;
+    return !attempts.empty() || is_queued || is_backing_off || is_forwarded;
   }
 };
 
--- a/tests/routing/dispatcher_test.cc
+++ b/tests/routing/dispatcher_test.cc
@@ -227,6 +227,20 @@
   EXPECT_EQ(world_.cancelled_attempts.size(), world_.sends.size());
 }
 
+TEST_F(DispatcherTest, ShedLeafIsAskedAgainOnlyAfterItsTime) {
+  world_.SetLeafState("leaf-2", UpstreamState::kUnreachable);
+  const auto result = Submit(MakeRequest());
+  world_.Fail(0, LeafOutcome::kShed, Milliseconds(20));
+  world_.scheduler->Advance(Milliseconds(19));
+  EXPECT_EQ(world_.sends.size(), 1U);
+  EXPECT_FALSE(result->has_value());
+  world_.scheduler->Advance(Milliseconds(60));
+  ASSERT_EQ(world_.sends.size(), 2U);
+  world_.Answer(1);
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, ShardOutcome::kAnswered);
+}
+
 TEST_F(DispatcherTest, ShedWithoutOtherReplicaSaysWhenToComeBack) {
   world_.SetLeafState("leaf-2", UpstreamState::kUnreachable);
   ShardRequest request = MakeRequest();
