Routing: Tell a slow leaf from one that straggled

With a weight of 0.1 one straggler ten times as slow brought a leaf's mean to 1.9 times the median, and a little more to above the 2 that mark it, for 5 s at every entry.

Change: a level that rises slowly and falls fast marks a leaf; the plain mean only serves the wait. A new leaf starts at the typical time, not at its first answer.

--- a/src/routing/leaf_times.cc
+++ b/src/routing/leaf_times.cc
@@ -11,9 +11,13 @@
 
 using base::Duration;
 
-// Weight of the newest time in a leaf's mean: a slow leaf shows after some ten
-// answers, one straggler alone does not.
-constexpr double kMeanWeight = 0.1;
+// Weight of the newest time in a leaf's mean.
+constexpr double kMeanWeight = 0.05;
+// Weights in a leaf's level. A leaf ten times as slow shows after three
+// answers, and no longer ten answers after it is fast again; two stragglers of
+// that kind in a row don't show.
+constexpr double kRiseWeight = 0.05;
+constexpr double kFallWeight = 0.2;
 // The median moves by this share of itself with each answer.
 constexpr double kMedianStep = 0.02;
 constexpr int kExcessFactor = 2;
@@ -26,22 +30,29 @@
 }  // namespace
 
 void LeafTimes::DidAnswer(const std::string& leaf, Duration time) {
-  const auto [row, is_new] = means_.try_emplace(leaf, time);
-  if (!is_new) {
-    row->second += Scaled(time - row->second, kMeanWeight);
+  if (rows_.empty()) {
+    typical_ = std::max(Duration(1), time);
   }
+  Row& row = rows_.try_emplace(leaf, Row{typical_, typical_}).first->second;
+  row.mean += Scaled(time - row.mean, kMeanWeight);
+  row.level +=
+      Scaled(time - row.level, time > row.level ? kRiseWeight : kFallWeight);
   const Duration step = std::max(Duration(1), Scaled(typical_, kMedianStep));
   typical_ = std::max(Duration(1), typical_ + (time > typical_ ? step : -step));
 }
 
 Duration LeafTimes::MeanOf(const std::string& leaf) const {
-  const auto row = means_.find(leaf);
-  return row == means_.end() ? typical_ : std::max(Duration(1), row->second);
+  const auto row = rows_.find(leaf);
+  return row == rows_.end() ? typical_
+                            : std::max(Duration(1), row->second.mean);
 }
 
 Duration LeafTimes::ExcessOf(const std::string& leaf) const {
-  const Duration mean = MeanOf(leaf);
-  return mean > kExcessFactor * typical_ ? mean - typical_ : Duration::zero();
+  const auto row = rows_.find(leaf);
+  if (row == rows_.end() || row->second.level <= kExcessFactor * typical_) {
+    return Duration::zero();
+  }
+  return row->second.level - typical_;
 }
 
 }  // namespace medlarspread::routing
--- a/src/routing/leaf_times.h
+++ b/src/routing/leaf_times.h
@@ -28,8 +28,14 @@
   base::Duration ExcessOf(const std::string& leaf) const;
 
  private:
+  struct Row {
+    base::Duration mean{};
+    // Rises slowly and falls fast: high only while most answers are slow.
+    base::Duration level{};
+  };
+
   base::Duration typical_ = base::Milliseconds(1);
-  std::map<std::string, base::Duration> means_;
+  std::map<std::string, Row> rows_;
 };
 
 }  // namespace medlarspread::routing
