--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -142,7 +142,7 @@
 // Step 3.
 bool QuerySession::PlanSnapshot() {
   const auto index = dependencies_->router->IndexOf(targets_.collection);
-  plan_ = ChooseSnapshot(*index, targets_.coverage);
+  plan_ = ChooseSnapshot(*index, targets_.coverage, gone_);
   if (plan_ && !plan_->ranges.empty()) {
     return true;
   }
@@ -302,15 +302,21 @@
       .has_value();
 }
 
-// Starts again when the snapshot has gone from under the query. Never for a
-// request that may run only once, because its other shards have run already.
+// Starts again when the snapshot has gone from under the query, or when its
+// owners have not heard of it yet although this daemon has: then the older one
+// is still there. Never for a request that may run only once, because its other
+// shards have run already.
 bool QuerySession::TryOtherSnapshot() {
   if (is_at_most_once() || generation_ >= kMostSnapshots) {
     return false;
   }
+  gone_.insert(plan_->snapshot);
   const auto index = dependencies_->router->IndexOf(targets_.collection);
-  const auto plan = ChooseSnapshot(*index, targets_.coverage);
-  if (!plan || plan->snapshot <= plan_->snapshot) {
+  const auto plan = ChooseSnapshot(*index, targets_.coverage, gone_);
+  const bool is_worth_it =
+      plan && (plan->snapshot > plan_->snapshot ||
+               plan->share + kTolerance >= targets_.coverage);
+  if (!is_worth_it) {
     return false;
   }
   for (const std::uint64_t id : std::exchange(sub_queries_, {})) {
--- a/src/query/query_session.h
+++ b/src/query/query_session.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -126,6 +127,8 @@
 
   // The members below are used on `runner_` only.
   bool is_finished_ = false;
+  // Snapshots that a shard could not be answered from.
+  std::set<blackboard::Snapshot> gone_;
   // Results of an earlier snapshot choice carry a lower number and are dropped.
   int generation_ = 0;
   std::optional<SnapshotPlan> plan_;
--- a/src/query/snapshot_chooser.cc
+++ b/src/query/snapshot_chooser.cc
@@ -27,11 +27,16 @@
 
 }  // namespace
 
-std::optional<SnapshotPlan> ChooseSnapshot(const routing::ReplicaIndex& index,
-                                           double coverage_target) {
+std::optional<SnapshotPlan> ChooseSnapshot(
+    const routing::ReplicaIndex& index,
+    double coverage_target,
+    const std::set<blackboard::Snapshot>& gone) {
   // The shards are ordered by snapshot, oldest first, then by range.
   std::vector<SnapshotPlan> plans;
   for (const auto& [shard, replicas] : index.shards()) {
+    if (gone.contains(shard.snapshot)) {
+      continue;
+    }
     if (plans.empty() || plans.back().snapshot != shard.snapshot) {
       plans.push_back({shard.snapshot, {}, 0.0});
     }
--- a/src/query/snapshot_chooser.h
+++ b/src/query/snapshot_chooser.h
@@ -6,6 +6,7 @@
 #define MEDLARSPREAD_QUERY_SNAPSHOT_CHOOSER_H_
 
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "src/blackboard/views.h"
@@ -21,9 +22,11 @@
   double share = 0.0;
 };
 
-// Nothing if no leaf holds anything.
-std::optional<SnapshotPlan> ChooseSnapshot(const routing::ReplicaIndex& index,
-                                           double coverage_target);
+// Nothing if no leaf holds anything. Snapshots in `gone` are not chosen.
+std::optional<SnapshotPlan> ChooseSnapshot(
+    const routing::ReplicaIndex& index,
+    double coverage_target,
+    const std::set<blackboard::Snapshot>& gone = {});
 
 }  // namespace medlarspread::query
 
--- a/tests/query/query_session_test.cc
+++ b/tests/query/query_session_test.cc
@@ -177,6 +177,25 @@
   EXPECT_EQ(As<Answered>(answer).items, "[\"new-low\",\"new-high\"]");
 }
 
+TEST_F(QuerySessionTest, GoesBackWhenOwnersDoNotKnowTheNewSnapshotYet) {
+  // Here both versions are known; the leaves refuse the newer one.
+  world_.AddLeaf("low", "north",
+                 {{kSnapshot, kLowerHalf}, {kNewer, kLowerHalf}});
+  world_.AddLeaf("high", "north",
+                 {{kSnapshot, kUpperHalf}, {kNewer, kUpperHalf}});
+  const auto answer = Submit();
+  ASSERT_EQ(world_.sends.size(), 2U);
+  EXPECT_EQ(world_.sends[0].request.snapshot, kNewer);
+  world_.Answer(0, "[\"new-low\"]");
+  world_.Fail(1, LeafOutcome::kWrongSnapshot);
+  ASSERT_EQ(world_.sends.size(), 4U);
+  world_.Answer(2, "[\"old-low\"]");
+  world_.Answer(3, "[\"old-high\"]");
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_EQ(As<Answered>(answer).snapshot, kSnapshot);
+  EXPECT_EQ(As<Answered>(answer).items, "[\"old-low\",\"old-high\"]");
+}
+
 TEST_F(QuerySessionTest, AtMostOnceDoesNotStartAgainWithAnotherSnapshot) {
   const auto answer = Submit("counter", false);
   SettleClaim(claims::ClaimOutcome::kGranted);
