--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/query/answer_outcome.h"
+
 namespace medlarspread::query {
 
 namespace {
@@ -446,15 +448,9 @@
   record.coverage_percentile = targets_.coverage_percentile;
   record.latency = dependencies_->clock.Now() - arrived_;
   record.upstream_sends = upstream_sends_;
-  if (const auto* answered = std::get_if<Answered>(&answer)) {
-    record.outcome = burn::RequestOutcome::kAnswered;
-    record.coverage = answered->coverage.share;
-    record.shard_answers = answered->coverage.shards_answered;
+  AddOutcome(answer, record);
+  if (record.outcome == burn::RequestOutcome::kAnswered) {
     dependencies_->retries->DidSucceed(targets_.name);
-  } else {
-    record.outcome = std::holds_alternative<Refused>(answer)
-                         ? burn::RequestOutcome::kRefused
-                         : burn::RequestOutcome::kUnknown;
   }
   dependencies_->record(record);
 }
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -192,16 +192,7 @@
     second_sends_.DidFirstSend();
     ArmSecondSend(id, job);
   }
-  upstream::LeafRequest request{.attempt_id = attempt_id,
-                                .request_id = job.request.request_id,
-                                .class_name = job.request.class_name,
-                                .collection = options_.collection,
-                                .snapshot = job.request.snapshot,
-                                .range = job.request.range,
-                                .deadline_left = job.request.deadline - now,
-                                .is_at_most_once = job.request.is_at_most_once,
-                                .query = *job.request.query};
-  ports_.leaves.send(upstream, std::move(request),
+  ports_.leaves.send(upstream, MakeLeafRequest(job.request, attempt_id, now),
                      [self = shared_from_this(), id, attempt_id, upstream, now,
                       key = job.key()](upstream::LeafReply reply) {
                        // What counts for limits and delays is the time as seen
--- a/src/routing/shard_job.h
+++ b/src/routing/shard_job.h
@@ -13,6 +13,7 @@
 #include "src/blackboard/views.h"
 #include "src/routing/replica_index.h"
 #include "src/routing/shard_request.h"
+#include "src/upstream/leaf_port.h"
 
 namespace medlarspread::routing {
 
@@ -53,6 +54,11 @@
   }
 };
 
+// What a leaf is sent for one attempt that starts `now`.
+upstream::LeafRequest MakeLeafRequest(const ShardRequest& request,
+                                      const std::string& attempt_id,
+                                      base::MonotonicTime now);
+
 }  // namespace medlarspread::routing
 
 #endif  // MEDLARSPREAD_ROUTING_SHARD_JOB_H_
