--- a/bench/burn/burn_bench.cc
+++ b/bench/burn/burn_bench.cc
@@ -242,8 +242,8 @@
 BENCHMARK(EncodeDaySegment)->Unit(benchmark::kMillisecond);
 
 // One bucket of each of N VMs, as a report reads them.
-std::vector<platform::Entry> MakeEntries(std::int64_t vms) {
-  std::vector<platform::Entry> entries;
+std::vector<store::Entry> MakeEntries(std::int64_t vms) {
+  std::vector<store::Entry> entries;
   for (int vm = 0; vm < vms; ++vm) {
     const StoredSegment raw = MakeRaw(vm, kStartMinute / kMinutesPerBucket);
     entries.push_back({raw.key, EncodeSegment(raw.segment), 1});
@@ -251,7 +251,7 @@
   return entries;
 }
 
-ReportInput MakeInput(const std::vector<platform::Entry>& entries) {
+ReportInput MakeInput(const std::vector<store::Entry>& entries) {
   ReportInput input;
   input.now_wall_ms = kStartMs + kMinutesPerBucket * kMillisecondsPerMinute;
   std::vector<std::string> damaged;
@@ -263,7 +263,7 @@
 
 // Adding up alone, the part of a report that is one task.
 void BuildAndFormat(benchmark::State& state) {
-  const std::vector<platform::Entry> entries = MakeEntries(state.range(0));
+  const std::vector<store::Entry> entries = MakeEntries(state.range(0));
   const auto before = mallinfo2().uordblks;
   const ReportInput input = MakeInput(entries);
   state.counters["held_bytes"] =
@@ -282,9 +282,9 @@
 
 // A report over one bucket of each of N VMs: decoding, then adding up.
 void DecodeAndReport(benchmark::State& state) {
-  const std::vector<platform::Entry> entries = MakeEntries(state.range(0));
+  const std::vector<store::Entry> entries = MakeEntries(state.range(0));
   double bytes = 0;
-  for (const platform::Entry& entry : entries) {
+  for (const store::Entry& entry : entries) {
     bytes += static_cast<double>(entry.value.size());
   }
   for (auto _ : state) {
--- a/bench/claims/loopback_bench.cc
+++ b/bench/claims/loopback_bench.cc
@@ -22,7 +22,7 @@
 #include "src/blackboard/blackboard.h"
 #include "src/claims/claim_service.h"
 #include "src/http/listener.h"
-#include "src/platform/store_client.h"
+#include "src/store/store_client.h"
 
 namespace medlarspread::claims {
 namespace {
@@ -87,7 +87,7 @@
   view.self = "vm";
   view.members["vm"].name = "vm";
   blackboard.membership.Write(view);
-  const platform::StoreClient client({.address = address}, runner);
+  const store::StoreClient client({.address = address}, runner);
   ClaimService service(ClaimSettings(), base::Clock(), random, runner,
                        client.store(), peer::PeerPort(), blackboard);
   std::thread control([&context] { context.run(); });
--- a/bench/membership/member.cc
+++ b/bench/membership/member.cc
@@ -74,13 +74,13 @@
 
 // The rows of the stand-in list: files named after the VMs, each with address,
 // region and domain.
-std::vector<platform::Vm> ReadDirectory(const std::string& directory) {
-  std::vector<platform::Vm> rows;
+std::vector<store::Vm> ReadDirectory(const std::string& directory) {
+  std::vector<store::Vm> rows;
   for (const auto& file : std::filesystem::directory_iterator(directory)) {
     if (file.path().extension() != ".vm") {
       continue;
     }
-    platform::Vm vm;
+    store::Vm vm;
     vm.name = file.path().stem();
     std::ifstream(file.path()) >> vm.address >> vm.region >> vm.failure_domain;
     if (!vm.failure_domain.empty()) {
@@ -169,7 +169,7 @@
   };
   controller_ = std::make_unique<membership::MembershipController>(
       ControllerSettings(), base::Clock(), random_, control_, network_.port(),
-      [this](base::Duration, const platform::VmListCallback& callback) {
+      [this](base::Duration, const store::VmListCallback& callback) {
         callback(ReadDirectory(options_.directory));
       },
       blackboard_, std::move(callbacks), log_);
--- a/bench/membership/scale.cc
+++ b/bench/membership/scale.cc
@@ -140,7 +140,7 @@
       peer::PeerPort{[this](const std::string& peer, peer::Message message) {
         return DidSend(peer, message);
       }},
-      [](base::Duration, const platform::VmListCallback& callback) {
+      [](base::Duration, const store::VmListCallback& callback) {
         callback(base::MakeError(base::ErrorCode::kUnavailable,
                                  base::Step::kReadStore, "", "not used"));
       },
--- a/bench/upstream/control_benchmark.cc
+++ b/bench/upstream/control_benchmark.cc
@@ -62,9 +62,9 @@
 }
 BENCHMARK(DecodeAnswerBody)->Arg(0)->Arg(1)->Arg(5)->Arg(20)->Arg(100);
 
-platform::Vm MakeVm(int index) {
+store::Vm MakeVm(int index) {
   return {.name = "leaf-" + std::to_string(index),
-          .role = platform::VmRole::kUpstream,
+          .role = store::VmRole::kUpstream,
           .address = "10.1.2.3:" + std::to_string(index),
           .region = "region-" + std::to_string(index % 6),
           .failure_domain = "domain-" + std::to_string(index % 16),
@@ -89,7 +89,7 @@
     controller_ = std::make_unique<UpstreamController>(
         UpstreamSettings(), base::Clock(time_), random_,
         base::TaskRunner(scheduler_),
-        [this](base::Duration, const platform::VmListCallback& callback) {
+        [this](base::Duration, const store::VmListCallback& callback) {
           callback(vms_);
         },
         [this](const blackboard::Upstream&, base::Duration,
@@ -110,7 +110,7 @@
       std::make_shared<base::ManualScheduler>(time_);
   base::Random random_{3};
   blackboard::Blackboard board_;
-  std::vector<platform::Vm> vms_;
+  std::vector<store::Vm> vms_;
   LeafHealth health_;
   std::unique_ptr<UpstreamController> controller_;
 };
--- a/emulator/platform/key_value_store.cc
+++ b/emulator/platform/key_value_store.cc
@@ -4,18 +4,18 @@
 
 namespace medlarspread::emulator {
 
-std::optional<platform::Entry> KeyValueStore::Read(const std::string& key) {
+std::optional<store::Entry> KeyValueStore::Read(const std::string& key) {
   Expire();
   const auto row = contents_.rows.find(key);
   if (row == contents_.rows.end()) {
     return std::nullopt;
   }
-  return platform::Entry{key, row->second.value, row->second.version};
+  return store::Entry{key, row->second.value, row->second.version};
 }
 
-std::vector<platform::Entry> KeyValueStore::List(const std::string& prefix) {
+std::vector<store::Entry> KeyValueStore::List(const std::string& prefix) {
   Expire();
-  std::vector<platform::Entry> entries;
+  std::vector<store::Entry> entries;
   for (auto row = contents_.rows.lower_bound(prefix);
        row != contents_.rows.end() && row->first.starts_with(prefix); ++row) {
     entries.push_back({row->first, row->second.value, row->second.version});
--- a/emulator/platform/key_value_store.h
+++ b/emulator/platform/key_value_store.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "src/base/clock.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::emulator {
 
@@ -30,8 +30,8 @@
 
   explicit KeyValueStore(base::Clock clock) : clock_(clock) {}
 
-  std::optional<platform::Entry> Read(const std::string& key);
-  std::vector<platform::Entry> List(const std::string& prefix);
+  std::optional<store::Entry> Read(const std::string& key);
+  std::vector<store::Entry> List(const std::string& prefix);
   // `lease_id` is empty for a key that outlives its writer. kNotFound says
   // that the lease has lapsed.
   StoreOutcome Write(const std::string& key,
--- a/emulator/platform/platform_control.cc
+++ b/emulator/platform/platform_control.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-using platform::Vm;
-using platform::VmRole;
+using store::Vm;
+using store::VmRole;
 using web::json::value;
 
 constexpr base::NameTable<VmRole, 2> kRoles{
--- a/emulator/platform/platform_service.cc
+++ b/emulator/platform/platform_service.cc
@@ -29,7 +29,7 @@
   return Reply(status, body);
 }
 
-value ToJson(const platform::Entry& entry) {
+value ToJson(const store::Entry& entry) {
   value json;
   json["key"] = value::string(entry.key);
   json["value"] = value::string(entry.value);
@@ -237,7 +237,7 @@
 
 http::Response PlatformService::List(const std::string& prefix) {
   value entries = value::array();
-  for (const platform::Entry& entry : store_.List(prefix)) {
+  for (const store::Entry& entry : store_.List(prefix)) {
     entries[entries.size()] = ToJson(entry);
   }
   value body;
--- a/emulator/platform/platform_service.h
+++ b/emulator/platform/platform_service.h
@@ -26,7 +26,7 @@
 #include "emulator/support/lagged.h"
 #include "src/base/task_runner.h"
 #include "src/http/listener.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::emulator {
 
@@ -98,7 +98,7 @@
   KeyValueStore store_;
   CallMeter meter_;
   PlatformFaults faults_;
-  Lagged<std::vector<platform::Vm>> vms_{{}};
+  Lagged<std::vector<store::Vm>> vms_{{}};
   WatchList watches_;
   // Calls that came during an outage that hangs; failed when it ends.
   std::vector<http::Responder> held_;
--- a/src/admin_api/admin_api.cc
+++ b/src/admin_api/admin_api.cc
@@ -12,7 +12,7 @@
 #include "src/admin_api/class_messages.h"
 #include "src/admin_api/error_response.h"
 #include "src/admin_api/status_report.h"
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 
 namespace medlarspread::admin_api {
 
@@ -199,8 +199,8 @@
 
 void AdminApi::Impl::SetLogLevel(const Request& request,
                                  const Responder& respond) {
-  const auto object = platform::ParseObject(request.body);
-  const auto name = object ? platform::ReadString(*object, "level")
+  const auto object = store::ParseObject(request.body);
+  const auto name = object ? store::ReadString(*object, "level")
                            : std::optional<std::string>();
   const auto level =
       name ? base::LogLevelFromName(*name) : std::optional<base::LogLevel>();
--- a/src/admin_api/class_messages.cc
+++ b/src/admin_api/class_messages.cc
@@ -15,7 +15,7 @@
 
 #include "src/admin_api/error_response.h"
 #include "src/base/json_string.h"
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 #include "src/targets/class_targets_check.h"
 
 namespace medlarspread::admin_api {
@@ -38,7 +38,7 @@
   explicit FieldReader(const value& object) : object_(object) {}
 
   std::string ReadString(const char* field) {
-    const auto text = platform::ReadString(object_, field);
+    const auto text = store::ReadString(object_, field);
     if (!text) {
       Fail(field, "a string");
     }
@@ -46,7 +46,7 @@
   }
 
   double ReadNumber(const char* field) {
-    const auto number = platform::ReadNumber(object_, field);
+    const auto number = store::ReadNumber(object_, field);
     if (!number) {
       Fail(field, "a number");
     }
@@ -54,10 +54,10 @@
   }
 
   std::optional<std::int64_t> ReadOptionalInteger(const char* field) {
-    if (!platform::HasField(object_, field)) {
+    if (!store::HasField(object_, field)) {
       return std::nullopt;
     }
-    const auto number = platform::ReadInteger(object_, field);
+    const auto number = store::ReadInteger(object_, field);
     if (!number) {
       Fail(field, "a whole number");
     }
@@ -69,7 +69,7 @@
  private:
   void Fail(const char* field, const std::string& expected) {
     if (!fault_) {
-      const bool is_there = platform::HasField(object_, field);
+      const bool is_there = store::HasField(object_, field);
       fault_ = {field, is_there ? "must be " + expected : "is missing"};
     }
   }
@@ -162,7 +162,7 @@
 }  // namespace
 
 ParsedChange ParseSetClass(const std::string& name, const std::string& body) {
-  const auto object = platform::ParseObject(body);
+  const auto object = store::ParseObject(body);
   if (!object) {
     return ChangeInvalid{"body", "must be a JSON object"};
   }
--- a/src/admission/retry_budget.cc
+++ b/src/admission/retry_budget.cc
@@ -8,16 +8,13 @@
 namespace medlarspread::admission {
 namespace {
 
-// A quiet class can retry a few times; a blackout uses this up at once and
-// from then on only successes pay.
-constexpr double kMaximumTokens = 10.0;
 constexpr base::Duration kFirstBackoff = base::Milliseconds(2);
 constexpr int kMaximumDoublings = 6;
 
 }  // namespace
 
-RetryBudget::RetryBudget(double share)
-    : share_(share), tokens_(kMaximumTokens) {
+RetryBudget::RetryBudget(double share, double most_tokens)
+    : share_(share), most_tokens_(most_tokens), tokens_(most_tokens) {
   assert(share >= 0.0 && share < 1.0);
 }
 
@@ -30,7 +27,7 @@
 }
 
 void RetryBudget::DidSucceed() {
-  tokens_ = std::min(kMaximumTokens, tokens_ + share_);
+  tokens_ = std::min(most_tokens_, tokens_ + share_);
 }
 
 base::Duration Backoff(int attempt, base::Random& random) {
--- a/src/admission/retry_budget.h
+++ b/src/admission/retry_budget.h
@@ -15,7 +15,12 @@
  public:
   static constexpr double kDefaultShare = 0.1;
 
-  explicit RetryBudget(double share = kDefaultShare);
+  // A quiet class can retry a few times; a blackout uses this up at once and
+  // from then on only successes pay.
+  static constexpr double kDefaultTokens = 10.0;
+
+  explicit RetryBudget(double share = kDefaultShare,
+                       double most_tokens = kDefaultTokens);
 
   // Takes one retry if the budget lasts.
   bool Take();
@@ -24,7 +29,8 @@
 
  private:
   const double share_;
-  // Invariant: 0 <= tokens_ <= kMaximumTokens.
+  const double most_tokens_;
+  // Invariant: 0 <= tokens_ <= most_tokens_.
   double tokens_;
 };
 
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -16,6 +16,7 @@
   Cell<UpstreamsView> upstreams;
   // Written by targets::TargetsController. The revision never decreases.
   Cell<TargetsView> targets;
+  Cell<RoutesView> routes;
   // Written by burn::BurnController.
   Cell<BurnView> burn;
   // Written by daemon::Daemon.
--- a/src/blackboard/views.h
+++ b/src/blackboard/views.h
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "src/base/clock.h"
@@ -125,6 +127,77 @@
   std::int64_t in_force_since_wall_ms = 0;
 };
 
+// All requests of a route go to the leafs of one collection.
+struct OneCollection {
+  std::string collection;
+
+  friend bool operator==(const OneCollection&, const OneCollection&) = default;
+};
+
+// Each request goes to one of several collections, in proportion to weights.
+struct WeightedCollections {
+  struct Part {
+    std::string collection;
+    double weight = 0.0;
+
+    friend bool operator==(const Part&, const Part&) = default;
+  };
+  std::vector<Part> parts;
+
+  friend bool operator==(const WeightedCollections&,
+                         const WeightedCollections&) = default;
+};
+
+// Each request goes to every shard, and the greatest records of the shards'
+// replies make up the answer. Each shard is a collection with replicas.
+struct AllShards {
+  std::vector<std::string> shards;
+  std::size_t most_records = 0;
+
+  friend bool operator==(const AllShards&, const AllShards&) = default;
+};
+
+using Destination = std::variant<OneCollection, WeightedCollections, AllShards>;
+
+// Requests of one host whose path begins with a prefix: a class of work with
+// its targets, and where its requests go.
+struct WorkRoute {
+  // `targets.name` is the route's; `collection` of it stays empty.
+  ClassTargets targets;
+  std::string host;
+  std::string prefix;
+  Destination destination;
+  bool is_idempotent = false;
+  // 0 is the most urgent.
+  int priority = 0;
+  // The longest time that a request may wait for its final answer.
+  base::Duration timeout{};
+  // Replicas of a shard that one request may be sent to, at most.
+  int most_attempts = 1;
+
+  friend bool operator==(const WorkRoute&, const WorkRoute&) = default;
+};
+
+// What callers may send, and how long they may take.
+struct CallerLimits {
+  std::size_t header_bytes = 16 << 10;
+  std::size_t body_bytes = 1 << 20;
+  base::Duration header_timeout = base::Milliseconds(3'000);
+  base::Duration idle_timeout = base::Milliseconds(15'000);
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
+// The routes in force. Revision 0 means that none has been learnt yet.
+// Invariant: a published revision is never followed by a lower one.
+struct RoutesView {
+  std::int64_t revision = 0;
+  std::vector<std::shared_ptr<const WorkRoute>> routes;
+  // Connections that a leaf of each collection accepts from all daemons.
+  std::map<std::string, int> connections;
+  CallerLimits limits;
+};
+
 enum class LifecycleState { kStarting, kReady, kStopping };
 
 struct LifecycleView {
--- a/src/burn/burn_controller.cc
+++ b/src/burn/burn_controller.cc
@@ -47,7 +47,7 @@
         base::Clock clock_in,
         base::Random& random_in,
         base::TaskRunner control_in,
-        platform::Store store_in,
+        store::Store store_in,
         blackboard::Blackboard& board_in,
         base::Log log_in)
       : settings(std::move(settings_in)),
@@ -67,7 +67,7 @@
   const base::Clock clock;
   base::Random& random;
   const base::TaskRunner control;
-  const platform::Store store;
+  const store::Store store;
   blackboard::Blackboard& board;
   const base::Log log;
 
@@ -93,7 +93,7 @@
                                base::Clock clock,
                                base::Random& random,
                                base::TaskRunner control,
-                               platform::Store store,
+                               store::Store store,
                                blackboard::Blackboard& board,
                                base::Log log)
     : state_(std::make_unique<State>(std::move(settings),
--- a/src/burn/burn_controller.h
+++ b/src/burn/burn_controller.h
@@ -21,7 +21,7 @@
 #include "src/burn/report.h"
 #include "src/burn/request_record.h"
 #include "src/burn/segment_reader.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -41,7 +41,7 @@
                  base::Clock clock,
                  base::Random& random,
                  base::TaskRunner control,
-                 platform::Store store,
+                 store::Store store,
                  blackboard::Blackboard& board,
                  base::Log log = {});
   ~BurnController();
--- a/src/burn/count_writer.cc
+++ b/src/burn/count_writer.cc
@@ -20,9 +20,9 @@
 
 // With which sequence `key` is contained in one of the roll-ups.
 std::optional<std::int64_t> FindSource(
-    const std::vector<platform::Entry>& roll_ups,
+    const std::vector<store::Entry>& roll_ups,
     const std::string& key) {
-  for (const platform::Entry& entry : roll_ups) {
+  for (const store::Entry& entry : roll_ups) {
     const auto segment = DecodeSegment(entry.value);
     if (!segment.is_ok()) {
       continue;
@@ -39,7 +39,7 @@
 }  // namespace
 
 CountWriter::CountWriter(BurnSettings settings,
-                         platform::Store store,
+                         store::Store store,
                          OwnCounts& counts,
                          base::Log log)
     : settings_(std::move(settings)),
@@ -107,14 +107,14 @@
 void CountWriter::ReadBack(const std::string& key) {
   store_.read(key, settings_.store_timeout,
               [self = shared_from_this(), key](
-                  const base::Result<std::optional<platform::Entry>>& result) {
+                  const base::Result<std::optional<store::Entry>>& result) {
                 self->DidRead(key, result);
               });
 }
 
 void CountWriter::DidRead(
     const std::string& key,
-    const base::Result<std::optional<platform::Entry>>& result) {
+    const base::Result<std::optional<store::Entry>>& result) {
   if (!result.is_ok()) {
     log_.DidFail(result.error(),
                  "burn counts not read back; tried again later");
@@ -125,7 +125,7 @@
     FindInRollUp(key);
     return;
   }
-  const platform::Entry& entry = *result.value();
+  const store::Entry& entry = *result.value();
   const auto segment = DecodeSegment(entry.value);
   if (!segment.is_ok()) {
     log_.DidFail(segment.error(), "burn counts at " + key + " are damaged");
@@ -142,14 +142,14 @@
                              raw->failure_domain + "/";
   store_.list(prefix, settings_.store_timeout,
               [self = shared_from_this(),
-               key](const base::Result<std::vector<platform::Entry>>& result) {
+               key](const base::Result<std::vector<store::Entry>>& result) {
                 self->DidList(key, result);
               });
 }
 
 void CountWriter::DidList(
     const std::string& key,
-    const base::Result<std::vector<platform::Entry>>& result) {
+    const base::Result<std::vector<store::Entry>>& result) {
   if (!result.is_ok()) {
     log_.DidFail(result.error(), "burn roll-up not read; tried again later");
     Finish();
--- a/src/burn/count_writer.h
+++ b/src/burn/count_writer.h
@@ -12,7 +12,7 @@
 #include "src/base/log.h"
 #include "src/burn/burn_settings.h"
 #include "src/burn/own_counts.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -20,7 +20,7 @@
 class CountWriter : public std::enable_shared_from_this<CountWriter> {
  public:
   CountWriter(BurnSettings settings,
-              platform::Store store,
+              store::Store store,
               OwnCounts& counts,
               base::Log log);
 
@@ -38,13 +38,13 @@
                const base::Result<std::int64_t>& result);
   void ReadBack(const std::string& key);
   void DidRead(const std::string& key,
-               const base::Result<std::optional<platform::Entry>>& result);
+               const base::Result<std::optional<store::Entry>>& result);
   void FindInRollUp(const std::string& key);
   void DidList(const std::string& key,
-               const base::Result<std::vector<platform::Entry>>& result);
+               const base::Result<std::vector<store::Entry>>& result);
 
   const BurnSettings settings_;
-  const platform::Store store_;
+  const store::Store store_;
   OwnCounts& counts_;
   const base::Log log_;
   // Set while a flush is under way.
--- a/src/burn/day_roll_up.cc
+++ b/src/burn/day_roll_up.cc
@@ -25,12 +25,12 @@
 
 // Whether a source of `hour` may still exist.
 bool HasSourceIn(const StoredSegment& hour,
-                 const base::Result<std::vector<platform::Entry>>& listed) {
+                 const base::Result<std::vector<store::Entry>>& listed) {
   if (!listed.is_ok()) {
     return true;
   }
   return std::ranges::any_of(listed.value(),
-                             [&hour](const platform::Entry& entry) {
+                             [&hour](const store::Entry& entry) {
                                return Contains(hour.segment, entry.key);
                              });
 }
@@ -43,7 +43,7 @@
   auto pass = std::make_shared<HourPass>();
   pass->hour = hour;
   steps_.List(kHourPrefix + std::to_string(hour) + "/",
-              [this, pass](const std::vector<platform::Entry>& entries) {
+              [this, pass](const std::vector<store::Entry>& entries) {
                 pass->hours = steps_.Decode(entries);
                 CloseHours(pass);
               });
@@ -99,7 +99,7 @@
                                         const std::string& failure_domain) {
   steps_.TryList(kRawPrefix + failure_domain + "/",
                  [this, pass, failure_domain](
-                     const base::Result<std::vector<platform::Entry>>& listed) {
+                     const base::Result<std::vector<store::Entry>>& listed) {
                    std::erase_if(pass->hours, [&](const StoredSegment& hour) {
                      return DomainOf(hour) == failure_domain &&
                             HasSourceIn(hour, listed);
@@ -135,7 +135,7 @@
 
 void DayRollUp::EraseDay(std::int64_t day) {
   steps_.Read(DayKey(day), [this](const StoredSegment& old) {
-    if (old.version == platform::kAbsent) {
+    if (old.version == store::kAbsent) {
       steps_.Next();
       return;
     }
--- a/src/burn/domain_roll_up.cc
+++ b/src/burn/domain_roll_up.cc
@@ -69,14 +69,14 @@
   pass->input.members = MembersOf(*board_.membership.Read());
   pass->input.now_wall_ms = clock_.WallMilliseconds();
   steps_.List(kGonePrefix + failure_domain + "/",
-              [this, pass](const std::vector<platform::Entry>& marks) {
+              [this, pass](const std::vector<store::Entry>& marks) {
                 DidListMarks(pass, marks);
               });
 }
 
 void DomainRollUp::DidListMarks(std::shared_ptr<DomainPass> pass,
-                                const std::vector<platform::Entry>& marks) {
-  for (const platform::Entry& entry : marks) {
+                                const std::vector<store::Entry>& marks) {
+  for (const store::Entry& entry : marks) {
     const auto key = ParseGoneKey(entry.key);
     const auto wall_ms = ParseMark(entry.value);
     if (!key || !wall_ms) {
@@ -88,7 +88,7 @@
     }
   }
   steps_.List(kRawPrefix + pass->failure_domain + "/",
-              [this, pass](const std::vector<platform::Entry>& raws) {
+              [this, pass](const std::vector<store::Entry>& raws) {
                 pass->input.raws = steps_.Decode(raws);
                 DidListRaws(pass);
               });
@@ -126,7 +126,7 @@
 // A mark has to stay as long as a segment of its VM is open.
 void DomainRollUp::EraseOldMarks(const DomainPass& pass,
                                  const std::set<VmIncarnation>& left) {
-  for (const platform::Entry& mark : pass.old_marks) {
+  for (const store::Entry& mark : pass.old_marks) {
     if (!left.contains(ParseGoneKey(mark.key)->of)) {
       steps_.Push([this, mark] { steps_.Erase(mark.key, mark.version); });
     }
@@ -137,7 +137,7 @@
   const std::string prefix = kHourPrefix + std::to_string(pass->hour) + "/" +
                              pass->failure_domain + "/";
   steps_.List(prefix,
-              [this, pass](const std::vector<platform::Entry>& entries) {
+              [this, pass](const std::vector<store::Entry>& entries) {
                 pass->hours = steps_.Decode(entries);
                 if (pass->hours.size() != entries.size()) {
                   // What a damaged roll-up contains is not known.
@@ -173,7 +173,7 @@
                        NextGeneration(pass.day.segment, pass.hours, pass.hour,
                                       pass.failure_domain)}
                    .ToString();
-  target.version = platform::kAbsent;
+  target.version = store::kAbsent;
   return target;
 }
 
--- a/src/burn/domain_roll_up.h
+++ b/src/burn/domain_roll_up.h
@@ -32,7 +32,7 @@
   struct DomainPass {
     std::string failure_domain;
     SealInput input;
-    std::vector<platform::Entry> old_marks;
+    std::vector<store::Entry> old_marks;
   };
   // What is to be folded into one hour, and what is there already.
   struct HourPass {
@@ -45,7 +45,7 @@
   };
 
   void DidListMarks(std::shared_ptr<DomainPass> pass,
-                    const std::vector<platform::Entry>& marks);
+                    const std::vector<store::Entry>& marks);
   void DidListRaws(std::shared_ptr<DomainPass> pass);
   void EraseOldMarks(const DomainPass& pass,
                      const std::set<VmIncarnation>& left);
--- a/src/burn/gone_watch.cc
+++ b/src/burn/gone_watch.cc
@@ -22,7 +22,7 @@
 
 GoneWatch::GoneWatch(BurnSettings settings,
                      base::Clock clock,
-                     platform::Store store,
+                     store::Store store,
                      const blackboard::Blackboard& board,
                      base::Log log)
     : settings_(std::move(settings)),
@@ -53,7 +53,7 @@
     return;
   }
   is_writing_ = true;
-  Write(std::string(unwritten_.begin()->first), platform::kAbsent);
+  Write(std::string(unwritten_.begin()->first), store::kAbsent);
 }
 
 void GoneWatch::Write(const std::string& key, std::int64_t expected_version) {
@@ -89,14 +89,14 @@
   store_.read(
       key, settings_.store_timeout,
       [self = shared_from_this(),
-       key](const base::Result<std::optional<platform::Entry>>& result) {
+       key](const base::Result<std::optional<store::Entry>>& result) {
         if (!result.is_ok()) {
           self->is_writing_ = false;
           self->log_.DidFail(result.error(), "an old mark was not read");
           return;
         }
         const std::int64_t version =
-            result.value() ? result.value()->version : platform::kAbsent;
+            result.value() ? result.value()->version : store::kAbsent;
         const auto old = result.value() ? ParseMark(result.value()->value)
                                         : std::optional<std::int64_t>();
         if (old && *old >= *ParseMark(self->unwritten_.at(key))) {
--- a/src/burn/gone_watch.h
+++ b/src/burn/gone_watch.h
@@ -13,7 +13,7 @@
 #include "src/blackboard/blackboard.h"
 #include "src/burn/burn_settings.h"
 #include "src/burn/keys.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -22,7 +22,7 @@
  public:
   GoneWatch(BurnSettings settings,
             base::Clock clock,
-            platform::Store store,
+            store::Store store,
             const blackboard::Blackboard& board,
             base::Log log);
 
@@ -42,7 +42,7 @@
 
   const BurnSettings settings_;
   const base::Clock clock_;
-  const platform::Store store_;
+  const store::Store store_;
   const blackboard::Blackboard& board_;
   const base::Log log_;
   std::shared_ptr<const blackboard::MembershipView> last_view_;
--- a/src/burn/own_counts.cc
+++ b/src/burn/own_counts.cc
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <utility>
 
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -115,7 +115,7 @@
                   : whole.until_ms;
   part.range.until_ms = part.range.from_ms;
   part.is_after_seal = was_sealed_;
-  part.version = platform::kAbsent;
+  part.version = store::kAbsent;
   return buckets_.emplace(bucket, std::move(part)).first->second;
 }
 
@@ -145,7 +145,7 @@
     // What is not known to be in the store is given up, all of it.
     Cells lost = part.cells;
     Subtract(part.acknowledged.cells, lost);
-    const bool is_stored = part.version != platform::kAbsent;
+    const bool is_stored = part.version != store::kAbsent;
     GiveUp(lost,
            {is_stored ? part.acknowledged.range.until_ms : part.range.from_ms,
             part.range.until_ms});
@@ -190,7 +190,7 @@
     return is_stopping && IsOnlyPartLeft(part);
   }
   const auto found = buckets_.find(current);
-  if (found == buckets_.end() || found->second.version == platform::kAbsent) {
+  if (found == buckets_.end() || found->second.version == store::kAbsent) {
     return is_stopping && found == buckets_.end() && IsOnlyPartLeft(part);
   }
   const std::int64_t end_ms = RangeOfBucket(part.key.bucket).until_ms;
@@ -316,7 +316,7 @@
     DidEnd(*part, Segment(part->acknowledged), true);
     return;
   }
-  const bool was_never_written = part->version == platform::kAbsent;
+  const bool was_never_written = part->version == store::kAbsent;
   const bool is_recent =
       clock_.WallMilliseconds() - part->attempted_wall_ms < kSourcesKeptMs;
   if (was_never_written && is_recent) {
@@ -346,7 +346,7 @@
   const Segment final = *part.attempted;
   Cells lost = final.cells;
   Subtract(part.acknowledged.cells, lost);
-  const bool is_stored = part.version != platform::kAbsent;
+  const bool is_stored = part.version != store::kAbsent;
   const WallRange range{
       is_stored ? part.acknowledged.range.until_ms : final.range.from_ms,
       final.range.until_ms};
@@ -379,7 +379,7 @@
 void OwnCounts::StartNextPart(Part& part) {
   part.key.part += 1;
   part.sequence = 0;
-  part.version = platform::kAbsent;
+  part.version = store::kAbsent;
   part.acknowledged = Segment{};
   part.attempted.reset();
   part.is_in_doubt = false;
--- a/src/burn/roll_up.cc
+++ b/src/burn/roll_up.cc
@@ -44,10 +44,10 @@
 }  // namespace
 
 std::vector<StoredSegment> DecodeEntries(
-    const std::vector<platform::Entry>& entries,
+    const std::vector<store::Entry>& entries,
     std::vector<std::string>& damaged) {
   std::vector<StoredSegment> segments;
-  for (const platform::Entry& entry : entries) {
+  for (const store::Entry& entry : entries) {
     auto segment = DecodeSegment(entry.value);
     if (!segment.is_ok()) {
       damaged.push_back(entry.key);
--- a/src/burn/roll_up.h
+++ b/src/burn/roll_up.h
@@ -17,7 +17,7 @@
 #include "src/blackboard/views.h"
 #include "src/burn/burn_settings.h"
 #include "src/burn/segment.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -36,7 +36,7 @@
 
 // The entries that can be decoded; the keys of the others go to `damaged`.
 std::vector<StoredSegment> DecodeEntries(
-    const std::vector<platform::Entry>& entries,
+    const std::vector<store::Entry>& entries,
     std::vector<std::string>& damaged);
 
 // Whether this VM is to do the work called `subject`: the live member with the
--- a/src/burn/roll_up_runner.cc
+++ b/src/burn/roll_up_runner.cc
@@ -24,7 +24,7 @@
 
 RollUpRunner::RollUpRunner(const BurnSettings& settings,
                            const base::Clock& clock,
-                           const platform::Store& store,
+                           const store::Store& store,
                            const blackboard::Blackboard& board,
                            const base::Log& log)
     : clock_(clock),
--- a/src/burn/roll_up_runner.h
+++ b/src/burn/roll_up_runner.h
@@ -14,7 +14,7 @@
 #include "src/burn/day_roll_up.h"
 #include "src/burn/domain_roll_up.h"
 #include "src/burn/store_steps.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -23,7 +23,7 @@
  public:
   RollUpRunner(const BurnSettings& settings,
                const base::Clock& clock,
-               const platform::Store& store,
+               const store::Store& store,
                const blackboard::Blackboard& board,
                const base::Log& log);
 
--- a/src/burn/segment_reader.cc
+++ b/src/burn/segment_reader.cc
@@ -19,7 +19,7 @@
 
 class Reader : public std::enable_shared_from_this<Reader> {
  public:
-  Reader(const platform::Store& store,
+  Reader(const store::Store& store,
          base::Duration timeout,
          const base::TaskRunner& control,
          ReadCountsCallback callback)
@@ -37,7 +37,7 @@
     prefixes_.erase(prefixes_.begin());
     store_.list(prefix, timeout_,
                 [self = shared_from_this()](
-                    const base::Result<std::vector<platform::Entry>>& result) {
+                    const base::Result<std::vector<store::Entry>>& result) {
                   if (!result.is_ok()) {
                     self->callback_(result.error());
                     return;
@@ -62,9 +62,9 @@
     control_.Post([self = shared_from_this(), end] { self->AddSome(end); });
   }
 
-  void Add(const std::vector<platform::Entry>& entries) {
-    std::vector<platform::Entry> segments;
-    for (const platform::Entry& entry : entries) {
+  void Add(const std::vector<store::Entry>& entries) {
+    std::vector<store::Entry> segments;
+    for (const store::Entry& entry : entries) {
       const auto gone = ParseGoneKey(entry.key);
       if (!gone) {
         segments.push_back(entry);
@@ -82,19 +82,19 @@
     }
   }
 
-  const platform::Store store_;
+  const store::Store store_;
   const base::Duration timeout_;
   const base::TaskRunner control_;
   const ReadCountsCallback callback_;
   std::vector<std::string> prefixes_{kRawPrefix, kHourPrefix, kDayPrefix,
                                      kGonePrefix};
-  std::vector<platform::Entry> entries_;
+  std::vector<store::Entry> entries_;
   StoredCounts counts_;
 };
 
 }  // namespace
 
-void ReadCounts(const platform::Store& store,
+void ReadCounts(const store::Store& store,
                 const BurnSettings& settings,
                 const base::TaskRunner& control,
                 ReadCountsCallback callback) {
--- a/src/burn/segment_reader.h
+++ b/src/burn/segment_reader.h
@@ -12,7 +12,7 @@
 #include "src/base/task_runner.h"
 #include "src/burn/burn_settings.h"
 #include "src/burn/segment.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -29,7 +29,7 @@
 // erased meanwhile is then found in the coarser list, and what is found in both
 // is recognised by the sources. The values are decoded a few at a time in tasks
 // of `control`, so that a report over a large fleet holds up nothing else.
-void ReadCounts(const platform::Store& store,
+void ReadCounts(const store::Store& store,
                 const BurnSettings& settings,
                 const base::TaskRunner& control,
                 ReadCountsCallback callback);
--- a/src/burn/store_steps.cc
+++ b/src/burn/store_steps.cc
@@ -6,7 +6,7 @@
 
 namespace medlarspread::burn {
 
-StoreSteps::StoreSteps(platform::Store store,
+StoreSteps::StoreSteps(store::Store store,
                        base::Duration timeout,
                        base::Log log)
     : store_(std::move(store)), timeout_(timeout), log_(std::move(log)) {}
@@ -39,10 +39,10 @@
 
 void StoreSteps::List(
     const std::string& prefix,
-    std::function<void(const std::vector<platform::Entry>&)> then) {
+    std::function<void(const std::vector<store::Entry>&)> then) {
   TryList(prefix,
           [self = shared_from_this(), then = std::move(then)](
-              const base::Result<std::vector<platform::Entry>>& result) {
+              const base::Result<std::vector<store::Entry>>& result) {
             if (result.is_ok()) {
               then(result.value());
               return;
@@ -52,10 +52,10 @@
 }
 
 void StoreSteps::TryList(const std::string& prefix,
-                         platform::Store::ListCallback then) {
+                         store::Store::ListCallback then) {
   store_.list(prefix, timeout_,
               [self = shared_from_this(), then = std::move(then)](
-                  const base::Result<std::vector<platform::Entry>>& result) {
+                  const base::Result<std::vector<store::Entry>>& result) {
                 then(result);
               });
 }
@@ -64,12 +64,12 @@
                       std::function<void(StoredSegment)> then) {
   store_.read(key, timeout_,
               [self = shared_from_this(), key, then = std::move(then)](
-                  const base::Result<std::optional<platform::Entry>>& result) {
+                  const base::Result<std::optional<store::Entry>>& result) {
                 if (!result.is_ok()) {
                   self->DidFail(result.error());
                   return;
                 }
-                StoredSegment stored{key, platform::kAbsent, {}};
+                StoredSegment stored{key, store::kAbsent, {}};
                 if (result.value()) {
                   auto segments = self->Decode({*result.value()});
                   if (segments.empty()) {
@@ -108,7 +108,7 @@
 }
 
 std::vector<StoredSegment> StoreSteps::Decode(
-    const std::vector<platform::Entry>& entries) const {
+    const std::vector<store::Entry>& entries) const {
   std::vector<std::string> damaged;
   std::vector<StoredSegment> segments = DecodeEntries(entries, damaged);
   for (const std::string& key : damaged) {
--- a/src/burn/store_steps.h
+++ b/src/burn/store_steps.h
@@ -14,7 +14,7 @@
 
 #include "src/base/log.h"
 #include "src/burn/roll_up.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -22,7 +22,7 @@
 // to.
 class StoreSteps : public std::enable_shared_from_this<StoreSteps> {
  public:
-  StoreSteps(platform::Store store, base::Duration timeout, base::Log log);
+  StoreSteps(store::Store store, base::Duration timeout, base::Log log);
 
   // Adds a step at the end. Each step has to lead to one call of Next().
   void Push(std::function<void()> step);
@@ -33,7 +33,7 @@
 
   // Each makes one call and passes the result on, or goes on with Next().
   void List(const std::string& prefix,
-            std::function<void(const std::vector<platform::Entry>&)> then);
+            std::function<void(const std::vector<store::Entry>&)> then);
   // Version 0 and an empty segment if there is none.
   void Read(const std::string& key, std::function<void(StoredSegment)> then);
   void Swap(const StoredSegment& stored,
@@ -42,16 +42,16 @@
   // Each makes one call, then goes on with Next().
   void Erase(const std::string& key, std::int64_t version);
   // Lists in any case; the error is passed on.
-  void TryList(const std::string& prefix, platform::Store::ListCallback then);
+  void TryList(const std::string& prefix, store::Store::ListCallback then);
 
   // Those of the entries that can be decoded; the others are logged.
   std::vector<StoredSegment> Decode(
-      const std::vector<platform::Entry>& entries) const;
+      const std::vector<store::Entry>& entries) const;
 
  private:
   void DidFail(const base::Error& error);
 
-  const platform::Store store_;
+  const store::Store store_;
   const base::Duration timeout_;
   const base::Log log_;
   std::function<void()> done_;
--- a/src/claims/bucket.cc
+++ b/src/claims/bucket.cc
@@ -153,7 +153,7 @@
 }
 
 void Bucket::DidRead(
-    const base::Result<std::optional<platform::Entry>>& result) {
+    const base::Result<std::optional<store::Entry>>& result) {
   phase_ = Phase::kIdle;
   if (!result.is_ok()) {
     // NOTE: The next swap serves as well to find out where the key stands.
@@ -164,7 +164,7 @@
   }
   failures_in_a_row_ = 0;
   is_known_ = true;
-  const platform::Entry entry = result.value().value_or(platform::Entry());
+  const store::Entry entry = result.value().value_or(store::Entry());
   const base::Result<RecordedClaims> stored =
       RecordedClaims::Parse(entry.value);
   if (!stored.is_ok()) {
--- a/src/claims/bucket.h
+++ b/src/claims/bucket.h
@@ -28,7 +28,7 @@
 #include "src/claims/claim_store.h"
 #include "src/claims/pending_claim.h"
 #include "src/claims/recorded_claims.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::claims {
 
@@ -60,7 +60,7 @@
                const base::Result<std::int64_t>& result);
   void DidFailSwap(const base::Error& error);
   void Read();
-  void DidRead(const base::Result<std::optional<platform::Entry>>& result);
+  void DidRead(const base::Result<std::optional<store::Entry>>& result);
   void Adopt(const RecordedClaims& stored, std::int64_t version);
   // Puts back what was confirmed earlier and is missing from `stored`.
   void CheckForLostState(const RecordedClaims& stored, std::int64_t version);
@@ -91,7 +91,7 @@
   // Everything here was in the store at some time, under this key.
   RecordedClaims claims_;
   // The key's version when it was last read or swapped.
-  std::int64_t version_ = platform::kAbsent;
+  std::int64_t version_ = store::kAbsent;
   // Whether the key was read or swapped at all.
   bool is_known_ = false;
   std::deque<PendingClaim> queue_;
--- a/src/claims/claim_service.cc
+++ b/src/claims/claim_service.cc
@@ -66,7 +66,7 @@
 class ClaimService::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(std::shared_ptr<ClaimContext> context,
-       platform::Store store,
+       store::Store store,
        peer::PeerPort peers,
        const blackboard::Blackboard& blackboard)
       : context_(std::move(context)),
@@ -319,7 +319,7 @@
                            base::Clock clock,
                            base::Random& random,
                            base::TaskRunner runner,
-                           platform::Store store,
+                           store::Store store,
                            peer::PeerPort peers,
                            const blackboard::Blackboard& blackboard,
                            base::Log log)
--- a/src/claims/claim_service.h
+++ b/src/claims/claim_service.h
@@ -31,7 +31,7 @@
 #include "src/claims/claim_port.h"
 #include "src/claims/claim_settings.h"
 #include "src/peer/message.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::claims {
 
@@ -42,7 +42,7 @@
                base::Clock clock,
                base::Random& random,
                base::TaskRunner runner,
-               platform::Store store,
+               store::Store store,
                peer::PeerPort peers,
                const blackboard::Blackboard& blackboard,
                base::Log log = {});
--- a/src/claims/claim_store.cc
+++ b/src/claims/claim_store.cc
@@ -22,13 +22,13 @@
 }  // namespace
 
 ClaimStore::ClaimStore(std::shared_ptr<ClaimContext> context,
-                       platform::Store store)
+                       store::Store store)
     : context_(std::move(context)), store_(std::move(store)) {}
 
 void ClaimStore::Swap(const std::string& key,
                       std::string value,
                       std::int64_t expected_version,
-                      platform::Store::WriteCallback callback) {
+                      store::Store::WriteCallback callback) {
   ++context_->counts.swaps;
   context_->counts.bytes_written += static_cast<std::int64_t>(value.size());
   store_.compare_and_swap(key, std::move(value), expected_version,
@@ -37,14 +37,14 @@
 }
 
 void ClaimStore::Read(const std::string& key,
-                      platform::Store::ReadCallback callback) {
+                      store::Store::ReadCallback callback) {
   ++context_->counts.reads;
   store_.read(key, context_->settings.store_timeout,
               OnSequence(context_->runner, std::move(callback)));
 }
 
 void ClaimStore::List(const std::string& prefix,
-                      platform::Store::ListCallback callback) {
+                      store::Store::ListCallback callback) {
   ++context_->counts.lists;
   store_.list(prefix, context_->settings.store_timeout,
               OnSequence(context_->runner, std::move(callback)));
@@ -52,7 +52,7 @@
 
 void ClaimStore::Erase(const std::string& key,
                        std::int64_t expected_version,
-                       platform::Store::EraseCallback callback) {
+                       store::Store::EraseCallback callback) {
   ++context_->counts.erases;
   store_.erase(key, expected_version, context_->settings.store_timeout,
                OnSequence(context_->runner, std::move(callback)));
--- a/src/claims/claim_store.h
+++ b/src/claims/claim_store.h
@@ -9,28 +9,28 @@
 #include <string>
 
 #include "src/claims/claim_context.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::claims {
 
 class ClaimStore {
  public:
-  ClaimStore(std::shared_ptr<ClaimContext> context, platform::Store store);
+  ClaimStore(std::shared_ptr<ClaimContext> context, store::Store store);
 
   // The callbacks run once, later, on the sequence of claims.
   void Swap(const std::string& key,
             std::string value,
             std::int64_t expected_version,
-            platform::Store::WriteCallback callback);
-  void Read(const std::string& key, platform::Store::ReadCallback callback);
-  void List(const std::string& prefix, platform::Store::ListCallback callback);
+            store::Store::WriteCallback callback);
+  void Read(const std::string& key, store::Store::ReadCallback callback);
+  void List(const std::string& prefix, store::Store::ListCallback callback);
   void Erase(const std::string& key,
              std::int64_t expected_version,
-             platform::Store::EraseCallback callback);
+             store::Store::EraseCallback callback);
 
  private:
   const std::shared_ptr<ClaimContext> context_;
-  const platform::Store store_;
+  const store::Store store_;
 };
 
 // What a failed call says about the key.
--- a/src/claims/sweeper.cc
+++ b/src/claims/sweeper.cc
@@ -83,14 +83,14 @@
 
 void Sweeper::DidList(
     std::int64_t slice,
-    const base::Result<std::vector<platform::Entry>>& result) {
+    const base::Result<std::vector<store::Entry>>& result) {
   is_sweeping_ = false;
   if (!result.is_ok()) {
     // The slice stays due and is tried again at the next tick.
     context_->log.DidFail(result.error(), "expired claims are kept for now");
     return;
   }
-  for (const platform::Entry& entry : result.value()) {
+  for (const store::Entry& entry : result.value()) {
     store_->Erase(entry.key, entry.version,
                   [context = context_](const base::Status& status) {
                     if (!status.is_ok()) {
--- a/src/claims/sweeper.h
+++ b/src/claims/sweeper.h
@@ -16,7 +16,7 @@
 #include "src/blackboard/blackboard.h"
 #include "src/claims/claim_context.h"
 #include "src/claims/claim_store.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::claims {
 
@@ -37,7 +37,7 @@
   bool FallsToThisDaemon(std::int64_t slice, const char* pass) const;
   void SweepNext();
   void DidList(std::int64_t slice,
-               const base::Result<std::vector<platform::Entry>>& result);
+               const base::Result<std::vector<store::Entry>>& result);
 
   const std::shared_ptr<ClaimContext> context_;
   const std::shared_ptr<ClaimStore> store_;
--- a/src/daemon/controllers.h
+++ b/src/daemon/controllers.h
@@ -19,8 +19,8 @@
 #include "src/membership/membership_controller.h"
 #include "src/metrics/registry.h"
 #include "src/peer/message.h"
-#include "src/platform/store_client.h"
-#include "src/platform/vm_list_client.h"
+#include "src/store/store_client.h"
+#include "src/store/vm_list_client.h"
 #include "src/settings/daemon_settings.h"
 #include "src/targets/targets_controller.h"
 #include "src/upstream/health_client.h"
@@ -71,10 +71,10 @@
 
   const base::Log log_;
   std::atomic<bool> is_replaced_ = false;
-  platform::StoreClient store_client_;
+  store::StoreClient store_client_;
   // The client's calls, counted.
-  const platform::Store store_;
-  platform::VmListClient vm_list_;
+  const store::Store store_;
+  store::VmListClient vm_list_;
   upstream::LeafClient leaves_;
   upstream::HealthClient health_;
   upstream::UpstreamController upstreams_;
--- a/src/daemon/metered_store.cc
+++ b/src/daemon/metered_store.cc
@@ -57,10 +57,10 @@
 
 }  // namespace
 
-platform::Store MeterStore(platform::Store store,
+store::Store MeterStore(store::Store store,
                            metrics::Registry& registry,
                            const base::Clock& clock) {
-  using platform::Store;
+  using store::Store;
   const CallMeter meter(registry, clock);
   Store metered;
   metered.read = [meter, read = std::move(store.read)](
--- a/src/daemon/metered_store.h
+++ b/src/daemon/metered_store.h
@@ -6,14 +6,14 @@
 
 #include "src/base/clock.h"
 #include "src/metrics/registry.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::daemon {
 
 // Passes every call on to `store` and counts it in `registry`, which must
 // outlive the last callback. A refused swap is a usable answer, no failure.
 // Watches count as calls; their time is waiting and is left out of the latency.
-platform::Store MeterStore(platform::Store store,
+store::Store MeterStore(store::Store store,
                            metrics::Registry& registry,
                            const base::Clock& clock);
 
--- /dev/null
+++ b/src/daemon/opaque_daemon.cc
@@ -0,0 +1,255 @@
+// The order in which the parts are made, and the steps of a stop.
+
+#include "src/daemon/opaque_daemon.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "src/platform/caller_codec.h"
+#include "src/platform/leaf_codec.h"
+
+namespace medlarspread::daemon {
+
+namespace {
+
+using blackboard::LifecycleState;
+
+constexpr int kHttpVersion = 11;
+// The balancer asks each second and needs two refusals.
+constexpr base::Duration kBalancerNotice = base::Milliseconds(2'800);
+// What is left of the bound for the process to end by itself.
+constexpr base::Duration kEndMargin = base::Milliseconds(500);
+constexpr base::Duration kEndPoll = base::Milliseconds(20);
+constexpr base::Duration kPruneInterval = base::Milliseconds(2'000);
+// Of what all daemons together may send beyond the first sends, this part is
+// planned with. The rest is left for daemons that restart and have forgotten
+// what was sent before, and for the difference between this daemon's count of
+// requests and the callers'.
+constexpr double kPlannedShare = 0.6;
+constexpr double kPlannedSlack = 0.5;
+// Of the connections of a leaf: the rest is for daemons that have just joined.
+constexpr double kPlannedConnections = 0.9;
+
+std::uint64_t MakeSeed() {
+  std::random_device device;
+  constexpr int kBitsPerWord = 32;
+  return (static_cast<std::uint64_t>(device()) << kBitsPerWord) | device();
+}
+
+http1::MessageLimits ToLimits(const blackboard::CallerLimits& limits) {
+  return {limits.header_bytes, limits.body_bytes, limits.header_timeout,
+          limits.idle_timeout};
+}
+
+http1::Response MakeText(http1::Status status, std::string text) {
+  http1::Response response(status, kHttpVersion);
+  response.set(boost::beast::http::field::content_type, "text/plain");
+  response.body() = std::move(text);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace
+
+OpaqueDaemon::OpaqueDaemon(settings::DaemonSettings settings, base::Log log)
+    : settings_(std::move(settings)),
+      log_(std::move(log)),
+      random_(std::make_shared<base::Random>(MakeSeed())),
+      store_calls_(control_.context(),
+                   control_.runner(),
+                   {settings_.platform.address, settings_.platform.timeout}),
+      controllers_(settings_,
+                   clock_,
+                   random_,
+                   control_.runner(),
+                   store_calls_.source(),
+                   blackboard_,
+                   log_),
+      leafs_(traffic_context_,
+             clock_,
+             traffic_,
+             platform::MakeLeafCodec(),
+             [this](const blackboard::Upstream& upstream) {
+               return ConnectionShare(upstream);
+             }),
+      queries_({settings_.callers.max_requests,
+                [this] { return MakeExtraSendLimits(); }},
+               clock_,
+               traffic_,
+               blackboard_,
+               std::make_shared<routing::LeafTracker>(
+                   routing::Place{settings_.vm.region,
+                                  settings_.vm.failure_domain},
+                   clock_,
+                   random_),
+               {leafs_.port(),
+                [this](const burn::RequestRecord& record) { Record(record); }},
+               log_) {}
+
+base::Status OpaqueDaemon::Start() {
+  callers_ = MakeCallers();
+  readiness_ = MakePage(settings_.callers.readiness_address,
+                        [this] { return RenderReadiness(); });
+  metrics_page_ = MakePage(settings_.operators.address,
+                           [this] { return RenderMetrics(); });
+  for (const auto& listener : {callers_, readiness_, metrics_page_}) {
+    if (auto opened = listener->Open(); !opened.is_ok()) {
+      return opened;
+    }
+  }
+  control_.runner().Post([this] { controllers_.Start(); });
+  WaitForSignal();
+  PruneConnections();
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kListen,
+              .peer = settings_.callers.address,
+              .message = "started"});
+  return base::Done{};
+}
+
+void OpaqueDaemon::Run() {
+  traffic_context_.run();
+}
+
+std::shared_ptr<http1::CallerListener> OpaqueDaemon::MakeCallers() {
+  http1::CallerListener::Settings listener;
+  listener.address = settings_.callers.address;
+  listener.limits = [this] {
+    return ToLimits(blackboard_.routes.Read()->limits);
+  };
+  listener.handle = [this](http1::Request request,
+                           http1::Respond respond) -> http1::Abandon {
+    auto incoming = platform::DecodeRequest(std::move(request));
+    if (!incoming.is_ok()) {
+      metrics_.Count(metrics::Counter::kRequestsInvalid);
+      log_.DidFail(incoming.error(), "refused an invalid request");
+      respond(platform::EncodeInvalid(incoming.error()));
+      return [] {};
+    }
+    return queries_.Submit(std::move(incoming.value()),
+                           [respond = std::move(respond)](
+                               query::ForwardedAnswer answer) {
+                             respond(platform::EncodeAnswer(std::move(answer)));
+                           });
+  };
+  return std::make_shared<http1::CallerListener>(traffic_context_,
+                                                 std::move(listener), clock_);
+}
+
+std::shared_ptr<http1::CallerListener> OpaqueDaemon::MakePage(
+    const std::string& address,
+    std::function<http1::Response()> render) {
+  http1::CallerListener::Settings listener;
+  listener.address = address;
+  listener.limits = [] { return http1::MessageLimits{}; };
+  listener.handle = [render = std::move(render)](
+                        const http1::Request&,
+                        const http1::Respond& respond) -> http1::Abandon {
+    respond(render());
+    return [] {};
+  };
+  return std::make_shared<http1::CallerListener>(traffic_context_,
+                                                 std::move(listener), clock_);
+}
+
+http1::Response OpaqueDaemon::RenderReadiness() const {
+  const auto lifecycle = blackboard_.lifecycle.Read();
+  const bool is_ready = lifecycle->state == LifecycleState::kReady;
+  return MakeText(is_ready ? http1::Status::ok
+                           : http1::Status::service_unavailable,
+                  lifecycle->reason);
+}
+
+http1::Response OpaqueDaemon::RenderMetrics() {
+  metrics_.Set(metrics::Gauge::kRequestsInFlight, queries_.in_flight());
+  metrics_.Set(metrics::Gauge::kTargetsRevision,
+               blackboard_.routes.Read()->revision);
+  metrics_.Set(metrics::Gauge::kLiveVms,
+               static_cast<std::int64_t>(
+                   blackboard_.membership.Read()->members.size()));
+  return MakeText(http1::Status::ok, metrics_.Render());
+}
+
+int OpaqueDaemon::ConnectionShare(const blackboard::Upstream& upstream) const {
+  const auto daemons = blackboard_.membership.Read()->members.size();
+  const double share = kPlannedConnections * upstream.connections /
+                       static_cast<double>(std::max<std::size_t>(1, daemons));
+  return std::max(1, static_cast<int>(share));
+}
+
+query::ExtraSendLimits OpaqueDaemon::MakeExtraSendLimits() const {
+  const auto daemons = blackboard_.membership.Read()->members.size();
+  const double slack = kPlannedSlack * settings_.extra_sends.slack /
+                       static_cast<double>(std::max<std::size_t>(1, daemons));
+  return {kPlannedShare * settings_.extra_sends.share, std::max(1.0, slack)};
+}
+
+void OpaqueDaemon::Record(const burn::RequestRecord& record) {
+  using metrics::ClassCounter;
+  ClassCounter counter = ClassCounter::kRequestsUnknown;
+  if (record.outcome == burn::RequestOutcome::kAnswered) {
+    counter = record.coverage < 1.0 ? ClassCounter::kRequestsPartial
+                                    : ClassCounter::kRequestsAnswered;
+  } else if (record.outcome == burn::RequestOutcome::kRefused) {
+    counter = ClassCounter::kRequestsRefused;
+  }
+  metrics_.Count(counter, record.class_name);
+  metrics_.Count(metrics::Counter::kUpstreamSends, record.upstream_sends);
+  metrics_.Observe(metrics::ClassDistribution::kRequestLatency,
+                   record.class_name, record.latency);
+}
+
+void OpaqueDaemon::PruneConnections() {
+  traffic_.After(kPruneInterval, [this] {
+    leafs_.Prune(*blackboard_.upstreams.Read());
+    PruneConnections();
+  });
+}
+
+void OpaqueDaemon::WaitForSignal() {
+  boost::system::error_code ignored;
+  signals_.add(SIGTERM, ignored);
+  signals_.add(SIGINT, ignored);
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      DidAskToStop();
+    }
+  });
+}
+
+void OpaqueDaemon::DidAskToStop() {
+  stop_began_ = clock_.Now();
+  blackboard_.lifecycle.Write({LifecycleState::kStopping, "stopping"});
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kStop,
+              .message = "stopping with " +
+                         std::to_string(queries_.in_flight()) +
+                         " requests in flight"});
+  callers_->StartDraining();
+  traffic_.After(kBalancerNotice, [this] { CloseCallers(); });
+}
+
+void OpaqueDaemon::CloseCallers() {
+  callers_->StopAccepting();
+  EndWhenDone();
+}
+
+void OpaqueDaemon::EndWhenDone() {
+  callers_->CloseIdle();
+  const bool is_over =
+      clock_.Now() - stop_began_ > settings_.stop.bound - kEndMargin;
+  if (callers_->connections() > 0 && !is_over) {
+    traffic_.After(kEndPoll, [this] { EndWhenDone(); });
+    return;
+  }
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kStop,
+              .message = "stopped; cut off " +
+                         std::to_string(callers_->in_work()) + " requests"});
+  traffic_context_.stop();
+}
+
+}  // namespace medlarspread::daemon
--- /dev/null
+++ b/src/daemon/opaque_daemon.h
@@ -0,0 +1,83 @@
+// The daemon of the opaque interface, put together and taken down.
+//
+// One thread serves all traffic, since an entry VM has a fraction of one core;
+// the control thread follows the store. They meet at the blackboard.
+
+#ifndef MEDLARSPREAD_DAEMON_OPAQUE_DAEMON_H_
+#define MEDLARSPREAD_DAEMON_OPAQUE_DAEMON_H_
+
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "src/base/clock.h"
+#include "src/base/log.h"
+#include "src/base/random.h"
+#include "src/base/result.h"
+#include "src/blackboard/blackboard.h"
+#include "src/daemon/control_thread.h"
+#include "src/daemon/store_controllers.h"
+#include "src/http1/caller_listener.h"
+#include "src/metrics/registry.h"
+#include "src/platform/store_calls.h"
+#include "src/query/forward_service.h"
+#include "src/settings/daemon_settings.h"
+#include "src/upstream/forward_client.h"
+
+namespace medlarspread::daemon {
+
+class OpaqueDaemon {
+ public:
+  OpaqueDaemon(settings::DaemonSettings settings, base::Log log);
+
+  // Opens the listeners and starts the controllers.
+  base::Status Start();
+  // Serves until a signal asks for the end and the requests in work are done.
+  void Run();
+
+ private:
+  std::shared_ptr<http1::CallerListener> MakeCallers();
+  std::shared_ptr<http1::CallerListener> MakePage(
+      const std::string& address,
+      std::function<http1::Response()> render);
+  http1::Response RenderReadiness() const;
+  http1::Response RenderMetrics();
+  int ConnectionShare(const blackboard::Upstream& upstream) const;
+  query::ExtraSendLimits MakeExtraSendLimits() const;
+  void Record(const burn::RequestRecord& record);
+  void PruneConnections();
+
+  // The steps of a stop:
+  //   1. not ready; each answer closes its connection;
+  //   2. when the balancer has moved the callers elsewhere: accept no more and
+  //      close the connections without a request;
+  //   3. end when no request is left, or when the bound is near.
+  void WaitForSignal();
+  void DidAskToStop();
+  void CloseCallers();
+  void EndWhenDone();
+
+  const settings::DaemonSettings settings_;
+  const base::Log log_;
+  const base::Clock clock_;
+  const std::shared_ptr<base::Random> random_;
+  blackboard::Blackboard blackboard_;
+  metrics::Registry metrics_{clock_};
+  ControlThread control_;
+  boost::asio::io_context traffic_context_{1};
+  const base::TaskRunner traffic_{traffic_context_};
+  boost::asio::signal_set signals_{traffic_context_};
+  platform::StoreCalls store_calls_;
+  StoreControllers controllers_;
+  upstream::ForwardClient leafs_;
+  query::ForwardService queries_;
+  std::shared_ptr<http1::CallerListener> callers_;
+  std::shared_ptr<http1::CallerListener> readiness_;
+  std::shared_ptr<http1::CallerListener> metrics_page_;
+  base::MonotonicTime stop_began_;
+};
+
+}  // namespace medlarspread::daemon
+
+#endif  // MEDLARSPREAD_DAEMON_OPAQUE_DAEMON_H_
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -9,6 +9,7 @@
 
 #include "src/base/log.h"
 #include "src/daemon/daemon.h"
+#include "src/daemon/opaque_daemon.h"
 
 namespace medlarspread::daemon {
 
@@ -36,7 +37,32 @@
 
 }  // namespace
 
+namespace {
+
+int ServeOpaque(const settings::DaemonSettings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const base::Log log({.level = settings.log.level,
+                       .format = settings.log.format,
+                       .vm = settings.vm.name},
+                      std::cout);
+  // NOTE: never destroyed, since the control thread may still use it.
+  auto* daemon = new OpaqueDaemon(settings, log);
+  const auto started = daemon->Start();
+  if (!started.is_ok()) {
+    log.DidFail(started.error(), "the daemon can't start");
+    std::_Exit(EXIT_FAILURE);
+  }
+  daemon->Run();
+  std::cout.flush();
+  std::_Exit(EXIT_SUCCESS);
+}
+
+}  // namespace
+
 int Serve(const settings::DaemonSettings& settings) {
+  if (settings.callers.interface == settings::CallerInterface::kOpaque) {
+    return ServeOpaque(settings);
+  }
   InstallSignalHandlers();
   const base::Log log({.level = settings.log.level,
                        .format = settings.log.format,
--- /dev/null
+++ b/src/daemon/store_controllers.h
@@ -0,0 +1,58 @@
+// The controllers of the opaque interface: everything that is learnt from the
+// store, on the control thread.
+
+#ifndef MEDLARSPREAD_DAEMON_STORE_CONTROLLERS_H_
+#define MEDLARSPREAD_DAEMON_STORE_CONTROLLERS_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/log.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/blackboard.h"
+#include "src/membership/lease_registration.h"
+#include "src/settings/daemon_settings.h"
+#include "src/store/follower.h"
+#include "src/targets/route_controller.h"
+#include "src/upstream/leaf_directory.h"
+
+namespace medlarspread::daemon {
+
+class StoreControllers {
+ public:
+  StoreControllers(const settings::DaemonSettings& settings,
+                   base::Clock clock,
+                   std::shared_ptr<base::Random> random,
+                   base::TaskRunner control,
+                   store::EventSource source,
+                   blackboard::Blackboard& blackboard,
+                   base::Log log);
+
+  // Called on the control thread.
+  void Start();
+  void Stop();
+
+ private:
+  void DidChange(const std::vector<store::Event>& events);
+  void DidChangeLeaf(const std::string& id, const store::Event& event);
+  void DidChangeConfiguration(const store::Event& event);
+  // Makes the daemon ready once it knows routes and has read the whole store.
+  void CheckReadiness();
+
+  const base::Clock clock_;
+  blackboard::Blackboard& blackboard_;
+  const base::Log log_;
+  // By failure domain.
+  const std::map<std::string, std::string> regions_;
+  upstream::LeafDirectory leafs_;
+  targets::RouteController routes_;
+  const std::shared_ptr<membership::LeaseRegistration> registration_;
+  const std::shared_ptr<store::Follower> follower_;
+};
+
+}  // namespace medlarspread::daemon
+
+#endif  // MEDLARSPREAD_DAEMON_STORE_CONTROLLERS_H_
--- /dev/null
+++ b/src/http1/client_connection.cc
@@ -0,0 +1,254 @@
+// The state of one outgoing connection.
+
+#include "src/http1/client_connection.h"
+
+#include <cassert>
+#include <chrono>
+#include <utility>
+
+#include <boost/beast/http/write.hpp>
+
+#include "src/http1/socket_options.h"
+
+namespace medlarspread::http1 {
+
+namespace {
+
+namespace http = boost::beast::http;
+using base::ErrorCode;
+using base::Step;
+
+constexpr std::size_t kReadBytes = 4096;
+// The peer's clock for idle connections starts when its answer leaves, and it
+// closes on the second: what is left of the time it names is not used up.
+constexpr base::Duration kKeepAliveMargin = base::Milliseconds(700);
+
+// The value of `timeout=` in a Keep-Alive field, in whole seconds.
+std::optional<int> KeepAliveSeconds(const Response& response) {
+  const auto field = response.find(http::field::keep_alive);
+  if (field == response.end()) {
+    return std::nullopt;
+  }
+  const std::string text(field->value());
+  const std::string name = "timeout=";
+  const auto at = text.find(name);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  return std::atoi(text.c_str() + at + name.size());
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(boost::asio::io_context& context,
+                                   Settings settings)
+    : context_(context),
+      settings_(std::move(settings)),
+      socket_(context),
+      connect_timer_(context) {}
+
+void ClientConnection::Start(Exchange exchange) {
+  assert(is_free());
+  exchange_ = std::move(exchange);
+  was_sent_ = false;
+  should_close_ = false;
+  StartParser();
+  if (is_open_) {
+    Write();
+    return;
+  }
+  Connect();
+}
+
+void ClientConnection::Abort() {
+  exchange_.reset();
+  Close();
+}
+
+void ClientConnection::Close() {
+  if (is_closed_) {
+    return;
+  }
+  is_closed_ = true;
+  connect_timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (exchange_) {
+    Fail(ErrorCode::kConnectionLost, "the connection was closed");
+  }
+  settings_.did_change(*this);
+}
+
+void ClientConnection::Connect() {
+  connect_timer_.expires_after(settings_.connect_timeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->is_open_ && !self->is_closed_) {
+          self->Fail(ErrorCode::kUnreachable, "connecting took too long");
+          self->Close();
+        }
+      });
+  socket_.async_connect(
+      settings_.peer,
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        self->DidConnect(error);
+      });
+}
+
+void ClientConnection::DidConnect(const boost::system::error_code& error) {
+  if (is_closed_) {
+    return;
+  }
+  connect_timer_.cancel();
+  if (error) {
+    Fail(ErrorCode::kUnreachable, error.message());
+    Close();
+    return;
+  }
+  is_open_ = true;
+  SetSocketOptions(socket_, settings_.silence);
+  Read();
+  Write();
+}
+
+void ClientConnection::Write() {
+  is_writing_ = true;
+  was_sent_ = true;
+  const auto request = exchange_->request;
+  http::async_write(socket_, *request,
+                    [self = shared_from_this(), request](
+                        const boost::system::error_code& error, std::size_t) {
+                      self->is_writing_ = false;
+                      if (self->is_closed_) {
+                        return;
+                      }
+                      if (error) {
+                        self->DidEnd(error);
+                      } else if (!self->exchange_) {
+                        self->settings_.did_change(*self);
+                      }
+                    });
+}
+
+void ClientConnection::Read() {
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](
+                              const boost::system::error_code& error,
+                              std::size_t size) { self->DidRead(error, size); });
+}
+
+void ClientConnection::DidRead(const boost::system::error_code& error,
+                               std::size_t size) {
+  if (is_closed_) {
+    return;
+  }
+  buffer_.commit(size);
+  if (error) {
+    DidEnd(error);
+    return;
+  }
+  if (!exchange_) {
+    // Bytes that answer nothing: whatever follows can't be told apart from
+    // the answer to the next request.
+    Close();
+    return;
+  }
+  Parse();
+  if (!is_closed_) {
+    Read();
+  }
+}
+
+void ClientConnection::StartParser() {
+  parser_ = std::make_unique<Parser>();
+  parser_->eager(true);
+  parser_->body_limit(settings_.max_body_bytes);
+  if (exchange_->request->method() == http::verb::head) {
+    parser_->skip(true);
+  }
+}
+
+void ClientConnection::Parse() {
+  while (buffer_.size() > 0 && !is_closed_) {
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) {
+      return;
+    }
+    if (error) {
+      Fail(ErrorCode::kMalformed, error.message());
+      Close();
+      return;
+    }
+    if (!parser_->is_done()) {
+      return;
+    }
+    DidParse();
+  }
+}
+
+void ClientConnection::DidParse() {
+  Response response = parser_->release();
+  constexpr unsigned kFirstFinalStatus = 200;
+  const bool is_interim = response.result_int() < kFirstFinalStatus;
+  if (is_interim || !exchange_->is_mine(response)) {
+    StartParser();
+    return;
+  }
+  // NOTE: bytes behind the answer belong to no request, and the next answer on
+  // this connection could not be told from them.
+  should_close_ = !response.keep_alive() || response.need_eof() ||
+                  buffer_.size() > 0;
+  NoteKeepAlive(response);
+  Finish(std::move(response));
+}
+
+void ClientConnection::DidEnd(const boost::system::error_code& error) {
+  if (exchange_ && error == boost::asio::error::eof && parser_->got_some()) {
+    boost::system::error_code ending;
+    parser_->put_eof(ending);
+    if (!ending && parser_->is_done()) {
+      DidParse();
+    }
+  }
+  if (exchange_) {
+    Fail(ErrorCode::kConnectionLost, error.message());
+  }
+  Close();
+}
+
+void ClientConnection::NoteKeepAlive(const Response& response) {
+  idle_until_.reset();
+  if (const auto seconds = KeepAliveSeconds(response)) {
+    idle_until_ = base::Clock().Now() + std::chrono::seconds(*seconds) -
+                  kKeepAliveMargin;
+  }
+}
+
+void ClientConnection::Fail(ErrorCode code, const std::string& detail) {
+  if (exchange_) {
+    Finish(ExchangeFailure{
+        base::MakeError(code, Step::kSendUpstream, peer_name(), detail),
+        was_sent_});
+  }
+}
+
+void ClientConnection::Finish(ExchangeResult result) {
+  const auto self = shared_from_this();
+  const Exchange exchange = std::move(*exchange_);
+  exchange_.reset();
+  if (should_close_ && !is_closed_) {
+    Close();
+  } else if (is_free()) {
+    settings_.did_change(*this);
+  }
+  exchange.done(std::move(result));
+}
+
+std::string ClientConnection::peer_name() const {
+  return settings_.peer.address().to_string() + ":" +
+         std::to_string(settings_.peer.port());
+}
+
+}  // namespace medlarspread::http1
--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -14,7 +14,7 @@
     base::Random& random,
     const base::TaskRunner& control,
     const peer::PeerPort& port,
-    const platform::ReadVmList& read_vm_list,
+    const store::ReadVmList& read_vm_list,
     blackboard::Blackboard& blackboard,
     MembershipCallbacks callbacks,
     const base::Log& log)
--- a/src/membership/membership_controller.h
+++ b/src/membership/membership_controller.h
@@ -16,7 +16,7 @@
 #include "src/membership/membership_callbacks.h"
 #include "src/membership/membership_settings.h"
 #include "src/peer/message.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::membership {
 
@@ -31,7 +31,7 @@
                        base::Random& random,
                        const base::TaskRunner& control,
                        const peer::PeerPort& port,
-                       const platform::ReadVmList& read_vm_list,
+                       const store::ReadVmList& read_vm_list,
                        blackboard::Blackboard& blackboard,
                        MembershipCallbacks callbacks,
                        const base::Log& log = base::Log());
--- a/src/membership/membership_core.cc
+++ b/src/membership/membership_core.cc
@@ -39,7 +39,7 @@
                                base::Random& random,
                                const base::TaskRunner& control,
                                const peer::PeerPort& port,
-                               const platform::ReadVmList& read_vm_list,
+                               const store::ReadVmList& read_vm_list,
                                blackboard::Blackboard& blackboard,
                                MembershipCallbacks callbacks,
                                const base::Log& log)
--- a/src/membership/membership_core.h
+++ b/src/membership/membership_core.h
@@ -38,7 +38,7 @@
 #include "src/membership/messenger.h"
 #include "src/membership/vm_list.h"
 #include "src/peer/message.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::membership {
 
@@ -51,7 +51,7 @@
                  base::Random& random,
                  const base::TaskRunner& control,
                  const peer::PeerPort& port,
-                 const platform::ReadVmList& read_vm_list,
+                 const store::ReadVmList& read_vm_list,
                  blackboard::Blackboard& blackboard,
                  MembershipCallbacks callbacks,
                  const base::Log& log);
--- a/src/membership/view.cc
+++ b/src/membership/view.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-blackboard::Member FromList(const platform::Vm& vm) {
+blackboard::Member FromList(const store::Vm& vm) {
   return {.name = vm.name,
           .address = vm.address,
           .region = vm.region,
--- a/src/membership/vm_list.cc
+++ b/src/membership/vm_list.cc
@@ -10,7 +10,7 @@
                std::string self_address,
                base::Duration timeout,
                base::TaskRunner control,
-               platform::ReadVmList read,
+               store::ReadVmList read,
                base::Log log)
     : self_name_(std::move(self_name)),
       self_address_(std::move(self_address)),
@@ -25,14 +25,14 @@
   }
   // The answer arrives on a sequence of the platform client's own.
   read_(timeout_, [self = shared_from_this(), did_read = std::move(did_read)](
-                      base::Result<std::vector<platform::Vm>> list) {
+                      base::Result<std::vector<store::Vm>> list) {
     self->control_.Post([self, did_read, list = std::move(list)] {
       self->HandleList(list, did_read);
     });
   });
 }
 
-void VmList::HandleList(const base::Result<std::vector<platform::Vm>>& list,
+void VmList::HandleList(const base::Result<std::vector<store::Vm>>& list,
                         const DidRead& did_read) {
   is_reading_ = false;
   if (is_closed_) {
@@ -45,8 +45,8 @@
   was_read_ = true;
   others_.clear();
   is_self_leaving_ = false;
-  for (const platform::Vm& vm : list.value()) {
-    if (vm.role != platform::VmRole::kEntry) {
+  for (const store::Vm& vm : list.value()) {
+    if (vm.role != store::VmRole::kEntry) {
       continue;
     }
     if (vm.name == self_name_) {
--- a/src/membership/vm_list.h
+++ b/src/membership/vm_list.h
@@ -12,7 +12,7 @@
 #include "src/base/clock.h"
 #include "src/base/log.h"
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::membership {
 
@@ -26,7 +26,7 @@
          std::string self_address,
          base::Duration timeout,
          base::TaskRunner control,
-         platform::ReadVmList read,
+         store::ReadVmList read,
          base::Log log);
 
   // Reads the list, unless a read is under way. `did_read` runs on success.
@@ -37,26 +37,26 @@
   // Whether the list was read at least once.
   bool was_read() const { return was_read_; }
   // The other entry VMs on it, by name.
-  const std::map<std::string, platform::Vm>& others() const { return others_; }
+  const std::map<std::string, store::Vm>& others() const { return others_; }
   // This VM itself is listed as leaving, at its own address: a row with another
   // one still means a VM that this one has replaced.
   bool is_self_leaving() const { return is_self_leaving_; }
 
  private:
-  void HandleList(const base::Result<std::vector<platform::Vm>>& list,
+  void HandleList(const base::Result<std::vector<store::Vm>>& list,
                   const DidRead& did_read);
 
   const std::string self_name_;
   const std::string self_address_;
   const base::Duration timeout_;
   const base::TaskRunner control_;
-  const platform::ReadVmList read_;
+  const store::ReadVmList read_;
   const base::Log log_;
   bool is_reading_ = false;
   bool was_read_ = false;
   bool is_closed_ = false;
   bool is_self_leaving_ = false;
-  std::map<std::string, platform::Vm> others_;
+  std::map<std::string, store::Vm> others_;
 };
 
 }  // namespace medlarspread::membership
--- /dev/null
+++ b/src/platform/configuration_decoder.h
@@ -0,0 +1,30 @@
+// Decodes the operators' configuration and the entries of leafs.
+
+#ifndef MEDLARSPREAD_PLATFORM_CONFIGURATION_DECODER_H_
+#define MEDLARSPREAD_PLATFORM_CONFIGURATION_DECODER_H_
+
+#include <string>
+
+#include "src/base/result.h"
+#include "src/blackboard/views.h"
+
+namespace medlarspread::platform {
+
+// The key of the configuration, which the operators write.
+constexpr const char* kConfigurationKey = "op/config";
+// Before the identifier of a leaf in the key of its entry.
+constexpr const char* kLeafKeyPrefix = "servers/";
+
+// kMalformed if the text is not a whole configuration.
+base::Result<blackboard::RoutesView> DecodeConfiguration(
+    const std::string& text);
+
+// The entry of the leaf that is called `id`. Its region stays empty, since the
+// entry does not name it. kMalformed if a field is missing or odd.
+base::Result<blackboard::Upstream> DecodeLeaf(const std::string& id,
+                                              const std::string& text,
+                                              base::MonotonicTime now);
+
+}  // namespace medlarspread::platform
+
+#endif  // MEDLARSPREAD_PLATFORM_CONFIGURATION_DECODER_H_
--- /dev/null
+++ b/src/platform/leaf_codec.cc
@@ -0,0 +1,111 @@
+// Requests to leafs and what their answers mean.
+
+#include "src/platform/leaf_codec.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <string>
+#include <utility>
+
+#include "src/platform/header_names.h"
+
+namespace medlarspread::platform {
+
+namespace {
+
+namespace http = boost::beast::http;
+using base::ErrorCode;
+using base::Step;
+using http1::Response;
+using http1::Status;
+using upstream::ForwardReply;
+using upstream::LeafOutcome;
+
+constexpr int kHttpVersion = 11;
+
+http1::Request Encode(const blackboard::Upstream& leaf,
+                      const upstream::ForwardCall& call) {
+  http1::Request request = *call.message;
+  request.version(kHttpVersion);
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.time_left);
+  request.set(kDeadline, std::to_string(milliseconds.count()));
+  request.set(kExpectedLeaf, leaf.name);
+  if (!request.body().empty()) {
+    request.content_length(request.body().size());
+  }
+  return request;
+}
+
+// A leaf that echoes no identifier can't be told from one that answers late;
+// it answers on a connection that carried one request at a time.
+bool IsMine(const upstream::ForwardCall& call, const Response& response) {
+  const auto field = response.find(kRequestId);
+  return field == response.end() || field->value() == call.request_id;
+}
+
+base::Duration DecodeRetryAfter(const Response& response) {
+  const std::string text(response[kRetryAfter]);
+  constexpr double kLongestSeconds = 60.0;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const double seconds = std::strtod(text.c_str(), nullptr);
+  if (!(seconds > 0.0)) {
+    return {};
+  }
+  return base::Duration(static_cast<std::int64_t>(
+      std::min(seconds, kLongestSeconds) * kMicrosecondsPerSecond));
+}
+
+// These statuses tell a caller that its request has not run. They are passed
+// on only if the leaf says the same.
+bool PromisesNotRun(Status status) {
+  return status == Status::too_many_requests ||
+         status == Status::service_unavailable ||
+         status == Status::request_timeout ||
+         status == Status::misdirected_request;
+}
+
+LeafOutcome OutcomeOf(const Response& response, const std::string& proof) {
+  if (response.result() == Status::misdirected_request) {
+    return LeafOutcome::kReplaced;
+  }
+  if (response.find(kNotRun) != response.end()) {
+    return LeafOutcome::kShed;
+  }
+  if (PromisesNotRun(response.result())) {
+    return LeafOutcome::kLost;
+  }
+  if (http::to_status_class(response.result()) !=
+      http::status_class::successful) {
+    return LeafOutcome::kFailed;
+  }
+  const bool is_encoded =
+      response.find(http::field::content_encoding) != response.end();
+  return proof.empty() || is_encoded ? LeafOutcome::kMismatch
+                                     : LeafOutcome::kAnswered;
+}
+
+ForwardReply Decode(const blackboard::Upstream& leaf, Response response) {
+  ForwardReply reply;
+  reply.proof = std::string(response[kLeafProof]);
+  reply.outcome = OutcomeOf(response, reply.proof);
+  reply.retry_after = DecodeRetryAfter(response);
+  if (reply.outcome != LeafOutcome::kAnswered) {
+    const bool is_shed = reply.outcome == LeafOutcome::kShed;
+    reply.error = base::MakeError(
+        is_shed ? ErrorCode::kShed : ErrorCode::kMismatch, Step::kReadUpstream,
+        leaf.address,
+        std::string(upstream::LeafOutcomeName(reply.outcome)) + ", status " +
+            std::to_string(response.result_int()));
+  }
+  reply.message = std::move(response);
+  return reply;
+}
+
+}  // namespace
+
+upstream::ForwardCodec MakeLeafCodec() {
+  return {Encode, IsMine, Decode};
+}
+
+}  // namespace medlarspread::platform
--- /dev/null
+++ b/src/platform/leaf_codec.h
@@ -0,0 +1,14 @@
+// Translates between the query core and the leafs' HTTP messages.
+
+#ifndef MEDLARSPREAD_PLATFORM_LEAF_CODEC_H_
+#define MEDLARSPREAD_PLATFORM_LEAF_CODEC_H_
+
+#include "src/upstream/forward_client.h"
+
+namespace medlarspread::platform {
+
+upstream::ForwardCodec MakeLeafCodec();
+
+}  // namespace medlarspread::platform
+
+#endif  // MEDLARSPREAD_PLATFORM_LEAF_CODEC_H_
--- /dev/null
+++ b/src/platform/store_calls.cc
@@ -0,0 +1,349 @@
+// The store's calls as HTTP requests with JSON bodies.
+
+#include "src/platform/store_calls.h"
+
+#include <chrono>
+#include <list>
+#include <utility>
+
+#include <cpprest/asyncrt_utils.h>
+#include <cpprest/base_uri.h>
+#include <cpprest/json.h>
+
+#include "src/base/overloaded.h"
+#include "src/http1/caller_listener.h"
+#include "src/http1/client_connection.h"
+#include "src/store/json_fields.h"
+
+namespace medlarspread::platform {
+
+namespace {
+
+namespace http = boost::beast::http;
+using base::Error;
+using base::ErrorCode;
+using base::Result;
+using base::Step;
+using http1::Response;
+using http1::Status;
+using store::ReadInteger;
+using store::ReadString;
+using web::json::value;
+
+using JsonCallback = std::function<void(Result<std::shared_ptr<value>>)>;
+
+constexpr int kHttpVersion = 11;
+// A silent store is found out within this time, also by a watch that waits.
+constexpr base::Duration kSilence = base::Milliseconds(2'000);
+
+std::int64_t ToWholeMilliseconds(base::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+ErrorCode CodeOf(Status status) {
+  switch (status) {
+    case Status::not_found:
+      return ErrorCode::kNotFound;
+    case Status::gone:
+      return ErrorCode::kExpired;
+    case Status::precondition_failed:
+      return ErrorCode::kConflict;
+    case Status::too_many_requests:
+      return ErrorCode::kOverloaded;
+    default:
+      return ErrorCode::kUnavailable;
+  }
+}
+
+// An item as it was written, or a removal.
+std::optional<store::Event> DecodeEvent(const value& row) {
+  const auto key = ReadString(row, "key");
+  const auto revision = ReadInteger(row, "rev");
+  if (!key || !revision) {
+    return std::nullopt;
+  }
+  store::Event event{*key, std::nullopt, *revision};
+  if (store::HasField(row, "removed")) {
+    return event;
+  }
+  const auto text = ReadString(row, "value");
+  if (!text) {
+    return std::nullopt;
+  }
+  try {
+    const auto bytes = utility::conversions::from_base64(*text);
+    event.value = std::string(bytes.begin(), bytes.end());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return event;
+}
+
+std::optional<std::vector<store::Event>> DecodeEvents(const value& body,
+                                                      const char* field) {
+  const value* rows = store::FindArray(body, field);
+  if (rows == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<store::Event> events;
+  for (const value& row : rows->as_array()) {
+    auto event = DecodeEvent(row);
+    if (!event) {
+      return std::nullopt;
+    }
+    events.push_back(std::move(*event));
+  }
+  return events;
+}
+
+Error Malformed(const std::string& peer) {
+  return base::MakeError(ErrorCode::kMalformed, Step::kReadStore, peer,
+                         "the store's answer lacks a field or has an odd one");
+}
+
+bool ReadFlag(const value& object, const char* field) {
+  return object.has_boolean_field(field) && object.at(field).as_bool();
+}
+
+}  // namespace
+
+class StoreCalls::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& context,
+       base::TaskRunner control,
+       StoreCallsSettings settings)
+      : context_(context),
+        control_(std::move(control)),
+        settings_(std::move(settings)) {}
+
+  void Call(http::verb method,
+            const std::string& target,
+            const std::string& body,
+            base::Duration timeout,
+            JsonCallback done);
+
+  const StoreCallsSettings& settings() const { return settings_; }
+
+ private:
+  std::shared_ptr<http1::ClientConnection> Connect();
+  Result<std::shared_ptr<value>> Decode(const Response& response) const;
+
+  boost::asio::io_context& context_;
+  const base::TaskRunner control_;
+  const StoreCallsSettings settings_;
+  std::list<std::shared_ptr<http1::ClientConnection>> connections_;
+};
+
+std::shared_ptr<http1::ClientConnection> StoreCalls::Impl::Connect() {
+  for (const auto& connection : connections_) {
+    if (connection->is_free()) {
+      return connection;
+    }
+  }
+  const auto endpoint = http1::ParseEndpoint(settings_.address);
+  if (!endpoint.is_ok()) {
+    return nullptr;
+  }
+  http1::ClientConnection::Settings settings;
+  settings.peer = endpoint.value();
+  settings.connect_timeout = settings_.timeout;
+  settings.silence = kSilence;
+  settings.did_change =
+      [self = weak_from_this()](http1::ClientConnection& connection) {
+        const auto calls = self.lock();
+        if (calls && connection.is_closed()) {
+          calls->connections_.remove(connection.shared_from_this());
+        }
+      };
+  connections_.push_back(std::make_shared<http1::ClientConnection>(
+      context_, std::move(settings)));
+  return connections_.back();
+}
+
+void StoreCalls::Impl::Call(http::verb method,
+                            const std::string& target,
+                            const std::string& body,
+                            base::Duration timeout,
+                            JsonCallback done) {
+  auto request =
+      std::make_shared<http1::Request>(method, target, kHttpVersion);
+  request->set(http::field::host, settings_.address);
+  if (method == http::verb::post) {
+    request->set(http::field::content_type, "application/json");
+    request->body() = body;
+    request->prepare_payload();
+  }
+  const auto connection = Connect();
+  if (!connection) {
+    control_.Post([done = std::move(done), address = settings_.address] {
+      done(base::MakeError(ErrorCode::kInvalidArgument, Step::kReadStore,
+                           address, "not ip:port"));
+    });
+    return;
+  }
+  auto timer = std::make_shared<base::Timer>();
+  auto finish = std::make_shared<JsonCallback>(std::move(done));
+  const auto end = [timer, finish](Result<std::shared_ptr<value>> result) {
+    timer->Cancel();
+    if (auto callback = std::exchange(*finish, nullptr)) {
+      callback(std::move(result));
+    }
+  };
+  *timer = control_.After(
+      timeout, [connection, end, address = settings_.address] {
+        connection->Abort();
+        end(base::MakeError(ErrorCode::kTimeout, Step::kReadStore, address,
+                            "no answer in time"));
+      });
+  http1::Exchange exchange;
+  exchange.request = std::move(request);
+  exchange.is_mine = [](const Response&) { return true; };
+  exchange.done = [self = shared_from_this(),
+                   end](const http1::ExchangeResult& result) {
+    std::visit(base::Overloaded{[&](const Response& response) {
+                                  end(self->Decode(response));
+                                },
+                                [&](const http1::ExchangeFailure& failure) {
+                                  Error error = failure.error;
+                                  error.step = Step::kReadStore;
+                                  end(std::move(error));
+                                }},
+               result);
+  };
+  connection->Start(std::move(exchange));
+}
+
+Result<std::shared_ptr<value>> StoreCalls::Impl::Decode(
+    const Response& response) const {
+  if (response.result() != Status::ok) {
+    return base::MakeError(CodeOf(response.result()), Step::kReadStore,
+                           settings_.address,
+                           "status " + std::to_string(response.result_int()));
+  }
+  auto body = store::ParseObject(response.body());
+  if (!body) {
+    // A call that answers nothing has an empty body.
+    if (response.body().empty()) {
+      return std::make_shared<value>(value::object());
+    }
+    return Malformed(settings_.address);
+  }
+  return std::shared_ptr<value>(std::move(body));
+}
+
+StoreCalls::StoreCalls(boost::asio::io_context& context,
+                       base::TaskRunner control,
+                       StoreCallsSettings settings)
+    : impl_(std::make_shared<Impl>(context,
+                                   std::move(control),
+                                   std::move(settings))) {}
+
+StoreCalls::~StoreCalls() = default;
+
+store::EventSource StoreCalls::source() {
+  store::EventSource source;
+  const auto encode = [](const std::string& text) {
+    return web::uri::encode_data_string(text);
+  };
+  source.list = [impl = impl_, encode](const std::string& prefix,
+                                       const std::string& after, auto done) {
+    impl->Call(
+        http::verb::get,
+        "/kv-range?prefix=" + encode(prefix) +
+            (after.empty() ? "" : "&after=" + encode(after)),
+        "", impl->settings().timeout,
+        [impl, done](const Result<std::shared_ptr<value>>& body) {
+          if (!body.is_ok()) {
+            done(body.error());
+            return;
+          }
+          auto items = DecodeEvents(*body.value(), "items");
+          const auto revision = ReadInteger(*body.value(), "current_rev");
+          if (!items || !revision) {
+            done(Malformed(impl->settings().address));
+            return;
+          }
+          done(store::Page{std::move(*items),
+                           !ReadFlag(*body.value(), "truncated"), *revision});
+        });
+  };
+  source.watch = [impl = impl_, encode](const std::string& prefix,
+                                        std::int64_t after,
+                                        base::Duration wait, auto done) {
+    impl->Call(
+        http::verb::get,
+        "/kv-watch?prefix=" + encode(prefix) +
+            "&after=" + std::to_string(after) +
+            "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
+        "", wait + impl->settings().timeout,
+        [impl, done](const Result<std::shared_ptr<value>>& body) {
+          if (!body.is_ok()) {
+            done(body.error());
+            return;
+          }
+          auto events = DecodeEvents(*body.value(), "events");
+          const auto revision = ReadInteger(*body.value(), "current_rev");
+          if (!events || !revision) {
+            done(Malformed(impl->settings().address));
+            return;
+          }
+          done(store::Changes{std::move(*events), *revision});
+        });
+  };
+  source.open_lease = [impl = impl_](base::Duration time_to_live, auto done) {
+    auto body = value::object();
+    body["ttl_ms"] = value::number(ToWholeMilliseconds(time_to_live));
+    impl->Call(http::verb::post, "/kv-lease", body.serialize(),
+               impl->settings().timeout,
+               [impl, done](const Result<std::shared_ptr<value>>& answer) {
+                 if (!answer.is_ok()) {
+                   done(answer.error());
+                   return;
+                 }
+                 const auto id = ReadInteger(*answer.value(), "lease");
+                 const auto time = ReadInteger(*answer.value(), "ttl_ms");
+                 if (!id || !time) {
+                   done(Malformed(impl->settings().address));
+                   return;
+                 }
+                 done(store::Lease{*id, base::Milliseconds(*time)});
+               });
+  };
+  const auto to_status = [](auto done) {
+    return [done](const Result<std::shared_ptr<value>>& answer) {
+      if (answer.is_ok()) {
+        done(base::Status(base::Done{}));
+      } else {
+        done(base::Status(answer.error()));
+      }
+    };
+  };
+  source.keep_lease = [impl = impl_, to_status](std::int64_t lease,
+                                                auto done) {
+    impl->Call(http::verb::post, "/kv-keep/" + std::to_string(lease), "",
+               impl->settings().timeout, to_status(done));
+  };
+  source.end_lease = [impl = impl_, to_status](std::int64_t lease, auto done) {
+    impl->Call(http::verb::delete_, "/kv-lease-end/" + std::to_string(lease),
+               "", impl->settings().timeout, to_status(done));
+  };
+  source.put = [impl = impl_, to_status](const std::string& key,
+                                         const std::string& text,
+                                         std::int64_t lease, auto done) {
+    auto write = value::object();
+    write["key"] = value::string(key);
+    write["value"] = value::string(utility::conversions::to_base64(
+        std::vector<unsigned char>(text.begin(), text.end())));
+    write["lease"] = value::number(lease);
+    auto body = value::object();
+    body["expect_rev"] = value::array();
+    body["writes"] = value::array({write});
+    body["remove"] = value::array();
+    impl->Call(http::verb::post, "/kv-txn", body.serialize(),
+               impl->settings().timeout, to_status(done));
+  };
+  return source;
+}
+
+}  // namespace medlarspread::platform
--- /dev/null
+++ b/src/query/fan_out_session.cc
@@ -0,0 +1,438 @@
+// The steps of fan_out_session.h.
+
+#include "src/query/fan_out_session.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "src/base/overloaded.h"
+#include "src/query/top_records.h"
+
+namespace medlarspread::query {
+
+namespace {
+
+using base::ErrorCode;
+using base::Milliseconds;
+using base::MonotonicTime;
+using base::Step;
+using upstream::ForwardReply;
+using upstream::LeafOutcome;
+
+// What the caller's clock shows beyond this daemon's: 3 ms each way, a new
+// connection, and the processor's own delay. The target and the deadline are
+// met at the caller.
+constexpr base::Duration kTargetMargin = Milliseconds(16);
+constexpr base::Duration kDeadlineMargin = Milliseconds(12);
+// A leaf stops at its deadline; its answer must still reach the caller.
+constexpr base::Duration kReplyMargin = Milliseconds(4);
+// How often a shard looks for a leaf with room.
+constexpr base::Duration kRoomInterval = Milliseconds(5);
+// A request waits for a leaf with room for this part of its latency target:
+// after that the caller does better to come back.
+constexpr int kWaitShare = 5;
+// When to come back after a refusal: room appears within some service times,
+// and a leaf that is down is replaced within seconds.
+constexpr base::Duration kRetryAfter = Milliseconds(50);
+constexpr double kRounding = 1e-9;
+
+bool IsCertainlyNotRun(LeafOutcome outcome) {
+  return !upstream::MayHaveRun(outcome);
+}
+
+}  // namespace
+
+FanOutSession::FanOutSession(
+    std::shared_ptr<const FanOutDependencies> dependencies,
+    ForwardedRequest request,
+    std::vector<std::string> collections,
+    Done done)
+    : dependencies_(std::move(dependencies)),
+      request_(std::move(request)),
+      route_(*request_.route),
+      done_(std::move(done)),
+      arrived_(dependencies_->clock.Now()),
+      target_due_(arrived_ + route_.targets.latency - kTargetMargin),
+      deadline_(arrived_ + std::min(request_.deadline, route_.timeout) -
+                kDeadlineMargin),
+      shards_(collections.size()) {
+  for (std::size_t index = 0; index < collections.size(); ++index) {
+    shards_[index].collection = std::move(collections[index]);
+  }
+}
+
+void FanOutSession::Start() {
+  if (time_left() < kLeastTimeLeft || shards_.empty()) {
+    ConcludeFailed();
+    return;
+  }
+  for (Shard& shard : shards_) {
+    dependencies_->did_request(shard.collection);
+    shard.is_waiting = true;
+    SendWaiting(shard, arrived_);
+  }
+  ConcludeIfDue();
+  if (!is_finished_) {
+    ArmTimer();
+  }
+}
+
+
+bool FanOutSession::Abandon() {
+  if (is_finished_) {
+    return false;
+  }
+  is_finished_ = true;
+  timer_.Cancel();
+  for (Shard& shard : shards_) {
+    for (const auto& attempt : shard.attempts) {
+      if (!attempt->is_finished) {
+        attempt->is_finished = true;
+        attempt->call.cancel();
+        dependencies_->tracker->DidCancel(attempt->leaf, attempt->sent);
+      }
+    }
+  }
+  dependencies_->log.Write({.level = base::LogLevel::kInfo,
+                            .step = Step::kForward,
+                            .request_id = request_.request_id,
+                            .message = "the caller left; cancelled " +
+                                       std::to_string(sends_) + " sends"});
+  done_ = nullptr;
+  return true;
+}
+
+void FanOutSession::SendWaiting(Shard& shard, MonotonicTime now) {
+  if (TrySend(shard, Payment::kFree)) {
+    return;
+  }
+  const bool has_leafs =
+      !dependencies_->index()->LeafsOf(shard.collection).empty();
+  if (has_leafs && now - arrived_ < route_.targets.latency / kWaitShare) {
+    return;
+  }
+  last_error_ = base::MakeError(
+      ErrorCode::kUnavailable, Step::kForward, shard.collection,
+      has_leafs ? "no leaf has room" : "no leaf is known");
+  shard.is_waiting = false;
+  Settle(shard, ShardState::kFailed);
+}
+
+bool FanOutSession::TrySend(Shard& shard, Payment payment) {
+  const auto index = dependencies_->index();
+  const blackboard::Upstream* leaf = dependencies_->tracker->Choose(
+      index->LeafsOf(shard.collection), route_.targets.name, shard.excluded,
+      dependencies_->leafs.has_room);
+  if (leaf == nullptr) {
+    return false;
+  }
+  if (payment == Payment::kFromBudget) {
+    if (!dependencies_->take_extra_send(shard.collection)) {
+      return false;
+    }
+    ++extra_sends_;
+  }
+  SendTo(shard, *leaf);
+  return true;
+}
+
+void FanOutSession::SendTo(Shard& shard, const blackboard::Upstream& leaf) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->leaf = leaf;
+  attempt->sent = dependencies_->clock.Now();
+  attempt->overdue =
+      attempt->sent +
+      dependencies_->tracker->SecondSendDelay(leaf, route_.targets.name);
+  shard.excluded.insert(leaf.name);
+  ++shard.arrivals;
+  shard.has_first = true;
+  shard.is_waiting = false;
+  ++sends_;
+  dependencies_->tracker->DidSend(leaf, attempt->sent);
+  const auto shard_index = static_cast<std::size_t>(&shard - shards_.data());
+  attempt->call = dependencies_->leafs.send(
+      leaf,
+      {request_.request_id, request_.message, time_left() - kReplyMargin},
+      [self = shared_from_this(), shard_index, attempt](ForwardReply reply) {
+        self->DidReply(shard_index, attempt, std::move(reply));
+      });
+  shard.attempts.push_back(std::move(attempt));
+}
+
+bool FanOutSession::MaySendAgain(const Shard& shard) const {
+  return shard.arrivals < route_.most_attempts &&
+         time_left() >= kReplyMargin + kLeastTimeLeft;
+}
+
+void FanOutSession::DidReply(std::size_t shard_index,
+                             const std::shared_ptr<Attempt>& attempt,
+                             ForwardReply reply) {
+  attempt->is_finished = true;
+  attempt->call = {};
+  dependencies_->tracker->DidReply(attempt->leaf, route_.targets.name,
+                                   attempt->sent, reply);
+  Shard& shard = shards_[shard_index];
+  if (is_finished_ || shard.state != ShardState::kOpen) {
+    return;
+  }
+  if (reply.outcome == LeafOutcome::kAnswered) {
+    DidAnswer(shard, std::move(reply));
+  } else {
+    DidFail(shard, std::move(reply));
+  }
+  if (!is_finished_) {
+    ConcludeIfDue();
+  }
+  if (!is_finished_) {
+    ArmTimer();
+  }
+}
+
+void FanOutSession::DidAnswer(Shard& shard, ForwardReply reply) {
+  shard.reply = std::move(reply);
+  ++answered_;
+  Settle(shard, ShardState::kAnswered);
+}
+
+void FanOutSession::DidFail(Shard& shard, ForwardReply reply) {
+  dependencies_->log.DidFail(reply.error, "a send to a leaf failed",
+                             request_.request_id);
+  last_error_ = reply.error;
+  const bool did_not_run = IsCertainlyNotRun(reply.outcome);
+  may_have_run_ = may_have_run_ || !did_not_run;
+  const bool never_left = reply.outcome == LeafOutcome::kUnreachable;
+  if (never_left) {
+    --shard.arrivals;
+  }
+  shard.reply = std::move(reply);
+  if (running(shard) > 0) {
+    return;
+  }
+  const bool may_repeat = route_.is_idempotent || did_not_run;
+  const Payment payment = never_left ? Payment::kFree : Payment::kFromBudget;
+  if (may_repeat && MaySendAgain(shard) && TrySend(shard, payment)) {
+    return;
+  }
+  Settle(shard, ShardState::kFailed);
+}
+
+void FanOutSession::Settle(Shard& shard, ShardState state) {
+  assert(shard.state == ShardState::kOpen);
+  shard.state = state;
+  ++settled_;
+  for (const auto& attempt : shard.attempts) {
+    if (!attempt->is_finished) {
+      attempt->call.let_linger();
+    }
+  }
+}
+
+void FanOutSession::Wake() {
+  if (is_finished_) {
+    return;
+  }
+  const MonotonicTime now = dependencies_->clock.Now();
+  for (Shard& shard : shards_) {
+    if (shard.state == ShardState::kOpen && shard.is_waiting) {
+      SendWaiting(shard, now);
+    }
+  }
+  SecondSends(now);
+  ConcludeIfDue();
+  if (!is_finished_) {
+    ArmTimer();
+  }
+}
+
+void FanOutSession::SecondSends(MonotonicTime now) {
+  for (Shard& shard : shards_) {
+    if (shard.state != ShardState::kOpen || shard.attempts.empty()) {
+      continue;
+    }
+    Attempt& latest = *shard.attempts.back();
+    if (latest.is_finished || latest.was_overdue || now < latest.overdue) {
+      continue;
+    }
+    latest.was_overdue = true;
+    dependencies_->tracker->DidStall(latest.leaf);
+    if (route_.is_idempotent && MaySendAgain(shard)) {
+      (void)TrySend(shard, Payment::kFromBudget);
+    }
+  }
+}
+
+void FanOutSession::ConcludeIfDue() {
+  const MonotonicTime now = dependencies_->clock.Now();
+  const int total = static_cast<int>(shards_.size());
+  const int failed = settled_ - answered_;
+  if (!has_coverage(total - failed)) {
+    ConcludeFailed();
+    return;
+  }
+  if (settled_ == total || (now >= target_due_ && has_coverage(answered_))) {
+    Conclude();
+    return;
+  }
+  if (now >= deadline_) {
+    if (has_coverage(answered_)) {
+      Conclude();
+      return;
+    }
+    last_error_ = base::MakeError(ErrorCode::kTimeout, Step::kForward, "",
+                                  "no answer before the deadline");
+    ConcludeFailed();
+  }
+}
+
+void FanOutSession::Conclude() {
+  if (!is_gather()) {
+    Finish(PassedOn{std::move(shards_.front().reply.message)});
+    return;
+  }
+  Gathered gathered;
+  std::vector<std::string> parts;
+  for (Shard& shard : shards_) {
+    if (shard.state == ShardState::kAnswered) {
+      gathered.proofs.push_back(std::move(shard.reply.proof));
+      parts.push_back(std::move(shard.reply.message.body()));
+    }
+  }
+  gathered.missing = static_cast<int>(shards_.size()) - answered_;
+  gathered.records = TopRecords(
+      parts,
+      std::get<blackboard::AllShards>(route_.destination).most_records);
+  Finish(std::move(gathered));
+}
+
+void FanOutSession::ConcludeFailed() {
+  for (const Shard& shard : shards_) {
+    may_have_run_ = may_have_run_ || running(shard) > 0 ||
+                    shard.state == ShardState::kAnswered;
+  }
+  if (!is_gather() && !shards_.empty() &&
+      shards_.front().reply.outcome == LeafOutcome::kFailed) {
+    Finish(PassedOn{std::move(shards_.front().reply.message)});
+    return;
+  }
+  if (may_have_run_) {
+    Finish(Unknown{request_.request_id, last_error_});
+    return;
+  }
+  if (!last_error_.code) {
+    last_error_ = base::MakeError(ErrorCode::kUnavailable, Step::kForward, "",
+                                  "no leaf may be sent to");
+  }
+  Finish(Refused{request_.request_id, last_error_, kRetryAfter,
+                 RefusalKind::kUnavailable});
+}
+
+MonotonicTime FanOutSession::NextDue() const {
+  const MonotonicTime now = dependencies_->clock.Now();
+  MonotonicTime due = deadline_;
+  if (now < target_due_) {
+    due = std::min(due, target_due_);
+  }
+  for (const Shard& shard : shards_) {
+    if (shard.state != ShardState::kOpen) {
+      continue;
+    }
+    if (shard.is_waiting) {
+      due = std::min(due, now + kRoomInterval);
+    }
+    if (!shard.attempts.empty() && !shard.attempts.back()->is_finished &&
+        !shard.attempts.back()->was_overdue) {
+      due = std::min(due, shard.attempts.back()->overdue);
+    }
+  }
+  return due;
+}
+
+void FanOutSession::ArmTimer() {
+  const MonotonicTime due = NextDue();
+  if (armed_ != MonotonicTime{} && armed_ <= due) {
+    return;
+  }
+  timer_.Cancel();
+  armed_ = due;
+  const base::Duration delay =
+      std::max(base::Duration{}, due - dependencies_->clock.Now());
+  timer_ = dependencies_->runner.After(delay, [self = shared_from_this()] {
+    self->armed_ = {};
+    self->Wake();
+  });
+}
+
+void FanOutSession::Finish(ForwardedAnswer answer) {
+  assert(!is_finished_);
+  is_finished_ = true;
+  timer_.Cancel();
+  for (Shard& shard : shards_) {
+    if (shard.state == ShardState::kOpen) {
+      Settle(shard, ShardState::kFailed);
+    }
+  }
+  LogAnswer(answer);
+  const FanOutSummary summary{
+      dependencies_->clock.Now() - arrived_, static_cast<int>(shards_.size()),
+      answered_, sends_, extra_sends_};
+  const Done done = std::exchange(done_, nullptr);
+  done(std::move(answer), summary);
+}
+
+void FanOutSession::LogAnswer(const ForwardedAnswer& answer) const {
+  const std::string outcome = std::visit(
+      base::Overloaded{
+          [](const PassedOn& passed) {
+            return "passed on status " +
+                   std::to_string(passed.message.result_int());
+          },
+          [](const Gathered& gathered) {
+            return "answered, " + std::to_string(gathered.missing) +
+                   " shards missing";
+          },
+          [](const NoRoute&) { return std::string("no route"); },
+          [](const Refused& refused) {
+            return "refused, not run: " + refused.error.ToString();
+          },
+          [](const Unknown& unknown) {
+            return "may have run: " + unknown.error.ToString();
+          }},
+      answer);
+  std::string missing;
+  for (const Shard& shard : shards_) {
+    if (shard.state != ShardState::kAnswered) {
+      missing += (missing.empty() ? " missing=" : ",") + shard.collection;
+    }
+  }
+  dependencies_->log.Write(
+      {.level = base::LogLevel::kInfo,
+       .step = Step::kForward,
+       .request_id = request_.request_id,
+       .message = outcome + "; route=" + route_.targets.name + " revision=" +
+                  std::to_string(request_.routes_revision) + " ms=" +
+                  std::to_string((dependencies_->clock.Now() - arrived_)
+                                     .count() /
+                                 1000) +
+                  " sends=" + std::to_string(sends_) +
+                  " extra=" + std::to_string(extra_sends_) + missing});
+}
+
+bool FanOutSession::has_coverage(int answered) const {
+  const double least = is_gather() ? route_.targets.coverage : 1.0;
+  return answered > 0 &&
+         static_cast<double>(answered) >=
+             least * static_cast<double>(shards_.size()) - kRounding;
+}
+
+bool FanOutSession::is_gather() const {
+  return std::holds_alternative<blackboard::AllShards>(route_.destination);
+}
+
+int FanOutSession::running(const Shard& shard) const {
+  return static_cast<int>(std::count_if(
+      shard.attempts.begin(), shard.attempts.end(),
+      [](const auto& attempt) { return !attempt->is_finished; }));
+}
+
+}  // namespace medlarspread::query
--- /dev/null
+++ b/src/query/fan_out_session.h
@@ -0,0 +1,168 @@
+// One opaque request of a caller, from its arrival to its one answer.
+//
+// A request goes to one collection or to all shards of its route; both are the
+// same here, since one collection is one shard.
+//
+// Steps:
+//   1. Each shard is sent to the leaf that should reply first.
+//   2. A shard whose reply is overdue is sent to a second leaf, if the request
+//      is idempotent, the route's attempts allow it and the collection's
+//      budget pays for it. The first reply counts.
+//   3. A failed send is replaced by one to another leaf under the same
+//      conditions. A request that is not idempotent is sent again only if it
+//      certainly did not run.
+//   4. The answer goes out when every shard has settled; at the class's
+//      latency target if the coverage target is met by then; after that as
+//      soon as it is met; and at the deadline in any case.
+//
+// Invariants: the caller is answered once; "refused" only if nothing was sent
+// that may have run; all shards of an answer are of the route's one revision.
+//
+// Runs on the traffic thread; keeps itself alive until the last send ended.
+
+#ifndef MEDLARSPREAD_QUERY_FAN_OUT_SESSION_H_
+#define MEDLARSPREAD_QUERY_FAN_OUT_SESSION_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/admission/retry_budget.h"
+#include "src/base/clock.h"
+#include "src/base/log.h"
+#include "src/base/task_runner.h"
+#include "src/query/forwarded_request.h"
+#include "src/routing/leaf_index.h"
+#include "src/routing/leaf_tracker.h"
+#include "src/upstream/forward_port.h"
+
+namespace medlarspread::query {
+
+// What a session is about to send may be cut by the deadline; less time than
+// this is not worth a send.
+constexpr base::Duration kLeastTimeLeft = base::Milliseconds(2);
+
+struct FanOutDependencies {
+  base::Clock clock;
+  base::TaskRunner runner;
+  upstream::ForwardPort leafs;
+  std::shared_ptr<routing::LeafTracker> tracker;
+  // The leafs as they are known now; never null.
+  std::function<std::shared_ptr<const routing::LeafIndex>()> index;
+  // Takes a send beyond the first of a request to the collection from the
+  // budget; false if it is used up.
+  std::function<bool(const std::string& collection)> take_extra_send;
+  // Tells the budget of a request's first send to the collection.
+  std::function<void(const std::string& collection)> did_request;
+  base::Log log;
+};
+
+// How a session went, for metrics and the log.
+struct FanOutSummary {
+  base::Duration latency{};
+  int shards = 0;
+  int answered = 0;
+  int sends = 0;
+  int extra_sends = 0;
+};
+
+class FanOutSession : public std::enable_shared_from_this<FanOutSession> {
+ public:
+  using Done = std::function<void(ForwardedAnswer, const FanOutSummary&)>;
+
+  // `collections` are the shards of the request.
+  FanOutSession(std::shared_ptr<const FanOutDependencies> dependencies,
+                ForwardedRequest request,
+                std::vector<std::string> collections,
+                Done done);
+
+  void Start();
+  // The caller has left: everything is cancelled, and nobody is answered.
+  // False if the session had answered already.
+  bool Abandon();
+
+ private:
+  enum class ShardState { kOpen, kAnswered, kFailed };
+
+  struct Attempt {
+    blackboard::Upstream leaf;
+    base::MonotonicTime sent;
+    // When a second send to another leaf pays.
+    base::MonotonicTime overdue;
+    upstream::SentCall call;
+    bool is_finished = false;
+    bool was_overdue = false;
+  };
+
+  struct Shard {
+    std::string collection;
+    ShardState state = ShardState::kOpen;
+    std::vector<std::shared_ptr<Attempt>> attempts;
+    // Leafs that are not sent to again.
+    std::set<std::string> excluded;
+    // Sends that reached a leaf, or may have.
+    int arrivals = 0;
+    bool has_first = false;
+    // Since when no leaf had room; the shard waits for one.
+    bool is_waiting = false;
+    upstream::ForwardReply reply;
+  };
+
+  void SendTo(Shard& shard, const blackboard::Upstream& leaf);
+  // Whether a send is paid for from the collection's budget.
+  enum class Payment { kFree, kFromBudget };
+
+  // Sends the shard to a leaf that it was not sent to yet; false if none may
+  // take it or the budget is used up.
+  bool TrySend(Shard& shard, Payment payment);
+  // Sends a shard that found no leaf so far, or gives it up after a while.
+  void SendWaiting(Shard& shard, base::MonotonicTime now);
+  bool MaySendAgain(const Shard& shard) const;
+  void DidReply(std::size_t shard,
+                const std::shared_ptr<Attempt>& attempt,
+                upstream::ForwardReply reply);
+  void DidAnswer(Shard& shard, upstream::ForwardReply reply);
+  void DidFail(Shard& shard, upstream::ForwardReply reply);
+  void Settle(Shard& shard, ShardState state);
+  // Second sends, waiting shards, the target and the deadline: all that is due.
+  void Wake();
+  void SecondSends(base::MonotonicTime now);
+  void ConcludeIfDue();
+  void Conclude();
+  void ConcludeFailed();
+  void ArmTimer();
+  base::MonotonicTime NextDue() const;
+  void Finish(ForwardedAnswer answer);
+  void LogAnswer(const ForwardedAnswer& answer) const;
+
+  bool has_coverage(int answered) const;
+  bool is_gather() const;
+  int running(const Shard& shard) const;
+  base::Duration time_left() const { return deadline_ - dependencies_->clock.Now(); }
+
+  const std::shared_ptr<const FanOutDependencies> dependencies_;
+  const ForwardedRequest request_;
+  const blackboard::WorkRoute& route_;
+  Done done_;
+  const base::MonotonicTime arrived_;
+  const base::MonotonicTime target_due_;
+  const base::MonotonicTime deadline_;
+  std::vector<Shard> shards_;
+  int answered_ = 0;
+  int settled_ = 0;
+  int sends_ = 0;
+  int extra_sends_ = 0;
+  // A send to a leaf may have run without an answer that can be given.
+  bool may_have_run_ = false;
+  bool is_finished_ = false;
+  base::Error last_error_;
+  base::Timer timer_;
+  // When `timer_` is due; zero if it is not armed.
+  base::MonotonicTime armed_;
+};
+
+}  // namespace medlarspread::query
+
+#endif  // MEDLARSPREAD_QUERY_FAN_OUT_SESSION_H_
--- /dev/null
+++ b/src/query/forwarded_request.h
@@ -0,0 +1,54 @@
+// A caller's opaque request and what it can be answered with.
+
+#ifndef MEDLARSPREAD_QUERY_FORWARDED_REQUEST_H_
+#define MEDLARSPREAD_QUERY_FORWARDED_REQUEST_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/blackboard/views.h"
+#include "src/http1/message.h"
+#include "src/query/caller_answer.h"
+
+namespace medlarspread::query {
+
+struct ForwardedRequest {
+  // The caller's; a retry of the caller comes with another one.
+  std::string request_id;
+  // How long the caller waits from now on.
+  base::Duration deadline{};
+  std::shared_ptr<const blackboard::WorkRoute> route;
+  // The revision of the routes that `route` is from.
+  std::int64_t routes_revision = 0;
+  // What is passed on, without the fields that concern one connection.
+  std::shared_ptr<const http1::Request> message;
+};
+
+// A leaf's own answer, a failure of its own included.
+struct PassedOn {
+  http1::Response message;
+};
+
+// The greatest records of the shards that answered.
+struct Gathered {
+  std::string records;
+  // One proof for each shard that is in.
+  std::vector<std::string> proofs;
+  int missing = 0;
+};
+
+// No route in force takes the request.
+struct NoRoute {};
+
+// Refused means that the request has not run and never will; Unknown that it
+// may have.
+using ForwardedAnswer = std::variant<PassedOn, Gathered, NoRoute, Refused, Unknown>;
+using ForwardedCallback = std::function<void(ForwardedAnswer)>;
+
+}  // namespace medlarspread::query
+
+#endif  // MEDLARSPREAD_QUERY_FORWARDED_REQUEST_H_
--- /dev/null
+++ b/src/routing/leaf_index.h
@@ -0,0 +1,45 @@
+// The leafs of each collection, from the blackboard's view of all upstreams.
+
+#ifndef MEDLARSPREAD_ROUTING_LEAF_INDEX_H_
+#define MEDLARSPREAD_ROUTING_LEAF_INDEX_H_
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "src/blackboard/views.h"
+
+namespace medlarspread::routing {
+
+class LeafIndex {
+ public:
+  using Leafs = std::vector<const blackboard::Upstream*>;
+
+  explicit LeafIndex(std::shared_ptr<const blackboard::UpstreamsView> view)
+      : view_(std::move(view)) {
+    for (const auto& [name, upstream] : view_->upstreams) {
+      collections_[upstream.collection].push_back(&upstream);
+    }
+  }
+
+  const Leafs& LeafsOf(const std::string& collection) const {
+    static const Leafs none;
+    const auto row = collections_.find(collection);
+    return row == collections_.end() ? none : row->second;
+  }
+
+  const std::shared_ptr<const blackboard::UpstreamsView>& view() const {
+    return view_;
+  }
+
+ private:
+  // Keeps alive what the pointers point at.
+  const std::shared_ptr<const blackboard::UpstreamsView> view_;
+  std::unordered_map<std::string, Leafs> collections_;
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_LEAF_INDEX_H_
--- /dev/null
+++ b/src/routing/leaf_tracker.cc
@@ -0,0 +1,240 @@
+// The estimates behind the choice of a leaf.
+
+#include "src/routing/leaf_tracker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace medlarspread::routing {
+
+namespace {
+
+using blackboard::UpstreamState;
+using upstream::LeafOutcome;
+
+// Microseconds, until replies have shown it: a reply from another failure
+// domain of the region and from another region.
+constexpr double kFirstDistanceInRegion = 1'000.0;
+constexpr double kFirstDistanceToRegion = 20'000.0;
+constexpr double kFirstTypical = 10'000.0;
+// The fastest reply of a domain is forgotten at this rate per reply, so that a
+// link that has become slower is noticed after some hundred replies.
+constexpr double kFastestDrift = 1.002;
+constexpr double kTypicalWeight = 0.05;
+constexpr double kSlownessWeight = 0.25;
+// The most that one reply can say: a leaf that paused once is back at its speed,
+// and only a row of slow replies must send requests to another region.
+constexpr double kHighestSlowness = 4.0;
+// A leaf that was slow is tried again about so many microseconds later.
+constexpr double kSlownessForgotten = 1'500'000.0;
+// A leaf works about 1.6 times as long in the seconds after its start.
+constexpr double kColdFactor = 1.6;
+// Microseconds that keep a leaf out while there is any other.
+constexpr double kStalledPenalty = 60'000.0;
+constexpr double kFailingPenalty = 10'000'000.0;
+constexpr base::Duration kFirstStall = base::Milliseconds(60);
+constexpr int kMostStallDoublings = 3;
+constexpr base::Duration kFirstAvoidance = base::Milliseconds(150);
+constexpr int kMostAvoidanceDoublings = 4;
+// Before the time of replies is known.
+constexpr base::Duration kFirstSecondSend = base::Milliseconds(40);
+
+}  // namespace
+
+LeafTracker::LeafTracker(Place place,
+                         base::Clock clock,
+                         std::shared_ptr<base::Random> random)
+    : place_(std::move(place)),
+      clock_(std::move(clock)),
+      random_(std::move(random)) {}
+
+const blackboard::Upstream* LeafTracker::Choose(
+    const LeafIndex::Leafs& leafs,
+    const std::string& class_name,
+    const std::set<std::string>& excluded,
+    const HasRoom& has_room) {
+  const base::MonotonicTime now = clock_.Now();
+  const blackboard::Upstream* best = nullptr;
+  double best_time = 0.0;
+  for (const blackboard::Upstream* leaf : leafs) {
+    if (leaf->state == UpstreamState::kDraining ||
+        leaf->state == UpstreamState::kUnreachable ||
+        excluded.contains(leaf->name) || !has_room(*leaf)) {
+      continue;
+    }
+    // Jitter of up to a tenth spreads the daemons over leafs that look alike.
+    const double time =
+        Expect(*leaf, class_name, now) * (1.0 + 0.1 * random_->Unit());
+    if (best == nullptr || time < best_time) {
+      best = leaf;
+      best_time = time;
+    }
+  }
+  return best;
+}
+
+base::Duration LeafTracker::SecondSendDelay(
+    const blackboard::Upstream& leaf,
+    const std::string& class_name) const {
+  base::Duration delay = kFirstSecondSend;
+  if (const auto row = work_.find(class_name); row != work_.end()) {
+    delay = row->second.second_sends.Delay().value_or(kFirstSecondSend);
+  }
+  return delay + base::Duration(static_cast<std::int64_t>(Distance(leaf)));
+}
+
+void LeafTracker::DidSend(const blackboard::Upstream& leaf,
+                          base::MonotonicTime now) {
+  rows_[leaf.name].in_flight.insert(now);
+}
+
+void LeafTracker::DidReply(const blackboard::Upstream& leaf,
+                           const std::string& class_name,
+                           base::MonotonicTime sent,
+                           const upstream::ForwardReply& reply) {
+  DidCancel(leaf, sent);
+  Row& row = rows_[leaf.name];
+  switch (reply.outcome) {
+    case LeafOutcome::kAnswered:
+      row.failures_in_a_row = 0;
+      row.stalls_in_a_row = 0;
+      row.avoid_until = {};
+      row.stalled_until = {};
+      Learn(leaf, class_name, reply.service_time);
+      return;
+    case LeafOutcome::kShed:
+    case LeafOutcome::kCold:
+    case LeafOutcome::kDraining:
+    case LeafOutcome::kWrongSnapshot:
+    case LeafOutcome::kReplaced:
+    case LeafOutcome::kFailed:
+    case LeafOutcome::kMismatch:
+    case LeafOutcome::kUnreachable:
+    case LeafOutcome::kLost:
+      DidFail(row, reply.retry_after);
+      return;
+    case LeafOutcome::kTimeout:
+      DidStall(leaf);
+      return;
+  }
+}
+
+void LeafTracker::DidCancel(const blackboard::Upstream& leaf,
+                            base::MonotonicTime sent) {
+  const auto row = rows_.find(leaf.name);
+  if (row == rows_.end()) {
+    return;
+  }
+  const auto position = row->second.in_flight.find(sent);
+  if (position != row->second.in_flight.end()) {
+    row->second.in_flight.erase(position);
+  }
+}
+
+void LeafTracker::DidStall(const blackboard::Upstream& leaf) {
+  Row& row = rows_[leaf.name];
+  const int doublings = std::min(row.stalls_in_a_row, kMostStallDoublings);
+  ++row.stalls_in_a_row;
+  row.stalled_until = clock_.Now() + kFirstStall * (1 << doublings);
+}
+
+void LeafTracker::Prune(const blackboard::UpstreamsView& view) {
+  std::erase_if(rows_, [&view](const auto& row) {
+    return row.second.in_flight.empty() &&
+           !view.upstreams.contains(row.first);
+  });
+}
+
+double LeafTracker::Expect(const blackboard::Upstream& leaf,
+                           const std::string& class_name,
+                           base::MonotonicTime now) const {
+  const double typical = TypicalOf(class_name);
+  double time = Distance(leaf);
+  double work =
+      leaf.state == UpstreamState::kCold ? typical * kColdFactor : typical;
+  const auto row = rows_.find(leaf.name);
+  if (row == rows_.end()) {
+    return time + work;
+  }
+  const Row& state = row->second;
+  work *= Slowness(state, now);
+  time += work * (1.0 + static_cast<double>(state.in_flight.size()) /
+                            std::max(1, leaf.slots));
+  if (!state.in_flight.empty()) {
+    const base::Duration age = now - *state.in_flight.begin();
+    if (age > SecondSendDelay(leaf, class_name)) {
+      time += std::max(kStalledPenalty, static_cast<double>(age.count()));
+    }
+  }
+  if (now < state.stalled_until) {
+    time += kStalledPenalty;
+  }
+  if (now < state.avoid_until) {
+    time += kFailingPenalty;
+  }
+  return time;
+}
+
+double LeafTracker::Distance(const blackboard::Upstream& leaf) const {
+  if (leaf.failure_domain == place_.failure_domain) {
+    return 0.0;
+  }
+  const auto here = fastest_.find(place_.failure_domain);
+  const auto there = fastest_.find(leaf.failure_domain);
+  if (here != fastest_.end() && there != fastest_.end()) {
+    return std::max(0.0, there->second - here->second);
+  }
+  return leaf.region == place_.region ? kFirstDistanceInRegion
+                                      : kFirstDistanceToRegion;
+}
+
+double LeafTracker::Slowness(const Row& row, base::MonotonicTime now) const {
+  const auto age = static_cast<double>((now - row.slowness_at).count());
+  return 1.0 + (row.slowness - 1.0) * std::exp(-age / kSlownessForgotten);
+}
+
+double LeafTracker::TypicalOf(const std::string& class_name) const {
+  const auto row = work_.find(class_name);
+  return row == work_.end() || row->second.typical == 0.0 ? kFirstTypical
+                                                          : row->second.typical;
+}
+
+void LeafTracker::Learn(const blackboard::Upstream& leaf,
+                        const std::string& class_name,
+                        base::Duration time) {
+  const auto total = static_cast<double>(time.count());
+  const auto [fastest, is_new] =
+      fastest_.try_emplace(leaf.failure_domain, total);
+  if (!is_new) {
+    fastest->second = std::min(fastest->second * kFastestDrift, total);
+  }
+  Work& work = work_[class_name];
+  const double own = std::max(1.0, total - Distance(leaf));
+  work.second_sends.DidReply(base::Duration(static_cast<std::int64_t>(own)));
+  if (work.typical == 0.0) {
+    work.typical = own;
+  }
+  // Stragglers must not raise what counts as typical.
+  const double bounded = std::min(own, 3.0 * work.typical);
+  work.typical += kTypicalWeight * (bounded - work.typical);
+  Row& row = rows_[leaf.name];
+  const base::MonotonicTime now = clock_.Now();
+  const double ratio = std::min(kHighestSlowness, own / work.typical);
+  row.slowness = std::max(
+      1.0, Slowness(row, now) +
+               kSlownessWeight * (ratio - Slowness(row, now)));
+  row.slowness_at = now;
+}
+
+void LeafTracker::DidFail(Row& row, base::Duration retry_after) {
+  const int doublings = std::min(row.failures_in_a_row, kMostAvoidanceDoublings);
+  ++row.failures_in_a_row;
+  const base::Duration pause =
+      std::max(retry_after, kFirstAvoidance * (1 << doublings));
+  const auto jitter = static_cast<std::int64_t>(
+      random_->Unit() * 0.5 * static_cast<double>(pause.count()));
+  row.avoid_until = clock_.Now() + pause + base::Duration(jitter);
+}
+
+}  // namespace medlarspread::routing
--- /dev/null
+++ b/src/routing/leaf_tracker.h
@@ -0,0 +1,113 @@
+// What this daemon's own requests tell of the leafs, and which leaf of a
+// collection the next request goes to: the one with the earliest expected
+// reply.
+//
+// The estimate of a reply adds up
+//   - the distance to the leaf's failure domain, from the fastest replies seen
+//     from there and from here,
+//   - the work, from the replies of that class of work, times how much slower
+//     than others this leaf was of late, times what it has in work already,
+//   - what is known to be wrong: an overdue request (the leaf stands still), a
+//     request given up after it was overdue, failures, a cold start.
+//
+// Not thread-safe; used on the traffic thread.
+
+#ifndef MEDLARSPREAD_ROUTING_LEAF_TRACKER_H_
+#define MEDLARSPREAD_ROUTING_LEAF_TRACKER_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/admission/second_send_policy.h"
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/blackboard/views.h"
+#include "src/routing/leaf_index.h"
+#include "src/upstream/forward_port.h"
+
+namespace medlarspread::routing {
+
+// Where this daemon runs.
+struct Place {
+  std::string region;
+  std::string failure_domain;
+};
+
+class LeafTracker {
+ public:
+  LeafTracker(Place place, base::Clock clock, std::shared_ptr<base::Random> random);
+
+  using HasRoom = std::function<bool(const blackboard::Upstream&)>;
+
+  // The leaf with the earliest expected reply to a request of the class, or
+  // null if none of `leafs` may be sent to now. Leafs named in `excluded` are
+  // left out.
+  const blackboard::Upstream* Choose(const LeafIndex::Leafs& leafs,
+                                     const std::string& class_name,
+                                     const std::set<std::string>& excluded,
+                                     const HasRoom& has_room);
+  // How long after a send to the leaf a second one to another leaf pays.
+  base::Duration SecondSendDelay(const blackboard::Upstream& leaf,
+                                 const std::string& class_name) const;
+
+  void DidSend(const blackboard::Upstream& leaf, base::MonotonicTime now);
+  // The end of a request that was sent at `sent`.
+  void DidReply(const blackboard::Upstream& leaf,
+                const std::string& class_name,
+                base::MonotonicTime sent,
+                const upstream::ForwardReply& reply);
+  // A request sent at `sent` was cancelled: it says nothing of the leaf.
+  void DidCancel(const blackboard::Upstream& leaf, base::MonotonicTime sent);
+  // A request was overdue, so that a second one was sent elsewhere.
+  void DidStall(const blackboard::Upstream& leaf);
+
+  // Forgets the leafs that are no longer in `view`.
+  void Prune(const blackboard::UpstreamsView& view);
+
+ private:
+  struct Row {
+    // When the requests in flight were sent.
+    std::multiset<base::MonotonicTime> in_flight;
+    // Time of replies divided by what is typical of their class.
+    double slowness = 1.0;
+    base::MonotonicTime slowness_at;
+    int failures_in_a_row = 0;
+    int stalls_in_a_row = 0;
+    base::MonotonicTime avoid_until;
+    base::MonotonicTime stalled_until;
+  };
+  struct Work {
+    admission::SecondSendPolicy second_sends;
+    // Microseconds; 0 until a reply was seen.
+    double typical = 0.0;
+  };
+
+  double Expect(const blackboard::Upstream& leaf,
+                const std::string& class_name,
+                base::MonotonicTime now) const;
+  // Microseconds that a reply from the domain takes longer than one from the
+  // nearest.
+  double Distance(const blackboard::Upstream& leaf) const;
+  double Slowness(const Row& row, base::MonotonicTime now) const;
+  double TypicalOf(const std::string& class_name) const;
+  void Learn(const blackboard::Upstream& leaf,
+             const std::string& class_name,
+             base::Duration time);
+  void DidFail(Row& row, base::Duration retry_after);
+
+  const Place place_;
+  const base::Clock clock_;
+  const std::shared_ptr<base::Random> random_;
+  std::unordered_map<std::string, Row> rows_;
+  std::unordered_map<std::string, Work> work_;
+  // The fastest reply of late from each failure domain, in microseconds.
+  std::map<std::string, double> fastest_;
+};
+
+}  // namespace medlarspread::routing
+
+#endif  // MEDLARSPREAD_ROUTING_LEAF_TRACKER_H_
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -15,15 +15,30 @@
 
 namespace medlarspread::settings {
 
+// What callers send: queries in the product's own JSON, or opaque requests that
+// are passed on by routes, as on the users' platform.
+enum class CallerInterface { kQueries, kOpaque };
+
+inline constexpr base::NameTable<CallerInterface, 2> kCallerInterfaceNames{{{
+    {CallerInterface::kQueries, "queries"},
+    {CallerInterface::kOpaque, "opaque"},
+}}};
+
 // This VM.
 struct VmSettings {
   std::string name;
   std::string region;
   std::string failure_domain;
+  // The region of each failure domain, "domain=region" with commas between.
+  std::string regions;
 };
 
 // The listener for callers.
 struct CallersSettings {
+  CallerInterface interface = CallerInterface::kQueries;
+  // Where the balancer asks whether this daemon is ready; only with the opaque
+  // interface.
+  std::string readiness_address;
   // "ip:port", as all addresses here.
   std::string address;
   std::size_t max_body_bytes = 1 << 20;
@@ -110,6 +125,12 @@
   int second_send_budget_percent = 3;
 };
 
+// The sends beyond the first of each request, over all daemons together.
+struct ExtraSendsSettings {
+  double share = 0.2;
+  int slack = 50;
+};
+
 struct DaemonSettings {
   VmSettings vm;
   CallersSettings callers;
@@ -124,6 +145,7 @@
   ClaimsSettings claims;
   BurnSettings burn;
   RoutingSettings routing;
+  ExtraSendsSettings extra_sends;
 };
 
 }  // namespace medlarspread::settings
--- a/src/settings/key.cc
+++ b/src/settings/key.cc
@@ -7,6 +7,8 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include "src/base/json_string.h"
+
 namespace medlarspread::settings {
 
 namespace {
@@ -28,6 +30,16 @@
   return number;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0.0;
+  const char* end = text.data() + text.size();
+  const auto [rest, code] = std::from_chars(text.data(), end, number);
+  if (code != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 bool IsNameLetter(char letter) {
   return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
          (letter >= '0' && letter <= '9') || letter == '.' || letter == '_' ||
@@ -67,6 +79,23 @@
   return std::nullopt;
 }
 
+// "key=value" with commas between, blanks around each allowed.
+bool IsPairs(std::string text) {
+  std::erase(text, ' ');
+  std::size_t at = 0;
+  while (at <= text.size()) {
+    const auto end = std::min(text.find(',', at), text.size());
+    const std::string pair = text.substr(at, end - at);
+    const auto equals = pair.find('=');
+    if (equals == std::string::npos || !IsName(pair.substr(0, equals)) ||
+        !IsName(pair.substr(equals + 1))) {
+      return false;
+    }
+    at = end + 1;
+  }
+  return true;
+}
+
 Problem CheckText(TextRule rule, const std::string& text) {
   switch (rule) {
     case TextRule::kName:
@@ -88,6 +117,11 @@
         return "must not be empty";
       }
       return std::nullopt;
+    case TextRule::kPairs:
+      if (!IsPairs(text)) {
+        return "must be name=name with commas between";
+      }
+      return std::nullopt;
   }
   return std::nullopt;
 }
@@ -107,6 +141,10 @@
   return std::to_string(value.min) + " to " + std::to_string(value.max);
 }
 
+std::string RangeOf(const DecimalValue& value) {
+  return base::JsonNumber(value.min) + " to " + base::JsonNumber(value.max);
+}
+
 struct Setter {
   const std::string& text;
   DaemonSettings& settings;
@@ -128,6 +166,15 @@
     return std::nullopt;
   }
 
+  Problem operator()(const DecimalValue& value) const {
+    const auto number = ParseDecimal(text);
+    if (!number || !(*number >= value.min) || !(*number <= value.max)) {
+      return "must be a number from " + RangeOf(value);
+    }
+    value.member(settings) = *number;
+    return std::nullopt;
+  }
+
   Problem operator()(const ChoiceValue& value) const {
     if (!value.set(settings, text)) {
       return "must be " + JoinNames(value.names);
@@ -148,6 +195,10 @@
   std::string operator()(const IntegerValue& value) const {
     return std::to_string(value.get(settings));
   }
+  std::string operator()(const DecimalValue& value) const {
+    DaemonSettings copy = settings;
+    return base::JsonNumber(value.member(copy));
+  }
   std::string operator()(const ChoiceValue& value) const {
     return value.get(settings);
   }
@@ -166,12 +217,17 @@
         return "8 to 256 printable characters";
       case TextRule::kPath:
         return "a path";
+      case TextRule::kPairs:
+        return "name=name with commas between";
     }
     return "";
   }
   std::string operator()(const IntegerValue& value) const {
     return RangeOf(value);
   }
+  std::string operator()(const DecimalValue& value) const {
+    return RangeOf(value);
+  }
   std::string operator()(const ChoiceValue& value) const {
     return JoinNames(value.names);
   }
--- a/src/settings/key.h
+++ b/src/settings/key.h
@@ -27,6 +27,8 @@
   kSecret,
   // Any text.
   kPath,
+  // "key=value" with commas between.
+  kPairs,
 };
 
 struct TextValue {
@@ -43,6 +45,13 @@
 };
 
 // One of a few names.
+// A number that may have a fraction.
+struct DecimalValue {
+  double& (*member)(DaemonSettings&);
+  double min;
+  double max;
+};
+
 struct ChoiceValue {
   const char* (*get)(const DaemonSettings&);
   // Returns false if `name` is none of the names.
@@ -50,7 +59,7 @@
   std::vector<std::string> names;
 };
 
-using KeyValue = std::variant<TextValue, IntegerValue, ChoiceValue>;
+using KeyValue = std::variant<TextValue, IntegerValue, DecimalValue, ChoiceValue>;
 
 struct Key {
   std::string section;
--- a/src/settings/key_table.cc
+++ b/src/settings/key_table.cc
@@ -34,6 +34,14 @@
           min, max};
 }
 
+template <auto kSection, auto kMember>
+DecimalValue Decimal(double min, double max) {
+  return {[](DaemonSettings& settings) -> double& {
+            return settings.*kSection.*kMember;
+          },
+          min, max};
+}
+
 // A duration written as a whole number of `Unit`.
 template <typename Unit, auto kSection, auto kMember>
 IntegerValue Time(std::int64_t min, std::int64_t max) {
@@ -71,6 +79,19 @@
           {"json", "text"}};
 }
 
+ChoiceValue InterfaceChoice() {
+  return {[](const DaemonSettings& settings) {
+            return kCallerInterfaceNames.NameOf(settings.callers.interface);
+          },
+          [](DaemonSettings& settings, std::string_view name) {
+            const auto chosen = kCallerInterfaceNames.ValueOf(name);
+            settings.callers.interface =
+                chosen.value_or(settings.callers.interface);
+            return chosen.has_value();
+          },
+          {"queries", "opaque"}};
+}
+
 ChoiceValue PolicyChoice() {
   return {[](const DaemonSettings& settings) {
             return kRoutingPolicyNames.NameOf(settings.routing.policy);
@@ -94,6 +115,11 @@
       {"vm", "failure_domain",
        Text<kVm, &VmSettings::failure_domain>(TextRule::kName), true,
        "The failure domain of this VM, inside its region."},
+      {"vm", "regions", Text<kVm, &VmSettings::regions>(TextRule::kPairs),
+       false,
+       "The region of each failure domain, as domain=region with commas "
+       "between. Used with the opaque interface, where leafs name only their "
+       "failure domain."},
   };
 }
 
@@ -103,6 +129,15 @@
       {"callers", "address",
        Text<kCallers, &CallersSettings::address>(TextRule::kListenAddress),
        true, "Where callers connect."},
+      {"callers", "interface", InterfaceChoice(), false,
+       "What callers send: queries in JSON, or opaque requests that are passed "
+       "on by the operators' routes."},
+      {"callers", "readiness_address",
+       Text<kCallers, &CallersSettings::readiness_address>(
+           TextRule::kListenAddress),
+       false,
+       "Where the balancer asks whether this daemon is ready. Required with "
+       "the opaque interface."},
       {"callers", "max_body_bytes",
        Integer<kCallers, &CallersSettings::max_body_bytes>(kKibibyte,
                                                            64 * kMebibyte),
@@ -220,6 +255,21 @@
   };
 }
 
+std::vector<Key> ExtraSendsKeys() {
+  constexpr auto kExtra = &DaemonSettings::extra_sends;
+  return {
+      {"extra_sends", "share",
+       Decimal<kExtra, &ExtraSendsSettings::share>(0.0, 1.0), false,
+       "Sends to a collection beyond the first of each request, as a share of "
+       "its requests, that its leafs bear from all daemons together. Used with "
+       "the opaque interface."},
+      {"extra_sends", "slack",
+       Integer<kExtra, &ExtraSendsSettings::slack>(0, 100000), false,
+       "Extra sends that a collection bears from all daemons together beside "
+       "that share, in any ten seconds."},
+  };
+}
+
 std::vector<Key> RoutingKeys() {
   constexpr auto kRouting = &DaemonSettings::routing;
   return {
@@ -247,7 +297,7 @@
     std::vector<Key> all;
     for (const auto& group :
          {VmKeys(), CallersKeys(), OperatorsKeys(), LinkKeys(), ProcessKeys(),
-          ControlKeys(), RoutingKeys()}) {
+          ControlKeys(), RoutingKeys(), ExtraSendsKeys()}) {
       all.insert(all.end(), group.begin(), group.end());
     }
     return all;
--- a/src/settings/settings_parser.cc
+++ b/src/settings/settings_parser.cc
@@ -165,6 +165,13 @@
       Report(0, "[" + key.section + "] " + key.name + " is required");
     }
   }
+  if (settings_.callers.interface == CallerInterface::kOpaque) {
+    // The operators of this interface write to the store; nobody signs in.
+    if (settings_.callers.readiness_address.empty()) {
+      Report(0, "[callers] readiness_address is required with opaque requests");
+    }
+    return;
+  }
   if (has_key("operators", "token") == has_key("operators", "token_file")) {
     Report(0, "[operators] needs exactly one of token and token_file");
   }
--- /dev/null
+++ b/src/store/follower.cc
@@ -0,0 +1,249 @@
+// The steps of follower.h.
+
+#include "src/store/follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarspread::store {
+
+namespace {
+
+using base::ErrorCode;
+using base::MonotonicTime;
+using base::Step;
+
+constexpr const char* kEverything = "";
+// The pause after a failure doubles between these, half of it by chance, so
+// that the daemons don't come back together. Each call is paid for, also one
+// that is turned away; the longest pause bounds how old the copy still is
+// after the store's return.
+constexpr base::Duration kFirstPause = base::Milliseconds(150);
+constexpr base::Duration kLongestPause = base::Milliseconds(1'000);
+constexpr int kMostDoublings = 4;
+
+base::Duration PauseAfter(int failures, base::Random& random) {
+  if (failures == 0) {
+    return {};
+  }
+  const int doublings = std::min(failures - 1, kMostDoublings);
+  const base::Duration pause =
+      std::min(kLongestPause, kFirstPause * (1 << doublings));
+  const double by_chance =
+      random.Unit() * 0.5 * static_cast<double>(pause.count());
+  return pause / 2 + base::Duration(static_cast<std::int64_t>(by_chance));
+}
+
+}  // namespace
+
+Follower::Follower(FollowerSettings settings,
+                   base::Clock clock,
+                   std::shared_ptr<base::Random> random,
+                   base::TaskRunner control,
+                   EventSource source,
+                   DidChange did_change,
+                   base::Log log)
+    : settings_(settings),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      control_(std::move(control)),
+      source_(std::move(source)),
+      did_change_(std::move(did_change)),
+      log_(std::move(log)) {}
+
+void Follower::Start() {
+  ListFromStart();
+}
+
+void Follower::Stop() {
+  is_stopped_ = true;
+}
+
+void Follower::ListFromStart() {
+  listed_.clear();
+  list_revision_ = 0;
+  List("");
+}
+
+void Follower::List(std::string after) {
+  if (is_stopped_) {
+    return;
+  }
+  source_.list(kEverything, std::move(after),
+               [self = shared_from_this()](const base::Result<Page>& page) {
+                 self->DidList(page);
+               });
+}
+
+void Follower::DidList(const base::Result<Page>& page) {
+  if (is_stopped_) {
+    return;
+  }
+  if (!page.is_ok()) {
+    DidFail(page.error(), clock_.Now());
+    Again(base::Duration{}, &Follower::ListFromStart);
+    return;
+  }
+  DidSucceed();
+  if (list_revision_ == 0) {
+    list_revision_ = page.value().revision;
+  }
+  for (const Event& item : page.value().items) {
+    listed_[item.key] = item;
+  }
+  if (page.value().is_last || page.value().items.empty()) {
+    DidListAll();
+    return;
+  }
+  List(page.value().items.back().key);
+}
+
+void Follower::DidListAll() {
+  std::vector<Event> events;
+  for (const auto& [key, row] : rows_) {
+    // NOTE: a key written after the first page was read may be newer than the
+    // reading that misses it; the watch from the first page's revision tells
+    // of it again.
+    if (!row.is_removed && !listed_.contains(key) &&
+        row.revision <= list_revision_) {
+      events.push_back({key, std::nullopt, list_revision_});
+    }
+  }
+  for (auto& [key, event] : listed_) {
+    events.push_back(std::move(event));
+  }
+  listed_.clear();
+  std::stable_sort(events.begin(), events.end(),
+                   [](const Event& left, const Event& right) {
+                     return left.revision < right.revision;
+                   });
+  revision_ = std::max(revision_, list_revision_);
+  is_complete_ = true;
+  Apply(events);
+  Watch();
+}
+
+void Follower::Watch() {
+  if (is_stopped_) {
+    return;
+  }
+  source_.watch(kEverything, revision_, settings_.watch_wait,
+                [self = shared_from_this(), began = clock_.Now()](
+                    const base::Result<Changes>& changes) {
+                  self->DidWatch(began, changes);
+                });
+}
+
+void Follower::DidWatch(MonotonicTime began,
+                        const base::Result<Changes>& changes) {
+  if (is_stopped_) {
+    return;
+  }
+  if (!changes.is_ok()) {
+    if (changes.error().code == ErrorCode::kExpired) {
+      DidSucceed();
+      log_.DidFail(changes.error(), "reading the whole store again");
+      ListFromStart();
+      return;
+    }
+    // A watch that was never answered says that the store has been silent
+    // since it began; any other failure is news of now.
+    const bool was_silent = changes.error().code == ErrorCode::kTimeout;
+    DidFail(changes.error(), was_silent ? began : clock_.Now());
+    Again(base::Duration{}, &Follower::Watch);
+    return;
+  }
+  DidSucceed();
+  revision_ = std::max(revision_, changes.value().revision);
+  Apply(changes.value().events);
+  if (changes.value().events.empty()) {
+    Watch();
+    return;
+  }
+  Again(settings_.gather, &Follower::Watch);
+}
+
+void Follower::Apply(const std::vector<Event>& events) {
+  std::vector<Event> news;
+  const bool is_holding = clock_.Now() < hold_until_;
+  for (const Event& event : events) {
+    Row& row = rows_[event.key];
+    const bool is_removal = !event.value.has_value();
+    if (event.revision < row.revision ||
+        (event.revision == row.revision && row.is_removed == is_removal)) {
+      continue;
+    }
+    row = {event.revision, is_removal};
+    held_.erase(event.key);
+    if (is_removal && is_holding) {
+      HoldRemoval(event);
+      continue;
+    }
+    news.push_back(event);
+  }
+  if (!news.empty()) {
+    did_change_(news);
+  }
+}
+
+void Follower::HoldRemoval(Event event) {
+  if (held_.empty()) {
+    control_.After(hold_until_ - clock_.Now(), [self = shared_from_this()] {
+      self->ReleaseRemovals();
+    });
+  }
+  held_[event.key] = std::move(event);
+}
+
+void Follower::ReleaseRemovals() {
+  std::vector<Event> removals;
+  for (auto& [key, event] : held_) {
+    removals.push_back(std::move(event));
+  }
+  held_.clear();
+  if (!removals.empty() && !is_stopped_) {
+    log_.Write({.level = base::LogLevel::kInfo,
+                .step = Step::kWatchStore,
+                .message = std::to_string(removals.size()) +
+                           " entries did not come back after the outage"});
+    did_change_(removals);
+  }
+}
+
+void Follower::DidSucceed() {
+  const MonotonicTime now = clock_.Now();
+  last_answer_ = now;
+  if (away_since_ == MonotonicTime{}) {
+    return;
+  }
+  const base::Duration outage = now - away_since_;
+  away_since_ = {};
+  failures_ = 0;
+  if (outage >= settings_.shortest_outage) {
+    hold_until_ = now + settings_.hold_removals;
+  }
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = Step::kWatchStore,
+              .message = "the store answers again after " +
+                         std::to_string(outage.count() / 1000) + " ms"});
+}
+
+void Follower::DidFail(const base::Error& error, MonotonicTime silent_since) {
+  if (away_since_ == MonotonicTime{}) {
+    away_since_ = silent_since;
+    log_.DidFail(error, "the store does not answer; going on with revision " +
+                            std::to_string(revision_));
+  }
+  ++failures_;
+}
+
+void Follower::Again(base::Duration delay, void (Follower::*step)()) {
+  const base::Duration pause = delay + PauseAfter(failures_, *random_);
+  control_.After(pause, [self = shared_from_this(), step] {
+    if (!self->is_stopped_) {
+      (self.get()->*step)();
+    }
+  });
+}
+
+}  // namespace medlarspread::store
--- /dev/null
+++ b/src/store/follower.h
@@ -0,0 +1,118 @@
+// Keeps a copy of everything in the store and tells of every change.
+//
+// Steps:
+//   1. Read all pages. Keys that were known and are missing have been removed.
+//   2. Wait for the changes after the first page's revision, apply them, rest
+//      for a moment so that changes that come together share a call, and wait
+//      again.
+//   3. If the store no longer knows the changes since then, go to 1. After any
+//      other failure call again after a pause that grows.
+//
+// Invariant: the revision of a key never goes back, whatever order answers
+// come in.
+//
+// Entries that expired while the store was away are back shortly after its
+// return, if their owner is alive. Until then their removal is held back, so
+// that an outage of the store does not take the leafs away.
+//
+// Runs on the control thread.
+
+#ifndef MEDLARSPREAD_STORE_FOLLOWER_H_
+#define MEDLARSPREAD_STORE_FOLLOWER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/log.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/store/event_source.h"
+
+namespace medlarspread::store {
+
+struct FollowerSettings {
+  // How long one watch waits. A watch that the store has forgotten is found
+  // out at its end, so this bounds how old the copy can be; each watch costs a
+  // call.
+  base::Duration watch_wait = base::Milliseconds(5'000);
+  // The rest after changes.
+  base::Duration gather = base::Milliseconds(150);
+  // How long removals are held back after an outage.
+  base::Duration hold_removals = base::Milliseconds(2'500);
+  // An outage shorter than this lets nothing expire.
+  base::Duration shortest_outage = base::Milliseconds(2'000);
+};
+
+class Follower : public std::enable_shared_from_this<Follower> {
+ public:
+  // Changes that belong together, in the order of their revisions.
+  using DidChange = std::function<void(const std::vector<Event>&)>;
+
+  Follower(FollowerSettings settings,
+           base::Clock clock,
+           std::shared_ptr<base::Random> random,
+           base::TaskRunner control,
+           EventSource source,
+           DidChange did_change,
+           base::Log log);
+
+  void Start();
+  void Stop();
+
+  // Whether all pages were read at least once.
+  bool is_complete() const { return is_complete_; }
+  // When the store last answered.
+  base::MonotonicTime last_answer() const { return last_answer_; }
+
+ private:
+  struct Row {
+    std::int64_t revision = 0;
+    bool is_removed = false;
+  };
+
+  void List(std::string after);
+  void DidList(const base::Result<Page>& page);
+  void DidListAll();
+  void Watch();
+  void DidWatch(base::MonotonicTime began, const base::Result<Changes>& changes);
+  void Apply(const std::vector<Event>& events);
+  void HoldRemoval(Event event);
+  void ReleaseRemovals();
+  void DidSucceed();
+  void DidFail(const base::Error& error, base::MonotonicTime silent_since);
+  void Again(base::Duration delay, void (Follower::*step)());
+  void ListFromStart();
+
+  const FollowerSettings settings_;
+  const base::Clock clock_;
+  const std::shared_ptr<base::Random> random_;
+  const base::TaskRunner control_;
+  const EventSource source_;
+  const DidChange did_change_;
+  const base::Log log_;
+
+  // What is known of each key.
+  std::map<std::string, Row> rows_;
+  // Removals that are held back, by key.
+  std::map<std::string, Event> held_;
+  // The reading of pages that is under way.
+  std::map<std::string, Event> listed_;
+  std::int64_t list_revision_ = 0;
+  // Changes up to this revision have been applied.
+  std::int64_t revision_ = 0;
+  bool is_complete_ = false;
+  bool is_stopped_ = false;
+  int failures_ = 0;
+  // Since when the store has not answered; zero while it does.
+  base::MonotonicTime away_since_;
+  base::MonotonicTime hold_until_;
+  base::MonotonicTime last_answer_;
+};
+
+}  // namespace medlarspread::store
+
+#endif  // MEDLARSPREAD_STORE_FOLLOWER_H_
--- a/src/platform/json_fields.cc
+++ b/src/store/json_fields.cc
@@ -1,12 +1,12 @@
 // Typed reading over the HTTP library's JSON values.
 
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 
 #include <exception>
 
 #include <cpprest/json.h>
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 namespace {
 
@@ -73,4 +73,4 @@
   return value != nullptr && value->is_array() ? value : nullptr;
 }
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
--- a/src/platform/json_fields.h
+++ b/src/store/json_fields.h
@@ -2,8 +2,8 @@
 // for text, fields or types that are not as expected and never throws, so that
 // a malformed message becomes an error of the caller's choice.
 
-#ifndef MEDLARSPREAD_PLATFORM_JSON_FIELDS_H_
-#define MEDLARSPREAD_PLATFORM_JSON_FIELDS_H_
+#ifndef MEDLARSPREAD_STORE_JSON_FIELDS_H_
+#define MEDLARSPREAD_STORE_JSON_FIELDS_H_
 
 #include <cstdint>
 #include <memory>
@@ -14,7 +14,7 @@
 class value;
 }  // namespace web::json
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 // The object that `text` holds, or null if it is no valid JSON object. The
 // pointer lets this header do without the HTTP library's headers.
@@ -36,6 +36,6 @@
 const web::json::value* FindArray(const web::json::value& object,
                                   const char* field);
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
 
-#endif  // MEDLARSPREAD_PLATFORM_JSON_FIELDS_H_
+#endif  // MEDLARSPREAD_STORE_JSON_FIELDS_H_
--- a/src/platform/store.h
+++ b/src/store/store.h
@@ -1,8 +1,8 @@
 // The platform's key-value service as the rest of the daemon sees it: a set of
 // calls that the HTTP client fills in on a daemon and a fake fills in in tests.
 
-#ifndef MEDLARSPREAD_PLATFORM_STORE_H_
-#define MEDLARSPREAD_PLATFORM_STORE_H_
+#ifndef MEDLARSPREAD_STORE_STORE_H_
+#define MEDLARSPREAD_STORE_STORE_H_
 
 #include <cstdint>
 #include <functional>
@@ -13,7 +13,7 @@
 #include "src/base/clock.h"
 #include "src/base/result.h"
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 struct Entry {
   std::string key;
@@ -80,6 +80,6 @@
 using VmListCallback = std::function<void(base::Result<std::vector<Vm>>)>;
 using ReadVmList = std::function<void(base::Duration timeout, VmListCallback)>;
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
 
-#endif  // MEDLARSPREAD_PLATFORM_STORE_H_
+#endif  // MEDLARSPREAD_STORE_STORE_H_
--- a/src/platform/store_client.cc
+++ b/src/store/store_client.cc
@@ -1,6 +1,6 @@
 // Calls of the key-value service and the reading of its answers.
 
-#include "src/platform/store_client.h"
+#include "src/store/store_client.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,9 +8,9 @@
 #include <cpprest/json.h>
 
 #include "src/http/client.h"
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 namespace {
 
@@ -350,4 +350,4 @@
   return store;
 }
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
--- a/src/platform/store_client.h
+++ b/src/store/store_client.h
@@ -1,18 +1,18 @@
-// The client of the platform's key-value service: fills in platform::Store
+// The client of the platform's key-value service: fills in store::Store
 // with calls over HTTP. It decides from each failure whether a write certainly
 // was not made or may have been made, because callers act on that difference.
 
-#ifndef MEDLARSPREAD_PLATFORM_STORE_CLIENT_H_
-#define MEDLARSPREAD_PLATFORM_STORE_CLIENT_H_
+#ifndef MEDLARSPREAD_STORE_STORE_CLIENT_H_
+#define MEDLARSPREAD_STORE_STORE_CLIENT_H_
 
 #include <cstddef>
 #include <memory>
 #include <string>
 
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 // The service refuses larger values.
 constexpr std::size_t kMaxValueBytes = 1 << 20;
@@ -49,6 +49,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
 
-#endif  // MEDLARSPREAD_PLATFORM_STORE_CLIENT_H_
+#endif  // MEDLARSPREAD_STORE_STORE_CLIENT_H_
--- a/src/platform/vm_list_client.cc
+++ b/src/store/vm_list_client.cc
@@ -1,6 +1,6 @@
 // The reading of the list of VMs.
 
-#include "src/platform/vm_list_client.h"
+#include "src/store/vm_list_client.h"
 
 #include <optional>
 #include <utility>
@@ -10,9 +10,9 @@
 
 #include "src/base/name_table.h"
 #include "src/http/client.h"
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 namespace {
 
@@ -129,4 +129,4 @@
   };
 }
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
--- a/src/platform/vm_list_client.h
+++ b/src/store/vm_list_client.h
@@ -1,16 +1,16 @@
 // The client of the platform's lagging list of VMs: fills in ReadVmList.
 
-#ifndef MEDLARSPREAD_PLATFORM_VM_LIST_CLIENT_H_
-#define MEDLARSPREAD_PLATFORM_VM_LIST_CLIENT_H_
+#ifndef MEDLARSPREAD_STORE_VM_LIST_CLIENT_H_
+#define MEDLARSPREAD_STORE_VM_LIST_CLIENT_H_
 
 #include <cstddef>
 #include <memory>
 #include <string>
 
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 
 struct VmListClientSettings {
   // "ip:port" of the platform.
@@ -34,6 +34,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
 
-#endif  // MEDLARSPREAD_PLATFORM_VM_LIST_CLIENT_H_
+#endif  // MEDLARSPREAD_STORE_VM_LIST_CLIENT_H_
--- a/src/targets/change_session.cc
+++ b/src/targets/change_session.cc
@@ -11,7 +11,7 @@
 
 using base::ErrorCode;
 using base::Step;
-using platform::Entry;
+using store::Entry;
 
 std::optional<blackboard::ClassTargets> FindClass(const TargetsRecord& record,
                                                   const std::string& name) {
@@ -35,7 +35,7 @@
 ChangeSession::ChangeSession(const TargetsSettings& settings,
                              base::Clock clock,
                              base::TaskRunner control,
-                             platform::Store store,
+                             store::Store store,
                              std::shared_ptr<HeldTargets> held,
                              std::shared_ptr<PeerExchange> peers,
                              TargetsChange change,
@@ -73,7 +73,7 @@
     return;
   }
   const std::optional<Entry>& entry = result.value();
-  const std::int64_t version = entry ? entry->version : platform::kAbsent;
+  const std::int64_t version = entry ? entry->version : store::kAbsent;
   if (unsettled_version_ && *unsettled_version_ != version) {
     // The version it expected is gone: it took effect by now or never will.
     unsettled_version_.reset();
--- a/src/targets/change_session.h
+++ b/src/targets/change_session.h
@@ -12,7 +12,7 @@
 
 #include "src/base/clock.h"
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 #include "src/targets/held_targets.h"
 #include "src/targets/peer_exchange.h"
 #include "src/targets/targets_change.h"
@@ -26,7 +26,7 @@
   ChangeSession(const TargetsSettings& settings,
                 base::Clock clock,
                 base::TaskRunner control,
-                platform::Store store,
+                store::Store store,
                 std::shared_ptr<HeldTargets> held,
                 std::shared_ptr<PeerExchange> peers,
                 TargetsChange change,
@@ -44,7 +44,7 @@
 
  private:
   void Read();
-  void DidRead(base::Result<std::optional<platform::Entry>> result);
+  void DidRead(base::Result<std::optional<store::Entry>> result);
   // Whether the change was found, and the session therefore ended.
   bool FinishIfMade(const std::optional<TargetsRecord>& stored);
   void ApplyOn(std::int64_t version);
@@ -65,7 +65,7 @@
   const TargetsSettings settings_;
   const base::Clock clock_;
   const base::TaskRunner control_;
-  const platform::Store store_;
+  const store::Store store_;
   const std::shared_ptr<HeldTargets> held_;
   const std::shared_ptr<PeerExchange> peers_;
   const TargetsChange change_;
--- a/src/targets/held_targets.cc
+++ b/src/targets/held_targets.cc
@@ -41,7 +41,7 @@
 }
 
 OfferOutcome HeldTargets::DidReadStore(
-    const std::optional<platform::Entry>& entry,
+    const std::optional<store::Entry>& entry,
     std::int64_t revision_when_asked) {
   std::int64_t store_revision = 0;
   OfferOutcome outcome = OfferOutcome::kLower;
--- a/src/targets/held_targets.h
+++ b/src/targets/held_targets.h
@@ -12,7 +12,7 @@
 #include "src/base/log.h"
 #include "src/blackboard/blackboard.h"
 #include "src/blackboard/cell.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 #include "src/targets/targets_alarms.h"
 #include "src/targets/targets_record.h"
 
@@ -47,7 +47,7 @@
   // What the store held under the key when it was asked, and the revision that
   // was in force here at that time. A revision below the latter, or none, is
   // what a restore leaves behind: kept out and an alarm until it is gone.
-  OfferOutcome DidReadStore(const std::optional<platform::Entry>& entry,
+  OfferOutcome DidReadStore(const std::optional<store::Entry>& entry,
                             std::int64_t revision_when_asked);
   void DidFailToReadStore(const base::Error& error);
   // Another daemon reads from now on: the alarms about the store are its own.
--- /dev/null
+++ b/src/targets/route_controller.cc
@@ -0,0 +1,37 @@
+// Compares revisions before it publishes.
+
+#include "src/targets/route_controller.h"
+
+#include <string>
+#include <utility>
+
+namespace medlarspread::targets {
+
+RouteController::RouteController(blackboard::Blackboard& blackboard,
+                                 base::Log log)
+    : blackboard_(blackboard), log_(std::move(log)) {}
+
+bool RouteController::DidRead(base::Result<blackboard::RoutesView> routes) {
+  const auto known = blackboard_.routes.Read();
+  if (!routes.is_ok()) {
+    log_.DidFail(routes.error(), "routes that can't be read are left out; " +
+                                     std::to_string(known->revision) +
+                                     " stays in force");
+    return false;
+  }
+  const std::int64_t revision = routes.value().revision;
+  if (revision <= known->revision) {
+    return false;
+  }
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kTargets,
+              .message = "routes of revision " + std::to_string(revision) +
+                         " are in force after " +
+                         std::to_string(known->revision) + "; " +
+                         std::to_string(routes.value().routes.size()) +
+                         " routes"});
+  blackboard_.routes.Write(std::move(routes.value()));
+  return true;
+}
+
+}  // namespace medlarspread::targets
--- a/src/targets/store_reader.cc
+++ b/src/targets/store_reader.cc
@@ -14,7 +14,7 @@
 namespace {
 
 using blackboard::MemberState;
-using platform::Entry;
+using store::Entry;
 
 constexpr char kReaderRole[] = "targets-reader";
 
@@ -29,7 +29,7 @@
 StoreReader::StoreReader(const TargetsSettings& settings,
                          base::Random& random,
                          base::TaskRunner control,
-                         platform::Store store,
+                         store::Store store,
                          blackboard::Blackboard& blackboard,
                          std::shared_ptr<HeldTargets> held)
     : settings_(settings),
@@ -134,7 +134,7 @@
 
 void StoreReader::DidLearn(const std::optional<Entry>& entry) {
   backoff_ = base::Duration(0);
-  version_ = entry ? entry->version : platform::kAbsent;
+  version_ = entry ? entry->version : store::kAbsent;
   if (held_->DidReadStore(entry, revision_when_asked_) ==
       OfferOutcome::kLower) {
     ScheduleRepair(version_);
--- a/src/targets/store_reader.h
+++ b/src/targets/store_reader.h
@@ -12,7 +12,7 @@
 #include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/blackboard/blackboard.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 #include "src/targets/held_targets.h"
 #include "src/targets/targets_settings.h"
 
@@ -26,7 +26,7 @@
   StoreReader(const TargetsSettings& settings,
               base::Random& random,
               base::TaskRunner control,
-              platform::Store store,
+              store::Store store,
               blackboard::Blackboard& blackboard,
               std::shared_ptr<HeldTargets> held);
 
@@ -46,9 +46,9 @@
   void Step();
   void Read();
   void Watch();
-  void DidRead(base::Result<std::optional<platform::Entry>> result);
-  void DidWatch(base::Result<std::optional<platform::Entry>> result);
-  void DidLearn(const std::optional<platform::Entry>& entry);
+  void DidRead(base::Result<std::optional<store::Entry>> result);
+  void DidWatch(base::Result<std::optional<store::Entry>> result);
+  void DidLearn(const std::optional<store::Entry>& entry);
   void DidFail(const base::Error& error);
 
   // Writes the targets in force over a lower record that a restore of the
@@ -59,7 +59,7 @@
   const TargetsSettings settings_;
   base::Random& random_;
   const base::TaskRunner control_;
-  const platform::Store store_;
+  const store::Store store_;
   blackboard::Blackboard& blackboard_;
   const std::shared_ptr<HeldTargets> held_;
 
@@ -67,7 +67,7 @@
   bool should_watch_ = false;
   bool is_repairing_ = false;
   // The version last seen; kAbsent if the key does not exist.
-  std::int64_t version_ = platform::kAbsent;
+  std::int64_t version_ = store::kAbsent;
   // What was in force here when the call under way was made.
   std::int64_t revision_when_asked_ = 0;
   // Zero after a call that succeeded.
--- a/src/targets/targets_controller.cc
+++ b/src/targets/targets_controller.cc
@@ -33,7 +33,7 @@
        base::Clock clock,
        base::Random& random,
        base::TaskRunner control,
-       platform::Store store,
+       store::Store store,
        peer::PeerPort peers,
        blackboard::Blackboard& blackboard,
        const base::Log& log)
@@ -85,7 +85,7 @@
   const TargetsSettings settings_;
   const base::Clock clock_;
   const base::TaskRunner control_;
-  const platform::Store store_;
+  const store::Store store_;
   const blackboard::Blackboard& blackboard_;
   const std::shared_ptr<HeldTargets> held_;
   const std::shared_ptr<PeerExchange> peers_;
@@ -163,7 +163,7 @@
                                      base::Clock clock,
                                      base::Random& random,
                                      base::TaskRunner control,
-                                     platform::Store store,
+                                     store::Store store,
                                      peer::PeerPort peers,
                                      blackboard::Blackboard& blackboard,
                                      base::Log log)
--- a/src/targets/targets_controller.h
+++ b/src/targets/targets_controller.h
@@ -15,7 +15,7 @@
 #include "src/base/task_runner.h"
 #include "src/blackboard/blackboard.h"
 #include "src/peer/message.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 #include "src/targets/targets_alarms.h"
 #include "src/targets/targets_change.h"
 #include "src/targets/targets_settings.h"
@@ -30,7 +30,7 @@
                     base::Clock clock,
                     base::Random& random,
                     base::TaskRunner control,
-                    platform::Store store,
+                    store::Store store,
                     peer::PeerPort peers,
                     blackboard::Blackboard& blackboard,
                     base::Log log = {});
--- a/src/targets/targets_record.cc
+++ b/src/targets/targets_record.cc
@@ -10,7 +10,7 @@
 #include <cpprest/json.h>
 #include <xxhash.h>
 
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 #include "src/targets/class_targets_check.h"
 
 namespace medlarspread::targets {
@@ -18,9 +18,9 @@
 namespace {
 
 using blackboard::ClassTargets;
-using platform::ReadInteger;
-using platform::ReadNumber;
-using platform::ReadString;
+using store::ReadInteger;
+using store::ReadNumber;
+using store::ReadString;
 using web::json::value;
 
 // Raised when an older daemon could no longer read the record.
@@ -84,7 +84,7 @@
 }
 
 bool ParseClasses(const value& object, TargetsRecord& record) {
-  const value* classes = platform::FindArray(object, "classes");
+  const value* classes = store::FindArray(object, "classes");
   if (classes == nullptr || classes->size() > kMaxClasses) {
     return false;
   }
@@ -98,7 +98,7 @@
 }
 
 bool ParseMarks(const value& object, TargetsRecord& record) {
-  const value* changes = platform::FindArray(object, "changes");
+  const value* changes = store::FindArray(object, "changes");
   if (changes == nullptr || changes->size() == 0 ||
       changes->size() > kMaxChangeMarks) {
     return false;
@@ -164,7 +164,7 @@
 }
 
 base::Result<TargetsRecord> DecodeRecord(const std::string& body) {
-  const auto object = platform::ParseObject(body);
+  const auto object = store::ParseObject(body);
   if (!object) {
     return Malformed("targets are no JSON object");
   }
--- /dev/null
+++ b/src/upstream/forward_client.cc
@@ -0,0 +1,315 @@
+// The connections to each leaf and the calls on them.
+
+#include "src/upstream/forward_client.h"
+
+#include <utility>
+#include <vector>
+
+#include "src/base/overloaded.h"
+#include "src/http1/caller_listener.h"
+
+namespace medlarspread::upstream {
+
+namespace {
+
+using base::ErrorCode;
+using base::Step;
+using http1::ClientConnection;
+
+// A connection that does not open within this time belongs to a leaf that is
+// down or cut off. It stays below the time for which a leaf that drains may
+// still be sent to.
+constexpr base::Duration kConnectTimeout = base::Milliseconds(900);
+// How long a leaf's host may leave bytes unacknowledged.
+constexpr base::Duration kSilence = base::Milliseconds(2'000);
+// How long the reply of a leaf that lost the race for an answer is waited for.
+// A reply shows that the leaf is back and keeps the connection; a pause of the
+// leafs lasts 120 to 200 ms.
+constexpr base::Duration kLinger = base::Milliseconds(250);
+// After this time without a reply beyond the caller's deadline the call ends.
+constexpr base::Duration kDeadlineMargin = base::Milliseconds(50);
+
+}  // namespace
+
+class ForwardClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& context,
+       base::Clock clock,
+       base::TaskRunner traffic,
+       ForwardCodec codec,
+       std::function<int(const blackboard::Upstream&)> connection_share)
+      : context_(context),
+        clock_(std::move(clock)),
+        traffic_(std::move(traffic)),
+        codec_(std::move(codec)),
+        connection_share_(std::move(connection_share)) {}
+
+  SentCall Send(const blackboard::Upstream& upstream,
+                ForwardCall call,
+                ForwardPort::Callback done);
+  bool HasRoom(const blackboard::Upstream& upstream);
+  void Prune(const blackboard::UpstreamsView& view);
+
+  ForwardClientCounters counters_;
+
+ private:
+  // One request on its way.
+  struct Call {
+    blackboard::Upstream upstream;
+    base::MonotonicTime sent;
+    ForwardPort::Callback done;
+    std::weak_ptr<ClientConnection> connection;
+    base::Timer timer;
+    bool is_finished = false;
+  };
+
+  using Connections = std::list<std::shared_ptr<ClientConnection>>;
+
+  std::shared_ptr<ClientConnection> Take(const blackboard::Upstream& upstream);
+  std::shared_ptr<ClientConnection> FindFree(Connections& connections);
+  std::shared_ptr<ClientConnection> Open(const blackboard::Upstream& upstream);
+  void DidChange(const std::string& leaf, ClientConnection& connection);
+  void DidEnd(const std::shared_ptr<Call>& call, http1::ExchangeResult result);
+  void EndAfter(const std::shared_ptr<Call>& call, base::Duration delay);
+  void Finish(const std::shared_ptr<Call>& call, ForwardReply reply);
+
+  boost::asio::io_context& context_;
+  const base::Clock clock_;
+  const base::TaskRunner traffic_;
+  const ForwardCodec codec_;
+  const std::function<int(const blackboard::Upstream&)> connection_share_;
+  // Open or opening connections by the leaf's name, which is new at each of
+  // its starts. Invariant: none is closed.
+  std::map<std::string, Connections> connections_;
+};
+
+SentCall ForwardClient::Impl::Send(const blackboard::Upstream& upstream,
+                                   ForwardCall call,
+                                   ForwardPort::Callback done) {
+  ++counters_.sends;
+  auto state = std::make_shared<Call>();
+  state->upstream = upstream;
+  state->sent = clock_.Now();
+  state->done = std::move(done);
+  auto connection = Take(upstream);
+  if (!connection) {
+    ForwardReply reply;
+    reply.outcome = LeafOutcome::kUnreachable;
+    reply.error =
+        base::MakeError(ErrorCode::kUnreachable, Step::kSendUpstream,
+                        upstream.address, "no connection may be opened");
+    traffic_.Post([self = shared_from_this(), state, reply] {
+      self->Finish(state, reply);
+    });
+    return {[state] { state->is_finished = true; }, [] {}};
+  }
+  state->connection = connection;
+  EndAfter(state, call.time_left + kDeadlineMargin);
+  http1::Exchange exchange;
+  exchange.request =
+      std::make_shared<const http1::Request>(codec_.encode(upstream, call));
+  exchange.is_mine = [self = shared_from_this(),
+                      call](const http1::Response& response) {
+    return self->codec_.is_mine(call, response);
+  };
+  exchange.done = [self = shared_from_this(),
+                   state](http1::ExchangeResult result) {
+    self->DidEnd(state, std::move(result));
+  };
+  connection->Start(std::move(exchange));
+  return {[self = shared_from_this(), state] {
+            if (std::exchange(state->is_finished, true)) {
+              return;
+            }
+            ++self->counters_.cancels;
+            state->timer.Cancel();
+            if (auto running = state->connection.lock()) {
+              running->Abort();
+            }
+          },
+          [self = shared_from_this(), state] {
+            if (!state->is_finished) {
+              self->EndAfter(state, kLinger);
+            }
+          }};
+}
+
+bool ForwardClient::Impl::HasRoom(const blackboard::Upstream& upstream) {
+  const auto row = connections_.find(upstream.name);
+  if (row == connections_.end()) {
+    return true;
+  }
+  const auto share = static_cast<std::size_t>(connection_share_(upstream));
+  return row->second.size() < share || FindFree(row->second) != nullptr;
+}
+
+void ForwardClient::Impl::Prune(const blackboard::UpstreamsView& view) {
+  std::vector<std::shared_ptr<ClientConnection>> unneeded;
+  for (const auto& [leaf, connections] : connections_) {
+    if (view.upstreams.contains(leaf)) {
+      continue;
+    }
+    for (const auto& connection : connections) {
+      if (connection->is_free()) {
+        unneeded.push_back(connection);
+      }
+    }
+  }
+  for (const auto& connection : unneeded) {
+    connection->Close();
+  }
+}
+
+std::shared_ptr<ClientConnection> ForwardClient::Impl::Take(
+    const blackboard::Upstream& upstream) {
+  Connections& connections = connections_[upstream.name];
+  if (auto connection = FindFree(connections)) {
+    return connection;
+  }
+  const auto share = static_cast<std::size_t>(connection_share_(upstream));
+  return connections.size() < share ? Open(upstream) : nullptr;
+}
+
+// The one used last, so that the others may time out; those that the leaf is
+// about to close are closed here.
+std::shared_ptr<ClientConnection> ForwardClient::Impl::FindFree(
+    Connections& connections) {
+  std::vector<std::shared_ptr<ClientConnection>> stale;
+  std::shared_ptr<ClientConnection> found;
+  const base::MonotonicTime now = clock_.Now();
+  for (const auto& connection : connections) {
+    if (!connection->is_free()) {
+      continue;
+    }
+    const auto until = connection->idle_until();
+    if (until && *until <= now) {
+      stale.push_back(connection);
+    } else if (!found) {
+      found = connection;
+    }
+  }
+  for (const auto& connection : stale) {
+    connection->Close();
+  }
+  return found;
+}
+
+std::shared_ptr<ClientConnection> ForwardClient::Impl::Open(
+    const blackboard::Upstream& upstream) {
+  const auto endpoint = http1::ParseEndpoint(upstream.address);
+  if (!endpoint.is_ok()) {
+    return nullptr;
+  }
+  ++counters_.connections_opened;
+  ClientConnection::Settings settings;
+  settings.peer = endpoint.value();
+  settings.connect_timeout = kConnectTimeout;
+  settings.silence = kSilence;
+  settings.did_change = [self = weak_from_this(),
+                         leaf = upstream.name](ClientConnection& connection) {
+    if (auto client = self.lock()) {
+      client->DidChange(leaf, connection);
+    }
+  };
+  auto connection =
+      std::make_shared<ClientConnection>(context_, std::move(settings));
+  connections_[upstream.name].push_back(connection);
+  return connection;
+}
+
+void ForwardClient::Impl::DidChange(const std::string& leaf,
+                                    ClientConnection& connection) {
+  const auto row = connections_.find(leaf);
+  if (row == connections_.end()) {
+    return;
+  }
+  const auto self = connection.shared_from_this();
+  row->second.remove(self);
+  if (!connection.is_closed()) {
+    row->second.push_front(self);
+  }
+  if (row->second.empty()) {
+    connections_.erase(row);
+  }
+}
+
+void ForwardClient::Impl::DidEnd(const std::shared_ptr<Call>& call,
+                                 http1::ExchangeResult result) {
+  ForwardReply reply = std::visit(
+      base::Overloaded{
+          [&](http1::Response& response) {
+            return codec_.decode(call->upstream, std::move(response));
+          },
+          [&](http1::ExchangeFailure& failure) {
+            ForwardReply failed;
+            failed.outcome = failure.was_sent ? LeafOutcome::kLost
+                                              : LeafOutcome::kUnreachable;
+            failed.error = std::move(failure.error);
+            return failed;
+          }},
+      result);
+  Finish(call, std::move(reply));
+}
+
+void ForwardClient::Impl::EndAfter(const std::shared_ptr<Call>& call,
+                                   base::Duration delay) {
+  call->timer.Cancel();
+  call->timer = traffic_.After(delay, [self = shared_from_this(), call] {
+    if (call->is_finished) {
+      return;
+    }
+    ForwardReply reply;
+    reply.outcome = LeafOutcome::kTimeout;
+    reply.error = base::MakeError(ErrorCode::kTimeout, Step::kReadUpstream,
+                                  call->upstream.address, "no reply in time");
+    if (auto running = call->connection.lock()) {
+      running->Abort();
+    }
+    self->Finish(call, std::move(reply));
+  });
+}
+
+void ForwardClient::Impl::Finish(const std::shared_ptr<Call>& call,
+                                 ForwardReply reply) {
+  if (std::exchange(call->is_finished, true)) {
+    return;
+  }
+  call->timer.Cancel();
+  reply.service_time = clock_.Now() - call->sent;
+  const auto done = std::exchange(call->done, nullptr);
+  done(std::move(reply));
+}
+
+ForwardClient::ForwardClient(
+    boost::asio::io_context& context,
+    base::Clock clock,
+    base::TaskRunner traffic,
+    ForwardCodec codec,
+    std::function<int(const blackboard::Upstream&)> connection_share)
+    : impl_(std::make_shared<Impl>(context,
+                                   std::move(clock),
+                                   std::move(traffic),
+                                   std::move(codec),
+                                   std::move(connection_share))) {}
+
+ForwardClient::~ForwardClient() = default;
+
+ForwardPort ForwardClient::port() {
+  return {[impl = impl_](const blackboard::Upstream& upstream,
+                         ForwardCall call, ForwardPort::Callback done) {
+            return impl->Send(upstream, std::move(call), std::move(done));
+          },
+          [impl = impl_](const blackboard::Upstream& upstream) {
+            return impl->HasRoom(upstream);
+          }};
+}
+
+void ForwardClient::Prune(const blackboard::UpstreamsView& view) {
+  impl_->Prune(view);
+}
+
+ForwardClientCounters ForwardClient::counters() const {
+  return impl_->counters_;
+}
+
+}  // namespace medlarspread::upstream
--- /dev/null
+++ b/src/upstream/forward_port.h
@@ -0,0 +1,63 @@
+// What the routing code asks of a leaf that answers opaque requests, and what
+// it learns from the reply. On a daemon upstream::ForwardClient fills the port
+// in; in tests a fake does.
+
+#ifndef MEDLARSPREAD_UPSTREAM_FORWARD_PORT_H_
+#define MEDLARSPREAD_UPSTREAM_FORWARD_PORT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/error.h"
+#include "src/blackboard/views.h"
+#include "src/http1/message.h"
+#include "src/upstream/leaf_port.h"
+
+namespace medlarspread::upstream {
+
+struct ForwardCall {
+  std::string request_id;
+  // What the caller sent, without the fields that concern its connection.
+  std::shared_ptr<const http1::Request> message;
+  // Passed on to the leaf, which stops when it is used up.
+  base::Duration time_left{};
+};
+
+struct ForwardReply {
+  LeafOutcome outcome = LeafOutcome::kLost;
+  // The leaf's answer, byte for byte. Set for kAnswered and kFailed.
+  http1::Response message;
+  // The leaf's proof that it made this answer to this request.
+  std::string proof;
+  // From the send, connecting included, to the reply.
+  base::Duration service_time{};
+  // When the leaf asks to come back; zero if it names no time.
+  base::Duration retry_after{};
+  // Set unless answered; carries the step and the leaf's address.
+  base::Error error;
+};
+
+// A request that is on its way.
+struct SentCall {
+  // The caller has left: the leaf should stop at once. No callback follows.
+  std::function<void()> cancel;
+  // The reply is no longer needed, but may still tell when the leaf is back.
+  // The callback follows within the time that the client waits for that.
+  std::function<void()> let_linger;
+};
+
+struct ForwardPort {
+  using Callback = std::function<void(ForwardReply)>;
+
+  // Calls back once, never before it has returned.
+  std::function<SentCall(const blackboard::Upstream&, ForwardCall, Callback)>
+      send;
+  // Whether a connection to the leaf is free or may be opened.
+  std::function<bool(const blackboard::Upstream&)> has_room;
+};
+
+}  // namespace medlarspread::upstream
+
+#endif  // MEDLARSPREAD_UPSTREAM_FORWARD_PORT_H_
--- a/src/upstream/leaf_message.cc
+++ b/src/upstream/leaf_message.cc
@@ -9,7 +9,7 @@
 #include <cpprest/json.h>
 
 #include "src/base/name_table.h"
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 #include "src/upstream/reply_json.h"
 
 namespace medlarspread::upstream {
@@ -20,10 +20,10 @@
 using base::Step;
 using blackboard::Holding;
 using blackboard::UpstreamState;
-using platform::FindArray;
-using platform::HasField;
-using platform::ReadInteger;
-using platform::ReadString;
+using store::FindArray;
+using store::HasField;
+using store::ReadInteger;
+using store::ReadString;
 using web::json::value;
 
 // More holdings than this in one message are not believed.
--- a/src/upstream/leaf_port.cc
+++ b/src/upstream/leaf_port.cc
@@ -8,13 +8,15 @@
 
 namespace {
 
-constexpr base::NameTable<LeafOutcome, 9> kLeafOutcomeNames{{{
+constexpr base::NameTable<LeafOutcome, 11> kLeafOutcomeNames{{{
     {LeafOutcome::kAnswered, "answered"},
     {LeafOutcome::kWrongSnapshot, "wrong_snapshot"},
     {LeafOutcome::kShed, "shed"},
     {LeafOutcome::kDraining, "draining"},
     {LeafOutcome::kCold, "cold"},
     {LeafOutcome::kUnreachable, "unreachable"},
+    {LeafOutcome::kReplaced, "replaced"},
+    {LeafOutcome::kFailed, "failed"},
     {LeafOutcome::kTimeout, "timeout"},
     {LeafOutcome::kLost, "lost"},
     {LeafOutcome::kMismatch, "mismatch"},
@@ -29,6 +31,7 @@
 bool MayHaveRun(LeafOutcome outcome) {
   switch (outcome) {
     case LeafOutcome::kAnswered:
+    case LeafOutcome::kFailed:
     case LeafOutcome::kTimeout:
     case LeafOutcome::kLost:
     case LeafOutcome::kMismatch:
@@ -38,6 +41,7 @@
     case LeafOutcome::kDraining:
     case LeafOutcome::kCold:
     case LeafOutcome::kUnreachable:
+    case LeafOutcome::kReplaced:
       return false;
   }
   return true;
--- a/src/upstream/leaf_port.h
+++ b/src/upstream/leaf_port.h
@@ -40,6 +40,10 @@
   kCold,
   // The connection was refused: nothing was sent.
   kUnreachable,
+  // Another incarnation has the address by now; it did not run the request.
+  kReplaced,
+  // The leaf ran the request and reports a failure of its own.
+  kFailed,
   // The request may have run: no reply in time, connection lost, or a reply
   // that is truncated, malformed or for something else.
   kTimeout,
--- a/src/upstream/observation_filter.cc
+++ b/src/upstream/observation_filter.cc
@@ -17,6 +17,8 @@
     case LeafOutcome::kTimeout:
     case LeafOutcome::kLost:
     case LeafOutcome::kMismatch:
+    case LeafOutcome::kReplaced:
+    case LeafOutcome::kFailed:
       return true;
     case LeafOutcome::kAnswered:
     case LeafOutcome::kWrongSnapshot:
--- a/src/upstream/reply_json.cc
+++ b/src/upstream/reply_json.cc
@@ -9,7 +9,7 @@
 #include <cpprest/asyncrt_utils.h>
 #include <cpprest/json.h>
 
-#include "src/platform/json_fields.h"
+#include "src/store/json_fields.h"
 
 namespace medlarspread::upstream {
 
@@ -61,13 +61,13 @@
   if (!IsUtf8(text)) {
     return nullptr;
   }
-  auto value = platform::ParseObject(text);
+  auto value = store::ParseObject(text);
   return value && HasOnlyFiniteNumbers(*value) ? std::move(value) : nullptr;
 }
 
 std::optional<bool> ReadBoolean(const web::json::value& object,
                                 const char* field) {
-  if (!platform::HasField(object, field) || !object.at(field).is_boolean()) {
+  if (!store::HasField(object, field) || !object.at(field).is_boolean()) {
     return std::nullopt;
   }
   return object.at(field).as_bool();
--- a/src/upstream/upstream_controller.cc
+++ b/src/upstream/upstream_controller.cc
@@ -20,7 +20,7 @@
 using base::MonotonicTime;
 using blackboard::Upstream;
 using blackboard::UpstreamState;
-using platform::Vm;
+using store::Vm;
 
 // All members run on the control sequence, but for Observe() and counters().
 // Timers and callbacks hold the object weakly: they end with it.
@@ -30,7 +30,7 @@
        base::Clock clock,
        base::Random& random,
        base::TaskRunner control,
-       platform::ReadVmList read_vms,
+       store::ReadVmList read_vms,
        ReadHealth read_health,
        blackboard::Blackboard& blackboard,
        UpstreamCallbacks callbacks);
@@ -83,7 +83,7 @@
   const base::Clock clock_;
   base::Random& random_;
   const base::TaskRunner control_;
-  const platform::ReadVmList read_vms_;
+  const store::ReadVmList read_vms_;
   blackboard::Blackboard& blackboard_;
   const UpstreamCallbacks callbacks_;
 
@@ -108,7 +108,7 @@
                                base::Clock clock,
                                base::Random& random,
                                base::TaskRunner control,
-                               platform::ReadVmList read_vms,
+                               store::ReadVmList read_vms,
                                ReadHealth read_health,
                                blackboard::Blackboard& blackboard,
                                UpstreamCallbacks callbacks)
@@ -167,7 +167,7 @@
   const MonotonicTime now = clock_.Now();
   const auto view = blackboard_.upstreams.Read();
   for (const Vm& vm : vms.value()) {
-    if (vm.role != platform::VmRole::kUpstream) {
+    if (vm.role != store::VmRole::kUpstream) {
       continue;
     }
     const auto [row, is_new] =
@@ -341,7 +341,7 @@
                                        base::Clock clock,
                                        base::Random& random,
                                        base::TaskRunner control,
-                                       platform::ReadVmList read_vms,
+                                       store::ReadVmList read_vms,
                                        ReadHealth read_health,
                                        blackboard::Blackboard& blackboard,
                                        UpstreamCallbacks callbacks)
--- a/src/upstream/upstream_controller.h
+++ b/src/upstream/upstream_controller.h
@@ -15,7 +15,7 @@
 #include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/blackboard/blackboard.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 #include "src/upstream/health_client.h"
 #include "src/upstream/leaf_port.h"
 #include "src/upstream/upstream_settings.h"
@@ -51,7 +51,7 @@
                      base::Clock clock,
                      base::Random& random,
                      base::TaskRunner control,
-                     platform::ReadVmList read_vms,
+                     store::ReadVmList read_vms,
                      ReadHealth read_health,
                      blackboard::Blackboard& blackboard,
                      UpstreamCallbacks callbacks);
--- a/src/upstream/upstream_record.cc
+++ b/src/upstream/upstream_record.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 UpstreamRecord::UpstreamRecord(const UpstreamSettings& settings,
-                               const platform::Vm& vm,
+                               const store::Vm& vm,
                                MonotonicTime now)
     : settings_(&settings),
       draining_hold_(settings.draining_hold),
@@ -34,7 +34,7 @@
   DidList(vm, now);
 }
 
-void UpstreamRecord::DidList(const platform::Vm& vm, MonotonicTime now) {
+void UpstreamRecord::DidList(const store::Vm& vm, MonotonicTime now) {
   assert(vm.name == upstream_.name);
   if (vm.address != upstream_.address) {
     *this = UpstreamRecord(*settings_, vm, now);
--- a/src/upstream/upstream_record.h
+++ b/src/upstream/upstream_record.h
@@ -18,7 +18,7 @@
 #include "src/base/clock.h"
 #include "src/base/result.h"
 #include "src/blackboard/views.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 #include "src/upstream/leaf_message.h"
 #include "src/upstream/leaf_port.h"
 #include "src/upstream/upstream_settings.h"
@@ -29,12 +29,12 @@
  public:
   // `settings` must outlive the record.
   UpstreamRecord(const UpstreamSettings& settings,
-                 const platform::Vm& vm,
+                 const store::Vm& vm,
                  base::MonotonicTime now);
 
   // The list has a row for this leaf. A row with another address means that
   // another VM took the name: everything known of the former is dropped.
-  void DidList(const platform::Vm& vm, base::MonotonicTime now);
+  void DidList(const store::Vm& vm, base::MonotonicTime now);
   void DidReply(const LeafReply& reply, base::MonotonicTime now);
   // `asked` is when the health was asked for.
   void DidReadHealth(const base::Result<LeafHealth>& health,
--- a/tests/admin_api/admin_api_test.cc
+++ b/tests/admin_api/admin_api_test.cc
@@ -32,21 +32,21 @@
  public:
   explicit MemoryStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
 
-  platform::Store store() {
-    platform::Store store;
+  store::Store store() {
+    store::Store store;
     store.read = [this](const std::string&, base::Duration,
-                        const platform::Store::ReadCallback& callback) {
+                        const store::Store::ReadCallback& callback) {
       runner_.Post([this, callback] {
         callback(failure
-                     ? base::Result<std::optional<platform::Entry>>(*failure)
+                     ? base::Result<std::optional<store::Entry>>(*failure)
                      : entry_);
       });
     };
     store.compare_and_swap =
         [this](const std::string& key, const std::string& text,
                std::int64_t /*expected_version*/, base::Duration,
-               const platform::Store::WriteCallback& callback) {
-          entry_ = platform::Entry{key, text, ++version_};
+               const store::Store::WriteCallback& callback) {
+          entry_ = store::Entry{key, text, ++version_};
           failure = failure_of_writes;
           runner_.Post([this, callback] {
             callback(failure_of_writes
@@ -55,7 +55,7 @@
           });
         };
     store.watch = [](const std::string&, std::int64_t, base::Duration,
-                     const platform::Store::ReadCallback&) {};
+                     const store::Store::ReadCallback&) {};
     return store;
   }
 
@@ -65,7 +65,7 @@
 
  private:
   base::TaskRunner runner_;
-  std::optional<platform::Entry> entry_;
+  std::optional<store::Entry> entry_;
   std::int64_t version_ = 0;
 };
 
--- a/tests/burn/burn_fleet.cc
+++ b/tests/burn/burn_fleet.cc
@@ -31,7 +31,7 @@
       store_scheduler_(std::make_shared<base::ManualScheduler>(store_time_)),
       store_(RunnerOf(store_scheduler_)),
       random_(seed) {
-  store_.did_write = [this](const platform::Entry& entry) { NoteWrite(entry); };
+  store_.did_write = [this](const store::Entry& entry) { NoteWrite(entry); };
 }
 
 void BurnFleet::StartVm(const std::string& name, std::int64_t clock_offset_ms) {
@@ -167,7 +167,7 @@
   }
 }
 
-void BurnFleet::NoteWrite(const platform::Entry& entry) {
+void BurnFleet::NoteWrite(const store::Entry& entry) {
   // A seal is made by another VM and holds what was written before.
   const bool is_seal = entry.value.find("\"sealed\":true") != std::string::npos;
   const auto raw = ParseRawKey(entry.key);
