--- a/tests/burn/burn_fleet.h
+++ b/tests/burn/burn_fleet.h
@@ -82,7 +82,7 @@
   void Start(const std::string& alias,
              const VmIncarnation& id,
              std::int64_t clock_offset_ms);
-  void NoteWrite(const platform::Entry& entry);
+  void NoteWrite(const store::Entry& entry);
   bool IsKept(const RecordedRequest& request) const;
 
   std::shared_ptr<base::ManualTime> store_time_;
--- a/tests/burn/fake_store.cc
+++ b/tests/burn/fake_store.cc
@@ -30,7 +30,7 @@
   }
   const auto found = entries_.find(key);
   const std::int64_t version =
-      found == entries_.end() ? platform::kAbsent : found->second.version;
+      found == entries_.end() ? store::kAbsent : found->second.version;
   if (version != expected_version) {
     return Failure(base::ErrorCode::kConflict);
   }
@@ -50,9 +50,9 @@
   return last_version_;
 }
 
-base::Result<std::vector<platform::Entry>> FakeStore::List(
+base::Result<std::vector<store::Entry>> FakeStore::List(
     const std::string& prefix) {
-  std::vector<platform::Entry> entries;
+  std::vector<store::Entry> entries;
   for (auto entry = entries_.lower_bound(prefix);
        entry != entries_.end() && entry->first.starts_with(prefix); ++entry) {
     entries.push_back(entry->second);
@@ -76,13 +76,13 @@
   return base::Done{};
 }
 
-std::optional<platform::Entry> FakeStore::Read(const std::string& key) const {
+std::optional<store::Entry> FakeStore::Read(const std::string& key) const {
   const auto found = entries_.find(key);
-  return found == entries_.end() ? std::optional<platform::Entry>()
+  return found == entries_.end() ? std::optional<store::Entry>()
                                  : found->second;
 }
 
-platform::Store FakeStore::PortFor(const std::string& vm,
+store::Store FakeStore::PortFor(const std::string& vm,
                                    base::TaskRunner runner) {
   // The call is made now, its answer comes back to the VM later.
   const auto answer = [this, vm, runner](std::int64_t& calls, auto call,
@@ -96,12 +96,12 @@
       runner.Post([callback, answer] { callback(answer); });
     });
   };
-  platform::Store store;
+  store::Store store;
   store.read = [this, answer](const std::string& key, base::Duration,
-                              platform::Store::ReadCallback callback) {
+                              store::Store::ReadCallback callback) {
     answer(
         read_calls_,
-        [this, key]() -> base::Result<std::optional<platform::Entry>> {
+        [this, key]() -> base::Result<std::optional<store::Entry>> {
           return Read(key);
         },
         callback);
@@ -109,19 +109,19 @@
   store.compare_and_swap = [this, vm, answer](
                                const std::string& key, const std::string& value,
                                std::int64_t expected_version, base::Duration,
-                               platform::Store::WriteCallback callback) {
+                               store::Store::WriteCallback callback) {
     answer(
         write_calls_,
         [=, this] { return Swap(vm, key, value, expected_version); }, callback);
   };
   store.list = [this, answer](const std::string& prefix, base::Duration,
-                              platform::Store::ListCallback callback) {
+                              store::Store::ListCallback callback) {
     answer(
         read_calls_, [this, prefix] { return List(prefix); }, callback);
   };
   store.erase = [this, answer](const std::string& key,
                                std::int64_t expected_version, base::Duration,
-                               platform::Store::EraseCallback callback) {
+                               store::Store::EraseCallback callback) {
     answer(
         write_calls_, [=, this] { return Erase(key, expected_version); },
         callback);
--- a/tests/burn/fake_store.h
+++ b/tests/burn/fake_store.h
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 
@@ -21,7 +21,7 @@
 
   // The store as the VM called `vm` reaches it, which is called back on
   // `runner`.
-  platform::Store PortFor(const std::string& vm, base::TaskRunner runner);
+  store::Store PortFor(const std::string& vm, base::TaskRunner runner);
 
   void set_available(bool is_available) { is_available_ = is_available; }
   void CutOff(const std::string& vm, bool is_cut) { is_cut_[vm] = is_cut; }
@@ -37,24 +37,24 @@
   void LoseWrites(int count) { writes_to_lose_ = count; }
 
   // Runs for each write that takes effect.
-  std::function<void(const platform::Entry&)> did_write;
+  std::function<void(const store::Entry&)> did_write;
 
-  std::map<std::string, platform::Entry>& entries() { return entries_; }
+  std::map<std::string, store::Entry>& entries() { return entries_; }
   std::int64_t write_calls() const { return write_calls_; }
   std::int64_t read_calls() const { return read_calls_; }
 
  private:
   bool IsReachable(const std::string& vm) const;
-  std::optional<platform::Entry> Read(const std::string& key) const;
+  std::optional<store::Entry> Read(const std::string& key) const;
   base::Result<std::int64_t> Swap(const std::string& vm,
                                   const std::string& key,
                                   const std::string& value,
                                   std::int64_t expected_version);
-  base::Result<std::vector<platform::Entry>> List(const std::string& prefix);
+  base::Result<std::vector<store::Entry>> List(const std::string& prefix);
   base::Status Erase(const std::string& key, std::int64_t expected_version);
 
   const base::TaskRunner runner_;
-  std::map<std::string, platform::Entry> entries_;
+  std::map<std::string, store::Entry> entries_;
   std::int64_t last_version_ = 0;
   bool is_available_ = true;
   std::map<std::string, bool> is_cut_;
--- a/tests/burn/own_counts_test.cc
+++ b/tests/burn/own_counts_test.cc
@@ -5,7 +5,7 @@
 
 #include <gtest/gtest.h>
 
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::burn {
 namespace {
--- a/tests/claims/fake_store.cc
+++ b/tests/claims/fake_store.cc
@@ -14,11 +14,11 @@
 
 }  // namespace
 
-platform::Store FakeStore::store() {
-  platform::Store store;
+store::Store FakeStore::store() {
+  store::Store store;
   auto self = shared_from_this();
   store.read = [self](const std::string& key, base::Duration timeout,
-                      const platform::Store::ReadCallback& callback) {
+                      const store::Store::ReadCallback& callback) {
     ++self->calls_;
     if (self->next_fault() != StoreFault::kNone) {
       self->network_.After(timeout, [callback] {
@@ -32,15 +32,15 @@
   store.compare_and_swap =
       [self](const std::string& key, const std::string& value,
              std::int64_t expected_version, base::Duration timeout,
-             const platform::Store::WriteCallback& callback) {
+             const store::Store::WriteCallback& callback) {
         ++self->calls_;
         self->Swap({key, value, expected_version}, timeout, callback);
       };
   store.list = [self](const std::string& prefix, base::Duration /*timeout*/,
-                      const platform::Store::ListCallback& callback) {
+                      const store::Store::ListCallback& callback) {
     ++self->calls_;
     self->network_.After(kDelay, [self, prefix, callback] {
-      std::vector<platform::Entry> found;
+      std::vector<store::Entry> found;
       for (const auto& [key, entry] : self->entries_) {
         if (key.starts_with(prefix)) {
           found.push_back(entry);
@@ -51,16 +51,16 @@
   };
   store.erase = [self](const std::string& key, std::int64_t expected_version,
                        base::Duration timeout,
-                       const platform::Store::EraseCallback& callback) {
+                       const store::Store::EraseCallback& callback) {
     ++self->calls_;
     self->Erase(key, expected_version, timeout, callback);
   };
   return store;
 }
 
-void FakeStore::Swap(const platform::Entry& wanted,
+void FakeStore::Swap(const store::Entry& wanted,
                      base::Duration timeout,
-                     platform::Store::WriteCallback callback) {
+                     store::Store::WriteCallback callback) {
   const auto self = shared_from_this();
   const auto answer_unknown = [callback] {
     callback(MakeError(base::ErrorCode::kUnknownOutcome));
@@ -95,7 +95,7 @@
 void FakeStore::Erase(const std::string& key,
                       std::int64_t expected_version,
                       base::Duration timeout,
-                      platform::Store::EraseCallback callback) {
+                      store::Store::EraseCallback callback) {
   if (next_fault() != StoreFault::kNone) {
     network_.After(timeout, [callback] {
       callback(MakeError(base::ErrorCode::kUnknownOutcome));
@@ -114,7 +114,7 @@
                  });
 }
 
-std::optional<platform::Entry> FakeStore::Find(const std::string& key) const {
+std::optional<store::Entry> FakeStore::Find(const std::string& key) const {
   const auto found = entries_.find(key);
   if (found == entries_.end()) {
     return std::nullopt;
@@ -122,9 +122,9 @@
   return found->second;
 }
 
-FakeStore::Version FakeStore::Apply(const platform::Entry& wanted) {
+FakeStore::Version FakeStore::Apply(const store::Entry& wanted) {
   const auto found = Find(wanted.key);
-  const std::int64_t version = found ? found->version : platform::kAbsent;
+  const std::int64_t version = found ? found->version : store::kAbsent;
   if (version != wanted.version) {
     return MakeError(base::ErrorCode::kConflict);
   }
--- a/tests/claims/fake_store.h
+++ b/tests/claims/fake_store.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::claims {
 
@@ -37,15 +37,15 @@
 
   explicit FakeStore(base::TaskRunner network) : network_(network) {}
 
-  platform::Store store();
+  store::Store store();
 
   std::function<StoreFault()> next_fault = [] { return StoreFault::kNone; };
 
-  const std::map<std::string, platform::Entry>& entries() const {
+  const std::map<std::string, store::Entry>& entries() const {
     return entries_;
   }
   // NOTE: Versions go on growing after a restore, as the interface promises.
-  void Restore(std::map<std::string, platform::Entry> entries) {
+  void Restore(std::map<std::string, store::Entry> entries) {
     entries_ = std::move(entries);
   }
   int calls() const { return calls_; }
@@ -53,18 +53,18 @@
  private:
   using Version = base::Result<std::int64_t>;
 
-  void Swap(const platform::Entry& wanted,
+  void Swap(const store::Entry& wanted,
             base::Duration timeout,
-            platform::Store::WriteCallback callback);
+            store::Store::WriteCallback callback);
   void Erase(const std::string& key,
              std::int64_t expected_version,
              base::Duration timeout,
-             platform::Store::EraseCallback callback);
-  std::optional<platform::Entry> Find(const std::string& key) const;
-  Version Apply(const platform::Entry& wanted);
+             store::Store::EraseCallback callback);
+  std::optional<store::Entry> Find(const std::string& key) const;
+  Version Apply(const store::Entry& wanted);
 
   base::TaskRunner network_;
-  std::map<std::string, platform::Entry> entries_;
+  std::map<std::string, store::Entry> entries_;
   std::int64_t last_version_ = 0;
   int calls_ = 0;
 };
--- a/tests/daemon/metered_store_test.cc
+++ b/tests/daemon/metered_store_test.cc
@@ -13,21 +13,21 @@
 TEST(MeteredStoreTest, CountsCallsAndFailuresAndPassesThemOn) {
   const auto time = std::make_shared<base::ManualTime>(0, 0);
   metrics::Registry registry{base::Clock(time)};
-  platform::Store store;
+  store::Store store;
   store.read = [time](const std::string& key, base::Duration,
-                      const platform::Store::ReadCallback& callback) {
+                      const store::Store::ReadCallback& callback) {
     time->Advance(base::Milliseconds(20));
-    callback(std::optional(platform::Entry{key, "value", 3}));
+    callback(std::optional(store::Entry{key, "value", 3}));
   };
   store.compare_and_swap = [](const std::string&, const std::string&,
                               std::int64_t expected_version, base::Duration,
-                              const platform::Store::WriteCallback& callback) {
+                              const store::Store::WriteCallback& callback) {
     callback(base::MakeError(expected_version == 0
                                  ? base::ErrorCode::kConflict
                                  : base::ErrorCode::kUnknownOutcome,
                              base::Step::kWriteStore, "", ""));
   };
-  const platform::Store metered =
+  const store::Store metered =
       MeterStore(store, registry, base::Clock(time));
 
   std::string read_key;
--- a/tests/emulator/platform_service_test.cc
+++ b/tests/emulator/platform_service_test.cc
@@ -8,8 +8,8 @@
 #include "emulator/platform/platform_service.h"
 #include "src/http/client.h"
 #include "src/http/listener.h"
-#include "src/platform/store_client.h"
-#include "src/platform/vm_list_client.h"
+#include "src/store/store_client.h"
+#include "src/store/vm_list_client.h"
 
 namespace medlarspread::emulator {
 namespace {
@@ -56,14 +56,14 @@
                                callback);
     });
   }
-  base::Result<std::optional<platform::Entry>> Read() {
-    return Await<std::optional<platform::Entry>>(
+  base::Result<std::optional<store::Entry>> Read() {
+    return Await<std::optional<store::Entry>>(
         [&](const auto& callback) { store().read("a/b", kLong, callback); });
   }
-  platform::Store store() {
+  store::Store store() {
     if (!client_) {
-      client_ = std::make_unique<platform::StoreClient>(
-          platform::StoreClientSettings{.address = listener_.address()},
+      client_ = std::make_unique<store::StoreClient>(
+          store::StoreClientSettings{.address = listener_.address()},
           runner_);
     }
     return client_->store();
@@ -79,18 +79,18 @@
       [this](const http::Request& request, http::Responder respond) {
         service_->DidReceive(request, std::move(respond));
       }};
-  std::unique_ptr<platform::StoreClient> client_;
+  std::unique_ptr<store::StoreClient> client_;
 };
 
 TEST_F(PlatformServiceTest, ReadsWritesListsAndErases) {
   EXPECT_FALSE(Read().value());
-  const auto version = Swap("x \"quoted\"", platform::kAbsent, kLong);
+  const auto version = Swap("x \"quoted\"", store::kAbsent, kLong);
   ASSERT_TRUE(version.is_ok()) << version.error().ToString();
   EXPECT_EQ(Read().value()->value, "x \"quoted\"");
-  const auto conflict = Swap("y", platform::kAbsent, kLong);
+  const auto conflict = Swap("y", store::kAbsent, kLong);
   ASSERT_FALSE(conflict.is_ok());
   EXPECT_EQ(conflict.error().code, base::ErrorCode::kConflict);
-  const auto list = Await<std::vector<platform::Entry>>(
+  const auto list = Await<std::vector<store::Entry>>(
       [&](const auto& callback) { store().list("a/", kLong, callback); });
   EXPECT_EQ(list.value().size(), 1U);
   const auto erased = Await<base::Done>([&](const auto& callback) {
@@ -101,13 +101,13 @@
 }
 
 TEST_F(PlatformServiceTest, WakesAWatchAndEndsItWithItsWait) {
-  std::promise<base::Result<std::optional<platform::Entry>>> woken;
+  std::promise<base::Result<std::optional<store::Entry>>> woken;
   store().watch("a/b", 0, kLong,
                 [&woken](auto result) { woken.set_value(std::move(result)); });
-  const std::int64_t version = Swap("x", platform::kAbsent, kLong).value();
+  const std::int64_t version = Swap("x", store::kAbsent, kLong).value();
   EXPECT_EQ(woken.get_future().get().value()->version, version);
   const auto ended =
-      Await<std::optional<platform::Entry>>([&](const auto& callback) {
+      Await<std::optional<store::Entry>>([&](const auto& callback) {
         store().watch("a/b", version, kShort, callback);
       });
   ASSERT_TRUE(ended.is_ok()) << ended.error().ToString();
@@ -116,7 +116,7 @@
 
 TEST_F(PlatformServiceTest, LosesTheReplyOfAWriteThatTookEffect) {
   Control("faults", R"({"lose_write_replies":1,"key_prefix":"a/"})");
-  const auto lost = Swap("x", platform::kAbsent, kShort);
+  const auto lost = Swap("x", store::kAbsent, kShort);
   ASSERT_FALSE(lost.is_ok());
   EXPECT_EQ(lost.error().code, base::ErrorCode::kUnknownOutcome);
   EXPECT_EQ(Read().value()->value, "x");
@@ -131,7 +131,7 @@
   Control("faults", R"({"outage":"refuse"})");
   EXPECT_EQ(Read().error().code, base::ErrorCode::kUnavailable);
   Control("faults", R"({"outage":"hang"})");
-  const auto hung = Swap("x", platform::kAbsent, kShort);
+  const auto hung = Swap("x", store::kAbsent, kShort);
   EXPECT_EQ(hung.error().code, base::ErrorCode::kUnknownOutcome);
   Control("faults", R"({"outage":"none"})");
   EXPECT_FALSE(Read().value()) << "an outage that hangs makes no write";
@@ -149,9 +149,9 @@
   Control("vms",
           R"({"vms":[)" + row("a", "gone") + "," + row("b", "leaving") + "]}");
   Control("vms", R"({"vms":[)" + row("c", "live") + R"(],"lag_ms":100000})");
-  const platform::VmListClient client({.address = listener_.address()},
+  const store::VmListClient client({.address = listener_.address()},
                                       runner_);
-  const auto vms = Await<std::vector<platform::Vm>>(
+  const auto vms = Await<std::vector<store::Vm>>(
       [&](const auto& callback) { client.read_vm_list()(kLong, callback); });
   ASSERT_TRUE(vms.is_ok()) << vms.error().ToString();
   ASSERT_EQ(vms.value().size(), 1U);
--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -254,14 +254,14 @@
   return port;
 }
 
-platform::Store SessionWorld::StoreOf(const std::string& daemon) {
-  platform::Store store = store_.store();
+store::Store SessionWorld::StoreOf(const std::string& daemon) {
+  store::Store store = store_.store();
   auto swap = store.compare_and_swap;
   store.compare_and_swap = [this, daemon, swap](
                                const std::string& key, const std::string& value,
                                std::int64_t expected_version,
                                base::Duration timeout,
-                               platform::Store::WriteCallback callback) {
+                               store::Store::WriteCallback callback) {
     Write(daemon + " -> store swap " + key + " expects " +
           std::to_string(expected_version));
     swap(key, value, expected_version, timeout,
@@ -276,13 +276,13 @@
   auto read = store.read;
   store.read = [this, daemon, read](const std::string& key,
                                     base::Duration timeout,
-                                    platform::Store::ReadCallback callback) {
+                                    store::Store::ReadCallback callback) {
     Write(daemon + " -> store read " + key);
     read(key, timeout, std::move(callback));
   };
   store.list = [](const std::string&, base::Duration,
-                  const platform::Store::ListCallback& callback) {
-    callback(std::vector<platform::Entry>());
+                  const store::Store::ListCallback& callback) {
+    callback(std::vector<store::Entry>());
   };
   return store;
 }
--- a/tests/golden/session_world.h
+++ b/tests/golden/session_world.h
@@ -83,7 +83,7 @@
                const std::string& receiver,
                const peer::Message& message);
   upstream::LeafPort LeafPortOf(const std::string& daemon);
-  platform::Store StoreOf(const std::string& daemon);
+  store::Store StoreOf(const std::string& daemon);
   void Write(const std::string& line);
 
   std::shared_ptr<base::ManualTime> time_;
--- a/tests/membership/world.cc
+++ b/tests/membership/world.cc
@@ -36,7 +36,7 @@
   controller_ = std::make_unique<MembershipController>(
       settings_, base::Clock(world.time), random_, base::TaskRunner(scheduler_),
       port,
-      [&world](base::Duration, const platform::VmListCallback& callback) {
+      [&world](base::Duration, const store::VmListCallback& callback) {
         world.ReadList(callback);
       },
       blackboard_, std::move(callbacks));
@@ -75,7 +75,7 @@
   settings.region = region;
   settings.failure_domain = domain;
   settings.incarnation = incarnation;
-  platform::Vm row;
+  store::Vm row;
   row.name = name;
   row.address = settings.address;
   row.region = region;
@@ -203,14 +203,14 @@
   }
 }
 
-void World::ReadList(const platform::VmListCallback& callback) {
+void World::ReadList(const store::VmListCallback& callback) {
   ++list_reads;
   if (is_list_down) {
     callback(base::MakeError(base::ErrorCode::kUnavailable,
                              base::Step::kReadStore, "platform", "down"));
     return;
   }
-  std::vector<platform::Vm> rows;
+  std::vector<store::Vm> rows;
   for (const auto& [name, vm] : listed) {
     rows.push_back(vm);
   }
--- a/tests/membership/world.h
+++ b/tests/membership/world.h
@@ -94,7 +94,7 @@
   std::shared_ptr<base::ManualTime> time =
       std::make_shared<base::ManualTime>(1'000'000, 0);
   // The platform's list, kept by hand.
-  std::map<std::string, platform::Vm> listed;
+  std::map<std::string, store::Vm> listed;
   bool is_list_down = false;
   int list_reads = 0;
 
@@ -106,7 +106,7 @@
   void Deliver(const std::string& address,
                const peer::Sender& sender,
                const peer::wire::Heartbeat& heartbeat);
-  void ReadList(const platform::VmListCallback& callback);
+  void ReadList(const store::VmListCallback& callback);
 
   const std::uint64_t seed_;
   base::Random random_;
--- a/tests/platform/platform_client_test.cc
+++ b/tests/store/platform_client_test.cc
@@ -8,10 +8,10 @@
 #include <gtest/gtest.h>
 
 #include "src/http/listener.h"
-#include "src/platform/store_client.h"
-#include "src/platform/vm_list_client.h"
+#include "src/store/store_client.h"
+#include "src/store/vm_list_client.h"
 
-namespace medlarspread::platform {
+namespace medlarspread::store {
 namespace {
 
 using base::ErrorCode;
@@ -242,4 +242,4 @@
 }
 
 }  // namespace
-}  // namespace medlarspread::platform
+}  // namespace medlarspread::store
--- a/tests/targets/fake_store.cc
+++ b/tests/targets/fake_store.cc
@@ -10,7 +10,7 @@
 
 using base::ErrorCode;
 using base::Step;
-using platform::Entry;
+using store::Entry;
 
 constexpr base::Duration kHalfRoundTrip = base::Milliseconds(1);
 
@@ -20,21 +20,21 @@
 
 }  // namespace
 
-platform::Store FakeStore::store() {
-  platform::Store store;
+store::Store FakeStore::store() {
+  store::Store store;
   store.read = [this](const std::string& key, base::Duration timeout,
-                      const platform::Store::ReadCallback& callback) {
+                      const store::Store::ReadCallback& callback) {
     Read(key, timeout, callback);
   };
   store.compare_and_swap =
       [this](const std::string& key, const std::string& value,
              std::int64_t expected_version, base::Duration timeout,
-             const platform::Store::WriteCallback& callback) {
+             const store::Store::WriteCallback& callback) {
         Write(key, value, expected_version, timeout, callback);
       };
   store.watch = [this](const std::string& key, std::int64_t after_version,
                        base::Duration wait,
-                       const platform::Store::ReadCallback& callback) {
+                       const store::Store::ReadCallback& callback) {
     Watch(key, after_version, wait, callback);
   };
   return store;
@@ -69,7 +69,7 @@
 
 void FakeStore::Read(const std::string& key,
                      base::Duration timeout,
-                     const platform::Store::ReadCallback& callback) {
+                     const store::Store::ReadCallback& callback) {
   ++reads_;
   const StoreFault fault = ChooseFault(false);
   if (fault == StoreFault::kDown) {
@@ -94,7 +94,7 @@
                       const std::string& value,
                       std::int64_t expected_version,
                       base::Duration timeout,
-                      const platform::Store::WriteCallback& callback) {
+                      const store::Store::WriteCallback& callback) {
   ++writes_;
   const StoreFault fault = ChooseFault(true);
   if (fault == StoreFault::kDown) {
@@ -128,7 +128,7 @@
 void FakeStore::Watch(const std::string& key,
                       std::int64_t after_version,
                       base::Duration wait,
-                      const platform::Store::ReadCallback& callback) {
+                      const store::Store::ReadCallback& callback) {
   ++watches_;
   if (ChooseFault(false) != StoreFault::kNone) {
     runner_.After(kHalfRoundTrip, [callback] {
@@ -153,7 +153,7 @@
     std::exchange(before_next_write, nullptr)();
   }
   const auto entry = Get(key);
-  if ((entry ? entry->version : platform::kAbsent) != expected_version) {
+  if ((entry ? entry->version : store::kAbsent) != expected_version) {
     return std::nullopt;
   }
   const std::int64_t version = next_version_++;
--- a/tests/targets/fake_store.h
+++ b/tests/targets/fake_store.h
@@ -13,7 +13,7 @@
 #include <string>
 
 #include "src/base/task_runner.h"
-#include "src/platform/store.h"
+#include "src/store/store.h"
 
 namespace medlarspread::targets {
 
@@ -35,7 +35,7 @@
  public:
   explicit FakeStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
 
-  platform::Store store();
+  store::Store store();
 
   // Decides the fate of each call; none fails if it is not set.
   std::function<StoreFault(bool is_write)> choose_fault;
@@ -44,11 +44,11 @@
   base::Duration late_by = base::Milliseconds(2500);
 
   // The entry, or nothing.
-  std::optional<platform::Entry> Get(const std::string& key) const;
+  std::optional<store::Entry> Get(const std::string& key) const;
   // Puts back an older entry, or absence. The versions go on growing unless the
   // entry's own version is to come back as well.
   void Restore(const std::string& key,
-               const std::optional<platform::Entry>& entry,
+               const std::optional<store::Entry>& entry,
                bool is_version_restored);
 
   int reads() const { return reads_; }
@@ -59,22 +59,22 @@
   struct Waiter {
     std::string key;
     std::int64_t after_version;
-    platform::Store::ReadCallback callback;
+    store::Store::ReadCallback callback;
   };
 
   StoreFault ChooseFault(bool is_write);
   void Read(const std::string& key,
             base::Duration timeout,
-            const platform::Store::ReadCallback& callback);
+            const store::Store::ReadCallback& callback);
   void Write(const std::string& key,
              const std::string& value,
              std::int64_t expected_version,
              base::Duration timeout,
-             const platform::Store::WriteCallback& callback);
+             const store::Store::WriteCallback& callback);
   void Watch(const std::string& key,
              std::int64_t after_version,
              base::Duration wait,
-             const platform::Store::ReadCallback& callback);
+             const store::Store::ReadCallback& callback);
   // The new version, or nothing if the expected one is not there.
   std::optional<std::int64_t> Swap(const std::string& key,
                                    const std::string& value,
@@ -82,7 +82,7 @@
   void WakeWaiters();
 
   base::TaskRunner runner_;
-  std::map<std::string, platform::Entry> entries_;
+  std::map<std::string, store::Entry> entries_;
   std::int64_t next_version_ = 1;
   std::list<std::shared_ptr<Waiter>> waiters_;
   int reads_ = 0;
--- a/tests/targets/targets_controller_test.cc
+++ b/tests/targets/targets_controller_test.cc
@@ -56,7 +56,7 @@
     const auto entry = fleet_.store().Get(kTargetsKey);
     const TargetsRecord base =
         entry ? DecodeRecord(entry->value).value() : TargetsRecord();
-    platform::Entry next{kTargetsKey,
+    store::Entry next{kTargetsKey,
                          EncodeRecord(ApplyChange(base, change, 0)), 0};
     fleet_.store().Restore(kTargetsKey, next, false);
   }
@@ -307,7 +307,7 @@
 TEST_F(TargetsControllerTest, MalformedRecordIsAnAlarmAndKeptOut) {
   EXPECT_EQ(Accept(MakeChange("c1", "counter", 50)), 1);
   const auto good = fleet_.store().Get(kTargetsKey);
-  fleet_.store().Restore(kTargetsKey, platform::Entry{kTargetsKey, "{", 0},
+  fleet_.store().Restore(kTargetsKey, store::Entry{kTargetsKey, "{", 0},
                          false);
   fleet_.Advance(kSettle);
   EXPECT_EQ(daemon().revision(), 1);
@@ -331,7 +331,7 @@
 
 class HeldTargetsTest : public testing::Test {
  protected:
-  static platform::Entry MakeEntry(int changes) {
+  static store::Entry MakeEntry(int changes) {
     TargetsRecord record;
     for (int i = 0; i < changes; ++i) {
       record = ApplyChange(
--- a/tests/targets/targets_fleet_test.cc
+++ b/tests/targets/targets_fleet_test.cc
@@ -198,7 +198,7 @@
   EXPECT_FALSE(HasAnyAlarm(HasConflict));
   const std::string other =
       EncodeRecord(ApplyChange({}, MakeChange("other", "counter", 99), 0));
-  fleet_.store().Restore(kTargetsKey, platform::Entry{kTargetsKey, other, 0},
+  fleet_.store().Restore(kTargetsKey, store::Entry{kTargetsKey, other, 0},
                          false);
   fleet_.Advance(kSettle);
   EXPECT_TRUE(HasAnyAlarm(HasConflict));
--- a/tests/targets/targets_property_test.cc
+++ b/tests/targets/targets_property_test.cc
@@ -113,7 +113,7 @@
   FakeFleet fleet_;
   base::Random faults_;
   std::vector<Submitted> submitted_;
-  std::vector<std::optional<platform::Entry>> history_ = {std::nullopt};
+  std::vector<std::optional<store::Entry>> history_ = {std::nullopt};
 };
 
 void Run::Do(const Command& command) {
--- a/tests/upstream/draining_bound_test.cc
+++ b/tests/upstream/draining_bound_test.cc
@@ -56,8 +56,8 @@
   }
 
   std::unique_ptr<UpstreamController> MakeController(Daemon& daemon) {
-    const platform::Vm vm{.name = kLeaf,
-                          .role = platform::VmRole::kUpstream,
+    const store::Vm vm{.name = kLeaf,
+                          .role = store::VmRole::kUpstream,
                           .address = "10.0.0.1:80",
                           .region = "south",
                           .failure_domain = "a",
@@ -65,8 +65,8 @@
                           .collection = "proofs"};
     return std::make_unique<UpstreamController>(
         settings_, base::Clock(time_), random_, runner_,
-        [vm](base::Duration, const platform::VmListCallback& callback) {
-          callback(std::vector<platform::Vm>{vm});
+        [vm](base::Duration, const store::VmListCallback& callback) {
+          callback(std::vector<store::Vm>{vm});
         },
         [](const blackboard::Upstream&, base::Duration,
            const HealthCallback& callback) {
--- a/tests/upstream/upstream_controller_test.cc
+++ b/tests/upstream/upstream_controller_test.cc
@@ -18,9 +18,9 @@
 constexpr Holding kOld{{7, 3}, {0, 100}};
 constexpr Holding kNew{{8, 3}, {0, 100}};
 
-platform::Vm MakeVm(const std::string& name, bool is_leaving = false) {
+store::Vm MakeVm(const std::string& name, bool is_leaving = false) {
   return {.name = name,
-          .role = platform::VmRole::kUpstream,
+          .role = store::VmRole::kUpstream,
           .address = "10.0.0.1:80",
           .region = "south",
           .failure_domain = "a",
@@ -73,7 +73,7 @@
   UpstreamSettings settings_;
 
   // What the fakes answer.
-  std::vector<platform::Vm> vms_ = {MakeVm(kLeaf)};
+  std::vector<store::Vm> vms_ = {MakeVm(kLeaf)};
   bool is_list_up_ = true;
   LeafHealth health_;
   std::optional<ErrorCode> health_error_;
@@ -85,7 +85,7 @@
       base::Clock(time_),
       random_,
       base::TaskRunner(scheduler_),
-      [this](base::Duration, const platform::VmListCallback& callback) {
+      [this](base::Duration, const store::VmListCallback& callback) {
         if (is_list_up_) {
           callback(vms_);
           return;
