--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -10,6 +10,7 @@
 
 #include "src/platform/caller_codec.h"
 #include "src/platform/leaf_codec.h"
+#include "src/settings/load_settings.h"
 
 namespace medlarspread::daemon {
 
@@ -23,6 +24,9 @@
 // What is left of the bound for the process to end by itself.
 constexpr base::Duration kEndMargin = base::Milliseconds(500);
 constexpr base::Duration kEndPoll = base::Milliseconds(20);
+// Settings files may change without a signal; reading a file's time of change
+// costs one system call.
+constexpr base::Duration kSettingsInterval = base::Milliseconds(3'000);
 constexpr base::Duration kPruneInterval = base::Milliseconds(2'000);
 // Of what all daemons together may send beyond the first sends, this part is
 // planned with. The rest is left for daemons that restart and have forgotten
@@ -101,7 +105,11 @@
     }
   }
   control_.runner().Post([this] { controllers_.Start(); });
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.add(SIGHUP);
   WaitForSignal();
+  WatchSettingsFile();
   PruneConnections();
   log_.Write({.level = base::LogLevel::kInfo,
               .step = base::Step::kListen,
@@ -210,16 +218,47 @@
 }
 
 void OpaqueDaemon::WaitForSignal() {
-  boost::system::error_code ignored;
-  signals_.add(SIGTERM, ignored);
-  signals_.add(SIGINT, ignored);
-  signals_.async_wait([this](const boost::system::error_code& error, int) {
-    if (!error) {
+  signals_.async_wait([this](const boost::system::error_code& error,
+                             int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      Reload("signal");
+    } else if (stop_began_ == base::MonotonicTime{}) {
       DidAskToStop();
     }
+    WaitForSignal();
   });
 }
 
+void OpaqueDaemon::Reload(const char* why) {
+  auto loaded = settings::LoadSettings(settings_.file);
+  if (!loaded.is_ok()) {
+    log_.DidFail(loaded.error(), "the settings stay as they were");
+    return;
+  }
+  settings_ = std::move(loaded.value());
+  log_.set_level(settings_.log.level);
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kSettings,
+              .message = std::string("settings were read again: ") + why});
+}
+
+void OpaqueDaemon::WatchSettingsFile() {
+  std::error_code error;
+  const auto written =
+      std::filesystem::last_write_time(settings_.file, error);
+  const bool is_first = settings_written_ == decltype(settings_written_){};
+  if (!error && written != settings_written_) {
+    settings_written_ = written;
+    if (!is_first) {
+      Reload("the file has changed");
+    }
+  }
+  traffic_.After(kSettingsInterval, [this] { WatchSettingsFile(); });
+}
+
 void OpaqueDaemon::DidAskToStop() {
   stop_began_ = clock_.Now();
   blackboard_.lifecycle.Write({LifecycleState::kStopping, "stopping"});
--- a/src/daemon/opaque_daemon.h
+++ b/src/daemon/opaque_daemon.h
@@ -6,6 +6,7 @@
 #ifndef MEDLARSPREAD_DAEMON_OPAQUE_DAEMON_H_
 #define MEDLARSPREAD_DAEMON_OPAQUE_DAEMON_H_
 
+#include <filesystem>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -48,17 +49,24 @@
   void Record(const burn::RequestRecord& record);
   void PruneConnections();
 
+  void WaitForSignal();
+  // Reads the settings file again, on a signal or because it has changed. What
+  // holds from then on: the level of the log, the limits of requests and extra
+  // sends, the bound of a stop. Addresses hold until the next start. A file
+  // with a problem is left out.
+  void Reload(const char* why);
+  void WatchSettingsFile();
+
   // The steps of a stop:
   //   1. not ready; each answer closes its connection;
   //   2. when the balancer has moved the callers elsewhere: accept no more and
   //      close the connections without a request;
   //   3. end when no request is left, or when the bound is near.
-  void WaitForSignal();
   void DidAskToStop();
   void CloseCallers();
   void EndWhenDone();
 
-  const settings::DaemonSettings settings_;
+  settings::DaemonSettings settings_;
   const base::Log log_;
   const base::Clock clock_;
   const std::shared_ptr<base::Random> random_;
@@ -76,6 +84,8 @@
   std::shared_ptr<http1::CallerListener> readiness_;
   std::shared_ptr<http1::CallerListener> metrics_page_;
   base::MonotonicTime stop_began_;
+  // When the settings file was last written, as it was last read.
+  std::filesystem::file_time_type settings_written_;
 };
 
 }  // namespace medlarspread::daemon
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -132,6 +132,8 @@
 };
 
 struct DaemonSettings {
+  // The file they were read from; empty if they were given as text.
+  std::string file;
   VmSettings vm;
   CallersSettings callers;
   OperatorsSettings operators;
--- a/src/settings/load_settings.cc
+++ b/src/settings/load_settings.cc
@@ -74,6 +74,7 @@
   if (!status.is_ok()) {
     return status.error();
   }
+  settings.value().file = path;
   return settings;
 }
 
