Relay: Ask the store again after a cut watch; readers never follow each other

Ruled out: the store's 410, which was handled. The age of news now runs along the chain, a renewal counts only while the store itself is watched, and a reader takes news only from one that reads the store.

--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2831,6 +2831,10 @@
 void StoreNews::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void StoreNews::__set_is_direct(const bool val) {
+  this->is_direct = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
 {
   obj.printTo(out);
@@ -2903,6 +2907,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_direct);
+          this->__isset.is_direct = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2944,6 +2956,10 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("is_direct", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->is_direct);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2955,6 +2971,7 @@
   swap(a.revision, b.revision);
   swap(a.cursor, b.cursor);
   swap(a.age_ms, b.age_ms);
+  swap(a.is_direct, b.is_direct);
   swap(a.__isset, b.__isset);
 }
 
@@ -2963,6 +2980,7 @@
   revision = other102.revision;
   cursor = other102.cursor;
   age_ms = other102.age_ms;
+  is_direct = other102.is_direct;
   __isset = other102.__isset;
 }
 StoreNews::StoreNews(StoreNews&& other103) noexcept {
@@ -2970,6 +2988,7 @@
   revision = other103.revision;
   cursor = other103.cursor;
   age_ms = other103.age_ms;
+  is_direct = other103.is_direct;
   __isset = other103.__isset;
 }
 StoreNews& StoreNews::operator=(const StoreNews& other104) {
@@ -2977,6 +2996,7 @@
   revision = other104.revision;
   cursor = other104.cursor;
   age_ms = other104.age_ms;
+  is_direct = other104.is_direct;
   __isset = other104.__isset;
   return *this;
 }
@@ -2985,6 +3005,7 @@
   revision = other105.revision;
   cursor = other105.cursor;
   age_ms = other105.age_ms;
+  is_direct = other105.is_direct;
   __isset = other105.__isset;
   return *this;
 }
@@ -2995,6 +3016,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "cursor=" << to_string(cursor);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "is_direct=" << to_string(is_direct);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1074,11 +1074,12 @@
 std::ostream& operator<<(std::ostream& out, const StoreEvent& obj);
 
 typedef struct _StoreNews__isset {
-  _StoreNews__isset() : events(false), revision(false), cursor(false), age_ms(false) {}
+  _StoreNews__isset() : events(false), revision(false), cursor(false), age_ms(false), is_direct(false) {}
   bool events :1;
   bool revision :1;
   bool cursor :1;
   bool age_ms :1;
+  bool is_direct :1;
 } _StoreNews__isset;
 
 class StoreNews : public virtual ::apache::thrift::TBase {
@@ -1091,7 +1092,8 @@
   StoreNews() noexcept
             : revision(0),
               cursor(0),
-              age_ms(0) {
+              age_ms(0),
+              is_direct(0) {
   }
 
   virtual ~StoreNews() noexcept;
@@ -1099,6 +1101,7 @@
   int64_t revision;
   int64_t cursor;
   int32_t age_ms;
+  bool is_direct;
 
   _StoreNews__isset __isset;
 
@@ -1110,6 +1113,8 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_is_direct(const bool val);
+
   bool operator == (const StoreNews & rhs) const
   {
     if (!(events == rhs.events))
@@ -1120,6 +1125,8 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(is_direct == rhs.is_direct))
+      return false;
     return true;
   }
   bool operator != (const StoreNews &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -172,6 +172,8 @@
   3: i64 cursor;
   // Milliseconds since the store last answered the first daemon of the chain.
   4: i32 age_ms;
+  // Whether the sender reads the store itself.
+  5: bool is_direct;
 }
 
 struct Envelope {
--- a/src/relay/news_codec.cc
+++ b/src/relay/news_codec.cc
@@ -36,6 +36,7 @@
   message.cursor = news.cursor;
   message.age_ms = static_cast<std::int32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(news.age).count());
+  message.is_direct = news.is_direct;
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
   message.write(&protocol);
@@ -66,6 +67,7 @@
   news.revision = message.revision;
   news.cursor = message.cursor;
   news.age = base::Milliseconds(message.age_ms);
+  news.is_direct = message.is_direct;
   return news;
 }
 
--- a/src/relay/news_codec.h
+++ b/src/relay/news_codec.h
@@ -18,6 +18,8 @@
   std::int64_t cursor = 0;
   // Since the store last answered the first daemon of the chain.
   base::Duration age{};
+  // Whether the sender reads the store itself.
+  bool is_direct = false;
 };
 
 std::string EncodeNews(const News& news);
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -5,7 +5,6 @@
 #include <charconv>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "src/relay/news_codec.h"
 
@@ -41,19 +40,21 @@
 
 NewsServer::NewsServer(const store::EventLog& log,
                        base::TaskRunner control,
-                       std::function<std::optional<base::Duration>()> age)
-    : log_(log), control_(std::move(control)), age_(std::move(age)) {}
+                       std::function<std::optional<Freshness>()> freshness)
+    : log_(log),
+      control_(std::move(control)),
+      freshness_(std::move(freshness)) {}
 
 http1::Abandon NewsServer::Handle(const http1::Request& request,
                                   http1::Respond respond) {
   const std::string_view target(request.target().data(),
                                 request.target().size());
-  if (!age_()) {
+  if (!freshness_()) {
     respond(MakeResponse(http1::Status::service_unavailable, ""));
     return [] {};
   }
   if (target == kNewsTarget) {
-    respond(RenderEverything());
+    respond(Render(log_.Everything()));
     return [] {};
   }
   const auto cursor = ParseCursor(target);
@@ -98,17 +99,15 @@
   if (!changes) {
     return MakeResponse(http1::Status::gone, "");
   }
-  return MakeResponse(http1::Status::ok,
-                      EncodeNews({std::move(*changes), log_.revision(),
-                                  log_.cursor(),
-                                  age_().value_or(base::Duration{})}));
+  return Render(std::move(*changes));
 }
 
-http1::Response NewsServer::RenderEverything() const {
-  return MakeResponse(http1::Status::ok,
-                      EncodeNews({log_.Everything(), log_.revision(),
-                                  log_.cursor(),
-                                  age_().value_or(base::Duration{})}));
+http1::Response NewsServer::Render(std::vector<store::Event> events) const {
+  const Freshness freshness = freshness_().value_or(Freshness{});
+  return MakeResponse(
+      http1::Status::ok,
+      EncodeNews({std::move(events), log_.revision(), log_.cursor(),
+                  freshness.age, freshness.is_direct}));
 }
 
 }  // namespace medlarspread::relay
--- a/src/relay/news_server.h
+++ b/src/relay/news_server.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "src/base/clock.h"
 #include "src/base/task_runner.h"
@@ -26,14 +27,21 @@
 // the one it asks has frozen or lost the store, together with its own timeout.
 constexpr base::Duration kNewsWait = base::Milliseconds(700);
 
+// How close this daemon is to the store.
+struct Freshness {
+  // Since the store last answered the first daemon of the chain.
+  base::Duration age{};
+  // Whether this daemon reads the store itself.
+  bool is_direct = false;
+};
+
 // Runs on the control thread.
 class NewsServer : public std::enable_shared_from_this<NewsServer> {
  public:
-  // `age` is the time since the store last answered; absent while this daemon
-  // has not read it yet.
+  // `freshness` is absent while this daemon has not read anything yet.
   NewsServer(const store::EventLog& log,
              base::TaskRunner control,
-             std::function<std::optional<base::Duration>()> age);
+             std::function<std::optional<Freshness>()> freshness);
 
   http1::Abandon Handle(const http1::Request& request, http1::Respond respond);
   // The log has grown.
@@ -46,12 +54,12 @@
   };
 
   http1::Response RenderChanges(std::int64_t cursor) const;
-  http1::Response RenderEverything() const;
+  http1::Response Render(std::vector<store::Event> events) const;
   void Answer(std::uint64_t id);
 
   const store::EventLog& log_;
   const base::TaskRunner control_;
-  const std::function<std::optional<base::Duration>()> age_;
+  const std::function<std::optional<Freshness>()> freshness_;
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, Waiting> waiting_;
 };
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -9,8 +9,6 @@
 #include "src/base/overloaded.h"
 #include "src/base/rendezvous.h"
 #include "src/http1/caller_listener.h"
-#include "src/relay/news_codec.h"
-#include "src/relay/news_server.h"
 
 namespace medlarspread::relay {
 
@@ -31,8 +29,13 @@
 // bursts, and each watch that they end is a call that is paid for. Drains and
 // configurations have 3 s to be known everywhere.
 constexpr base::Duration kGather = base::Milliseconds(700);
-// How long a place that failed is left alone.
+// How long a peer that failed is left alone.
 constexpr base::Duration kAvoidance = base::Milliseconds(4'000);
+// The store is asked again at once after one failure, since it cuts watches
+// that are well now and then; after more it is left alone for a time that
+// doubles.
+constexpr base::Duration kFirstStoreAvoidance = base::Milliseconds(500);
+constexpr int kMostStoreDoublings = 3;
 
 std::vector<std::string> RankedMembers(const blackboard::MembershipView& view,
                                        const std::string& domain) {
@@ -87,15 +90,23 @@
   return ranked.empty() || ranked.front() == settings_.vm;
 }
 
+void NewsSource::DidRenew() {
+  if (place_ == kStore && store_failures_ == 0) {
+    DidReachStore();
+  }
+}
+
 void NewsSource::DidReachStore() {
+  store_failures_ = 0;
   reached_store_ = clock_.Now();
 }
 
-std::optional<base::Duration> NewsSource::age() const {
+std::optional<Freshness> NewsSource::freshness() const {
   if (!reached_store_) {
     return std::nullopt;
   }
-  return clock_.Now() - *reached_store_;
+  return Freshness{clock_.Now() - *reached_store_,
+                   place_ == kStore && store_failures_ == 0};
 }
 
 std::vector<std::string> NewsSource::Places() const {
@@ -149,11 +160,43 @@
 }
 
 void NewsSource::DidFail(const std::string& place, const base::Error& error) {
-  avoid_until_[place] = clock_.Now() + kAvoidance;
+  base::Duration avoidance = kAvoidance;
+  if (place == kStore) {
+    const int doublings = std::min(store_failures_ - 1, kMostStoreDoublings);
+    avoidance = store_failures_ == 0 ? base::Duration{}
+                                     : kFirstStoreAvoidance * (1 << doublings);
+    ++store_failures_;
+  }
+  avoid_until_[place] = clock_.Now() + avoidance;
   log_.DidFail(error, place == kStore ? "no news from the store"
                                       : "no news from a peer");
 }
 
+bool NewsSource::is_in_own_domain(const std::string& peer) const {
+  const auto view = blackboard_.membership.Read();
+  for (const auto& [name, member] : view->members) {
+    if (member.address == peer) {
+      return member.failure_domain == settings_.failure_domain;
+    }
+  }
+  return false;
+}
+
+std::optional<base::Error> NewsSource::Check(const std::string& place,
+                                             const News& news) const {
+  if (news.age > kMostAge) {
+    return base::MakeError(ErrorCode::kTimeout, Step::kWatchStore, place,
+                           "its news are " +
+                               std::to_string(news.age.count() / 1000) +
+                               " ms old");
+  }
+  if (!news.is_direct && !is_in_own_domain(place) && reached_store_) {
+    return base::MakeError(ErrorCode::kUnavailable, Step::kWatchStore, place,
+                           "it does not read the store itself");
+  }
+  return std::nullopt;
+}
+
 void NewsSource::List(const std::string& prefix,
                       const std::string& after,
                       ListCallback done) {
@@ -220,12 +263,10 @@
                                news.error().ToString()));
           return;
         }
-        self->reached_store_ = self->clock_.Now() - news.value().age;
-        if (news.value().age > kMostAge) {
-          self->DidFail(place,
-                        base::MakeError(ErrorCode::kTimeout, Step::kWatchStore,
-                                        place, "its news are too old"));
+        if (auto problem = self->Check(place, news.value())) {
+          self->DidFail(place, *problem);
         }
+        self->reached_store_ = self->clock_.Now() - news.value().age;
         done(store::Changes{std::move(news.value().events),
                             news.value().cursor});
       });
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -5,7 +5,8 @@
 // the store; the others ask it. So the calls to the store grow with the failure
 // domains and not with the daemons. A place that fails, or whose news are too
 // old, is left alone for some seconds, and the next one is asked:
-//   - the reader of the domain asks the store, then readers of other domains;
+//   - the reader of the domain asks the store, then readers of other domains
+//     that do read the store, so that no two ever wait for each other;
 //   - any other daemon asks its reader, then the next in order, then the store,
 //     then readers of other domains;
 //   - a daemon that knows no others yet asks the store, then the addresses in
@@ -30,6 +31,7 @@
 #include "src/blackboard/blackboard.h"
 #include "src/http1/client_connection.h"
 #include "src/relay/news_codec.h"
+#include "src/relay/news_server.h"
 #include "src/store/event_source.h"
 
 namespace medlarspread::relay {
@@ -56,11 +58,11 @@
   store::EventSource source();
   // Whether this daemon reads the store for its failure domain.
   bool is_reader() const;
-  // The store has answered this daemon.
-  void DidReachStore();
-  // Since the store last answered the first daemon of the chain; absent if no
-  // place has answered yet.
-  std::optional<base::Duration> age() const;
+  // A lease was renewed, which shows that the store answers. It says nothing of
+  // the news while they come from somewhere else.
+  void DidRenew();
+  // Absent if no place has answered yet.
+  std::optional<Freshness> freshness() const;
 
  private:
   using ListCallback = std::function<void(base::Result<store::Page>)>;
@@ -70,7 +72,12 @@
   std::vector<std::string> Places() const;
   std::vector<std::string> ReadersOfOtherDomains() const;
   std::string ChoosePlace() const;
+  void DidReachStore();
   void DidFail(const std::string& place, const base::Error& error);
+  // Why news from the place are not taken, if they are not.
+  std::optional<base::Error> Check(const std::string& place,
+                                   const News& news) const;
+  bool is_in_own_domain(const std::string& peer) const;
   void List(const std::string& prefix,
             const std::string& after,
             ListCallback done);
@@ -101,6 +108,8 @@
   std::string place_;
   // Until when a place is left alone.
   std::map<std::string, base::MonotonicTime> avoid_until_;
+  // Failures of the store in a row.
+  int store_failures_ = 0;
   // When the store answered, as far as this daemon knows.
   std::optional<base::MonotonicTime> reached_store_;
   std::shared_ptr<http1::ClientConnection> connection_;
