--- /dev/null
+++ b/tests/http1/client_connection_test.cc
@@ -0,0 +1,179 @@
+// ClientConnection against peers that answer well, late, too much, or not to
+// the end.
+
+#include "src/http1/client_connection.h"
+
+#include <memory>
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "src/http1/caller_listener.h"
+#include "tests/upstream/raw_leaf.h"
+
+namespace medlarspread::http1 {
+namespace {
+
+using upstream::RawLeaf;
+
+constexpr auto kLongest = std::chrono::seconds(20);
+
+class ClientConnectionTest : public testing::Test {
+ protected:
+  void Open(RawLeaf::Script script) {
+    raw_ = std::make_unique<RawLeaf>(std::move(script), "\r\n\r\n");
+    Connect();
+  }
+
+  void Connect() {
+    ClientConnection::Settings settings;
+    settings.peer = ParseEndpoint(raw_->address()).value();
+    settings.did_change = [](ClientConnection&) {};
+    connection_ =
+        std::make_shared<ClientConnection>(context_, std::move(settings));
+  }
+
+  // Sends a request with the identifier and runs until it has ended.
+  ExchangeResult Ask(const std::string& id) {
+    auto request = std::make_shared<Request>(boost::beast::http::verb::get,
+                                             "/a%2fb/..//c?y=+%20", 11);
+    request->set("Id", id);
+    std::optional<ExchangeResult> result;
+    Exchange exchange;
+    exchange.request = request;
+    exchange.is_mine = [id](const Response& response) {
+      const auto field = response.find("Id");
+      return field == response.end() || field->value() == id;
+    };
+    exchange.done = [&result](ExchangeResult ended) {
+      result = std::move(ended);
+    };
+    connection_->Start(std::move(exchange));
+    RunUntil([&result] { return result.has_value(); });
+    return std::move(*result);
+  }
+
+  void RunUntil(const std::function<bool()>& is_done) {
+    context_.restart();
+    const auto end = std::chrono::steady_clock::now() + kLongest;
+    while (!is_done() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(10));
+      context_.restart();
+    }
+    ASSERT_TRUE(is_done());
+  }
+
+  static std::string Answer(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+  boost::asio::io_context context_;
+  std::unique_ptr<RawLeaf> raw_;
+  std::shared_ptr<ClientConnection> connection_;
+};
+
+TEST_F(ClientConnectionTest, KeepsTheConnectionForTheNextRequest) {
+  Open([](int index) {
+    return RawLeaf::Reply{Answer(std::to_string(index), "body"), false};
+  });
+  for (const char* id : {"1", "2", "3"}) {
+    const ExchangeResult result = Ask(id);
+    ASSERT_TRUE(std::holds_alternative<Response>(result));
+    EXPECT_EQ(std::get<Response>(result).body(), "body");
+  }
+  EXPECT_EQ(raw_->most_connections(), 1);
+}
+
+TEST_F(ClientConnectionTest, DropsAnAnswerToAnEarlierRequest) {
+  Open([](int) {
+    return RawLeaf::Reply{Answer("old", "wrong") + Answer("new", "right"),
+                          false};
+  });
+  const ExchangeResult result = Ask("new");
+  ASSERT_TRUE(std::holds_alternative<Response>(result));
+  EXPECT_EQ(std::get<Response>(result).body(), "right");
+}
+
+TEST_F(ClientConnectionTest, NeverReusesAConnectionWithBytesBehindTheAnswer) {
+  Open([](int) {
+    return RawLeaf::Reply{Answer("a", "right") + Answer("a", "extra"), false};
+  });
+  const ExchangeResult result = Ask("a");
+  ASSERT_TRUE(std::holds_alternative<Response>(result));
+  EXPECT_EQ(std::get<Response>(result).body(), "right");
+  EXPECT_TRUE(connection_->is_closed());
+}
+
+TEST_F(ClientConnectionTest, ClosesWhenBytesArriveWithoutARequest) {
+  Open([](int) { return RawLeaf::Reply{Answer("a", "right"), true}; });
+  (void)Ask("a");
+  RunUntil([this] { return connection_->is_closed(); });
+}
+
+TEST_F(ClientConnectionTest, AnswerWithoutLengthEndsWithItsConnection) {
+  Open([](int) {
+    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\n\r\nwhole", true};
+  });
+  const ExchangeResult result = Ask("a");
+  ASSERT_TRUE(std::holds_alternative<Response>(result));
+  EXPECT_EQ(std::get<Response>(result).body(), "whole");
+  EXPECT_TRUE(connection_->is_closed());
+}
+
+TEST_F(ClientConnectionTest, AnswerCutShortIsAFailureThatMayHaveRun) {
+  Open([](int) {
+    const std::string whole = Answer("a", "0123456789");
+    return RawLeaf::Reply{whole.substr(0, whole.size() - 3), true};
+  });
+  const ExchangeResult result = Ask("a");
+  ASSERT_TRUE(std::holds_alternative<ExchangeFailure>(result));
+  EXPECT_TRUE(std::get<ExchangeFailure>(result).was_sent);
+}
+
+TEST_F(ClientConnectionTest, NeverSendsARequestAgain) {
+  Open([](int index) {
+    // The second request on the connection gets no answer.
+    return index == 1 ? RawLeaf::Reply{Answer("a", "x"), false}
+                      : RawLeaf::Reply{"", true};
+  });
+  (void)Ask("a");
+  const ExchangeResult result = Ask("b");
+  ASSERT_TRUE(std::holds_alternative<ExchangeFailure>(result));
+  EXPECT_TRUE(std::get<ExchangeFailure>(result).was_sent);
+  EXPECT_EQ(raw_->requests(), 2);
+}
+
+TEST_F(ClientConnectionTest, WhatIsNoHttpIsMalformed) {
+  Open([](int) { return RawLeaf::Reply{"bytes of something else\r\n", true}; });
+  const ExchangeResult result = Ask("a");
+  ASSERT_TRUE(std::holds_alternative<ExchangeFailure>(result));
+  EXPECT_EQ(std::get<ExchangeFailure>(result).error.code,
+            base::ErrorCode::kMalformed);
+}
+
+TEST_F(ClientConnectionTest, RefusedConnectionSaysThatNothingWasSent) {
+  Open([](int) { return RawLeaf::Reply{}; });
+  raw_.reset();
+  const ExchangeResult result = Ask("a");
+  ASSERT_TRUE(std::holds_alternative<ExchangeFailure>(result));
+  EXPECT_FALSE(std::get<ExchangeFailure>(result).was_sent);
+}
+
+TEST_F(ClientConnectionTest, TakesTheTimeThatThePeerKeepsItIdle) {
+  Open([](int) {
+    return RawLeaf::Reply{
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: "
+        "0\r\n\r\n",
+        false};
+  });
+  const base::MonotonicTime before = base::Clock().Now();
+  (void)Ask("a");
+  ASSERT_TRUE(connection_->idle_until().has_value());
+  EXPECT_LT(*connection_->idle_until(), before + base::Milliseconds(5'000));
+  EXPECT_GT(*connection_->idle_until(), before + base::Milliseconds(3'000));
+}
+
+}  // namespace
+}  // namespace medlarspread::http1
--- /dev/null
+++ b/tests/query/fake_leafs.h
@@ -0,0 +1,77 @@
+// Leafs of opaque requests that answer when the test says so.
+
+#ifndef MEDLARSPREAD_TESTS_QUERY_FAKE_LEAFS_H_
+#define MEDLARSPREAD_TESTS_QUERY_FAKE_LEAFS_H_
+
+#include <deque>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/upstream/forward_port.h"
+
+namespace medlarspread::query {
+
+class FakeLeafs {
+ public:
+  struct Sent {
+    blackboard::Upstream leaf;
+    upstream::ForwardCall call;
+    upstream::ForwardPort::Callback done;
+    bool is_cancelled = false;
+    bool is_lingering = false;
+  };
+
+  upstream::ForwardPort port() {
+    return {[this](const blackboard::Upstream& leaf, upstream::ForwardCall call,
+                   upstream::ForwardPort::Callback done) {
+              sent_.push_back({leaf, std::move(call), std::move(done)});
+              const std::size_t index = sent_.size() - 1;
+              return upstream::SentCall{
+                  [this, index] { sent_[index].is_cancelled = true; },
+                  [this, index] { sent_[index].is_lingering = true; }};
+            },
+            [this](const blackboard::Upstream& leaf) {
+              return !full_.contains(leaf.name);
+            }};
+  }
+
+  // Answers send `index` with a body and a proof of its own.
+  void Answer(std::size_t index, const std::string& body) {
+    upstream::ForwardReply reply;
+    reply.outcome = upstream::LeafOutcome::kAnswered;
+    reply.message.result(http1::Status::ok);
+    reply.message.body() = body;
+    reply.proof = "proof-" + sent_[index].leaf.name;
+    reply.service_time = base::Milliseconds(5);
+    End(index, std::move(reply));
+  }
+
+  void Fail(std::size_t index, upstream::LeafOutcome outcome) {
+    upstream::ForwardReply reply;
+    reply.outcome = outcome;
+    reply.message.result(http1::Status::internal_server_error);
+    reply.error = base::MakeError(base::ErrorCode::kConnectionLost,
+                                  base::Step::kReadUpstream,
+                                  sent_[index].leaf.name, "fake");
+    End(index, std::move(reply));
+  }
+
+  std::deque<Sent>& sent() { return sent_; }
+  // Names of leafs that have no connection free.
+  std::set<std::string>& full() { return full_; }
+
+ private:
+  void End(std::size_t index, upstream::ForwardReply reply) {
+    const auto done = std::exchange(sent_[index].done, nullptr);
+    done(std::move(reply));
+  }
+
+  std::deque<Sent> sent_;
+  std::set<std::string> full_;
+};
+
+}  // namespace medlarspread::query
+
+#endif  // MEDLARSPREAD_TESTS_QUERY_FAKE_LEAFS_H_
--- /dev/null
+++ b/tests/query/forward_service_test.cc
@@ -0,0 +1,365 @@
+// ForwardService and FanOutSession over fake leafs and a manual clock.
+
+#include "src/query/forward_service.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "tests/query/fake_leafs.h"
+
+namespace medlarspread::query {
+namespace {
+
+using base::Milliseconds;
+using blackboard::AllShards;
+using blackboard::OneCollection;
+using blackboard::Upstream;
+using blackboard::UpstreamState;
+using upstream::LeafOutcome;
+
+class ForwardServiceTest : public testing::Test {
+ protected:
+  ForwardServiceTest() {
+    for (int shard = 0; shard < kShards; ++shard) {
+      for (const char* domain : {"n1", "s1", "w1"}) {
+        AddLeaf("shard" + std::to_string(shard), domain);
+      }
+    }
+    for (const char* domain : {"n1", "s1", "w1"}) {
+      AddLeaf("single", domain);
+    }
+    blackboard_.upstreams.Write(leafs_view_);
+    SetRoute(AllShards{{"shard0", "shard1", "shard2", "shard3"}, 2}, true);
+  }
+
+  void AddLeaf(const std::string& collection, const std::string& domain) {
+    Upstream leaf;
+    leaf.name = collection + "-" + domain;
+    leaf.failure_domain = domain;
+    leaf.region = domain;
+    leaf.collection = collection;
+    leaf.slots = 2;
+    leafs_view_.upstreams[leaf.name] = leaf;
+  }
+
+  void SetRoute(blackboard::Destination destination,
+                bool is_idempotent,
+                int most_attempts = 3) {
+    auto route = std::make_shared<blackboard::WorkRoute>();
+    route->targets.name = "lookup";
+    route->targets.latency = Milliseconds(100);
+    route->targets.coverage = 0.75;
+    route->host = "h.example";
+    route->prefix = "/a/";
+    route->destination = std::move(destination);
+    route->is_idempotent = is_idempotent;
+    route->timeout = Milliseconds(1'000);
+    route->most_attempts = most_attempts;
+    blackboard_.routes.Write({++revision_, {route}, {}, {}});
+  }
+
+  ForwardService::Abandon Submit(const std::string& target = "/a/1") {
+    IncomingRequest request;
+    request.request_id = "id-1";
+    request.host = "h.example";
+    request.deadline = Milliseconds(800);
+    request.message = std::make_shared<const http1::Request>(
+        boost::beast::http::verb::get, target, 11);
+    answer_.reset();
+    return service_.Submit(std::move(request), [this](ForwardedAnswer answer) {
+      EXPECT_FALSE(answer_.has_value()) << "answered twice";
+      answer_ = std::move(answer);
+    });
+  }
+
+  void Advance(int milliseconds) {
+    scheduler_->Advance(Milliseconds(milliseconds));
+  }
+
+  template <typename T>
+  const T* AnswerAs() const {
+    return answer_ ? std::get_if<T>(&*answer_) : nullptr;
+  }
+
+  static std::string Record(char first) {
+    return std::string(1, first) + std::string(15, '.');
+  }
+
+  static constexpr int kShards = 4;
+
+  const std::shared_ptr<base::ManualTime> time_ =
+      std::make_shared<base::ManualTime>(1'000'000, 0);
+  const std::shared_ptr<base::ManualScheduler> scheduler_ =
+      std::make_shared<base::ManualScheduler>(time_);
+  const base::Clock clock_{time_};
+  blackboard::Blackboard blackboard_;
+  blackboard::UpstreamsView leafs_view_;
+  std::int64_t revision_ = 0;
+  FakeLeafs leafs_;
+  std::vector<burn::RequestRecord> records_;
+  double burst_ = 10.0;
+  ForwardService service_{
+      {100, [this] { return ExtraSendLimits{0.1, burst_}; }},
+      clock_,
+      base::TaskRunner(scheduler_),
+      blackboard_,
+      std::make_shared<routing::LeafTracker>(
+          routing::Place{"n1", "n1"}, clock_,
+          std::make_shared<base::Random>(1)),
+      {leafs_.port(),
+       [this](const burn::RequestRecord& record) {
+         records_.push_back(record);
+       }},
+      base::Log()};
+  std::optional<ForwardedAnswer> answer_;
+};
+
+TEST_F(ForwardServiceTest, AsksEachShardOnceInTheOwnDomain) {
+  Submit();
+  ASSERT_EQ(leafs_.sent().size(), 4U);
+  for (const auto& sent : leafs_.sent()) {
+    EXPECT_EQ(sent.leaf.failure_domain, "n1");
+    EXPECT_EQ(sent.call.request_id, "id-1");
+  }
+}
+
+TEST_F(ForwardServiceTest, MergesTheGreatestRecordsOfAllShards) {
+  Submit();
+  leafs_.Answer(0, Record('a') + Record('z'));
+  leafs_.Answer(1, Record('b'));
+  leafs_.Answer(2, "");
+  EXPECT_FALSE(answer_.has_value());
+  leafs_.Answer(3, Record('y'));
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->records, Record('z') + Record('y'));
+  EXPECT_EQ(gathered->missing, 0);
+  EXPECT_EQ(gathered->proofs.size(), 4U);
+  EXPECT_EQ(service_.in_flight(), 0);
+}
+
+TEST_F(ForwardServiceTest, AnswersAtTheTargetWithWhatIsIn) {
+  Submit();
+  for (int shard = 0; shard < 3; ++shard) {
+    leafs_.Answer(static_cast<std::size_t>(shard), Record('a'));
+  }
+  Advance(50);
+  EXPECT_FALSE(answer_.has_value());
+  Advance(40);
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->missing, 1);
+  EXPECT_EQ(gathered->proofs.size(), 3U);
+  ASSERT_EQ(records_.size(), 1U);
+  EXPECT_DOUBLE_EQ(records_[0].coverage, 0.75);
+}
+
+TEST_F(ForwardServiceTest, BelowTheCoverageTargetItWaitsForMore) {
+  Submit();
+  leafs_.Answer(0, Record('a'));
+  leafs_.Answer(1, Record('a'));
+  Advance(200);
+  EXPECT_FALSE(answer_.has_value());
+  leafs_.Answer(2, Record('a'));
+  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, AtTheDeadlineItSaysThatTheRequestMayHaveRun) {
+  Submit();
+  leafs_.Answer(0, Record('a'));
+  Advance(787);
+  EXPECT_FALSE(answer_.has_value());
+  Advance(2);
+  const auto* unknown = AnswerAs<Unknown>();
+  ASSERT_NE(unknown, nullptr);
+  EXPECT_EQ(unknown->error.code, base::ErrorCode::kTimeout);
+}
+
+TEST_F(ForwardServiceTest, SendsAnOverdueShardToAnotherLeafOnce) {
+  Submit();
+  for (int shard = 0; shard < 3; ++shard) {
+    leafs_.Answer(static_cast<std::size_t>(shard), "");
+  }
+  Advance(45);
+  ASSERT_EQ(leafs_.sent().size(), 5U);
+  EXPECT_EQ(leafs_.sent()[4].leaf.collection, "shard3");
+  EXPECT_NE(leafs_.sent()[4].leaf.name, leafs_.sent()[3].leaf.name);
+  leafs_.Answer(4, Record('a'));
+  ASSERT_NE(AnswerAs<Gathered>(), nullptr);
+  // The slow one may still tell when it is back.
+  EXPECT_TRUE(leafs_.sent()[3].is_lingering);
+  EXPECT_FALSE(leafs_.sent()[3].is_cancelled);
+}
+
+TEST_F(ForwardServiceTest, SecondSendsEndWithTheBudget) {
+  burst_ = 2.0;
+  Submit();
+  Advance(80);
+  // Four shards are overdue; each collection has a budget of its own.
+  EXPECT_EQ(leafs_.sent().size(), 8U);
+  Submit();
+  Advance(80);
+  EXPECT_EQ(leafs_.sent().size(), 16U);
+  Submit();
+  Advance(80);
+  EXPECT_EQ(leafs_.sent().size(), 20U);
+}
+
+TEST_F(ForwardServiceTest, NeverSendsToMoreLeafsThanTheRouteAllows) {
+  SetRoute(OneCollection{"single"}, true, 2);
+  Submit();
+  leafs_.Fail(0, LeafOutcome::kLost);
+  ASSERT_EQ(leafs_.sent().size(), 2U);
+  leafs_.Fail(1, LeafOutcome::kLost);
+  EXPECT_EQ(leafs_.sent().size(), 2U);
+  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, ALeafThatWasNeverReachedIsNoAttempt) {
+  SetRoute(OneCollection{"single"}, false, 1);
+  Submit();
+  leafs_.Fail(0, LeafOutcome::kUnreachable);
+  ASSERT_EQ(leafs_.sent().size(), 2U);
+  leafs_.Answer(1, "body");
+  const auto* passed = AnswerAs<PassedOn>();
+  ASSERT_NE(passed, nullptr);
+  EXPECT_EQ(passed->message.body(), "body");
+}
+
+TEST_F(ForwardServiceTest, NonIdempotentIsNeverSentAgainOnceItMayHaveRun) {
+  SetRoute(OneCollection{"single"}, false);
+  Submit();
+  Advance(300);
+  ASSERT_EQ(leafs_.sent().size(), 1U);
+  leafs_.Fail(0, LeafOutcome::kLost);
+  EXPECT_EQ(leafs_.sent().size(), 1U);
+  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, NonIdempotentIsSentAgainAfterATrueRefusal) {
+  SetRoute(OneCollection{"single"}, false);
+  Submit();
+  leafs_.Fail(0, LeafOutcome::kShed);
+  ASSERT_EQ(leafs_.sent().size(), 2U);
+  leafs_.Fail(1, LeafOutcome::kReplaced);
+  ASSERT_EQ(leafs_.sent().size(), 3U);
+  leafs_.Fail(2, LeafOutcome::kShed);
+  const auto* refused = AnswerAs<Refused>();
+  ASSERT_NE(refused, nullptr);
+  EXPECT_GT(refused->retry_after, base::Duration{});
+}
+
+TEST_F(ForwardServiceTest, ALeafsOwnFailureIsPassedOn) {
+  SetRoute(OneCollection{"single"}, false);
+  Submit();
+  leafs_.Fail(0, LeafOutcome::kFailed);
+  const auto* passed = AnswerAs<PassedOn>();
+  ASSERT_NE(passed, nullptr);
+  EXPECT_EQ(passed->message.result(), http1::Status::internal_server_error);
+}
+
+TEST_F(ForwardServiceTest, TooManyFailedShardsEndTheRequestAtOnce) {
+  SetRoute(AllShards{{"shard0", "shard1", "shard2", "shard3"}, 2}, true, 1);
+  Submit();
+  leafs_.Fail(0, LeafOutcome::kLost);
+  EXPECT_FALSE(answer_.has_value());
+  leafs_.Fail(1, LeafOutcome::kLost);
+  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, AShardWithoutLeafsIsMissing) {
+  SetRoute(AllShards{{"shard0", "shard1", "shard2", "gone"}, 2}, true);
+  Submit();
+  for (std::size_t shard = 0; shard < 3; ++shard) {
+    leafs_.Answer(shard, "");
+  }
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->missing, 1);
+}
+
+TEST_F(ForwardServiceTest, WithoutALeafItRefusesAtOnce) {
+  SetRoute(OneCollection{"gone"}, true);
+  Submit();
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, WaitsForALeafWithRoomForAPartOfItsTarget) {
+  SetRoute(OneCollection{"single"}, true);
+  leafs_.full() = {"single-n1", "single-s1", "single-w1"};
+  Submit();
+  Advance(10);
+  EXPECT_FALSE(answer_.has_value());
+  leafs_.full().erase("single-s1");
+  Advance(6);
+  ASSERT_EQ(leafs_.sent().size(), 1U);
+  EXPECT_EQ(leafs_.sent()[0].leaf.name, "single-s1");
+  leafs_.full().insert("single-s1");
+  Submit();
+  Advance(30);
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, ACallerThatLeftCancelsEverySend) {
+  auto abandon = Submit();
+  Advance(45);
+  abandon();
+  for (const auto& sent : leafs_.sent()) {
+    EXPECT_TRUE(sent.is_cancelled);
+  }
+  EXPECT_EQ(service_.in_flight(), 0);
+  Advance(2'000);
+  EXPECT_FALSE(answer_.has_value());
+  EXPECT_EQ(leafs_.sent().size(), 8U);
+}
+
+TEST_F(ForwardServiceTest, ADrainingLeafGetsNoSecondSend) {
+  SetRoute(OneCollection{"single"}, true);
+  Submit();
+  for (const char* name : {"single-s1", "single-w1"}) {
+    leafs_view_.upstreams[name].state = UpstreamState::kDraining;
+  }
+  blackboard_.upstreams.Write(leafs_view_);
+  Advance(200);
+  EXPECT_EQ(leafs_.sent().size(), 1U);
+}
+
+TEST_F(ForwardServiceTest, TheDeadlinePassedOnIsWhatIsLeft) {
+  SetRoute(OneCollection{"single"}, true);
+  Submit();
+  Advance(45);
+  ASSERT_EQ(leafs_.sent().size(), 2U);
+  const auto first = leafs_.sent()[0].call.time_left;
+  const auto second = leafs_.sent()[1].call.time_left;
+  EXPECT_LT(first, Milliseconds(800));
+  EXPECT_GT(first, Milliseconds(750));
+  EXPECT_LE(second, first - Milliseconds(39));
+}
+
+TEST_F(ForwardServiceTest, UnknownHostsAndPathsHaveNoRoute) {
+  Submit("/b/1");
+  EXPECT_NE(AnswerAs<NoRoute>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, WithoutRoutesItRefuses) {
+  blackboard_.routes.Write({});
+  Submit();
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, ASplitDealsOutByWeight) {
+  SetRoute(blackboard::WeightedCollections{{{"single", 3.0}, {"shard0", 1.0}}},
+           true);
+  std::map<std::string, int> taken;
+  for (int request = 0; request < 8; ++request) {
+    Submit();
+    ++taken[leafs_.sent().back().leaf.collection];
+    leafs_.Answer(leafs_.sent().size() - 1, "x");
+  }
+  EXPECT_EQ(taken["single"], 6);
+  EXPECT_EQ(taken["shard0"], 2);
+}
+
+}  // namespace
+}  // namespace medlarspread::query
--- /dev/null
+++ b/tests/relay/relay_test.cc
@@ -0,0 +1,247 @@
+// News from daemon to daemon, and from where a daemon takes them.
+
+#include "src/relay/news_source.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "src/http1/caller_listener.h"
+#include "src/relay/news_codec.h"
+#include "src/relay/news_server.h"
+#include "src/store/event_log.h"
+
+namespace medlarspread::relay {
+namespace {
+
+using base::ErrorCode;
+using base::Milliseconds;
+
+constexpr auto kLongest = std::chrono::seconds(20);
+
+TEST(NewsCodecTest, RoundTrip) {
+  const News news{{{"a", std::string("\0x", 2), 5}, {"b", std::nullopt, 6}},
+                  6,
+                  42,
+                  Milliseconds(70),
+                  true};
+  const auto decoded = DecodeNews(EncodeNews(news), "peer");
+  ASSERT_TRUE(decoded.is_ok());
+  EXPECT_EQ(decoded.value().events, news.events);
+  EXPECT_EQ(decoded.value().cursor, 42);
+  EXPECT_EQ(decoded.value().age, Milliseconds(70));
+  EXPECT_TRUE(decoded.value().is_direct);
+}
+
+TEST(NewsCodecTest, BytesCutShortAreMalformed) {
+  const std::string bytes = EncodeNews({{{"a", "value", 5}}, 6, 42, {}, true});
+  for (std::size_t size = 0; size + 1 < bytes.size(); ++size) {
+    EXPECT_FALSE(DecodeNews(bytes.substr(0, size), "peer").is_ok()) << size;
+  }
+}
+
+// Two daemons of one failure domain on one thread: `other` reads the store, and
+// the source under test may ask it.
+class NewsSourceTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    server_ = std::make_shared<NewsServer>(
+        log_, runner_, [this] { return freshness_; });
+    http1::CallerListener::Settings settings;
+    settings.address = "127.0.0.1:0";
+    settings.limits = [] { return http1::MessageLimits{}; };
+    settings.handle = [this](const http1::Request& request,
+                             http1::Respond respond) {
+      ++asked_;
+      return server_->Handle(request, std::move(respond));
+    };
+    listener_ = std::make_shared<http1::CallerListener>(
+        context_, std::move(settings), base::Clock());
+    ASSERT_TRUE(listener_->Open().is_ok());
+    store_.list = [this](const std::string&, const std::string&,
+                         std::function<void(base::Result<store::Page>)> done) {
+      ++store_calls_;
+      done(store_page_);
+    };
+    store_.watch =
+        [this](const std::string&, std::int64_t, base::Duration,
+               std::function<void(base::Result<store::Changes>)> done) {
+          ++store_calls_;
+          store_watch_ = std::move(done);
+        };
+    source_ = std::make_shared<NewsSource>(
+        NewsSourceSettings{"self", "n1", {}}, context_, base::Clock(), runner_,
+        store_, blackboard_, base::Log());
+  }
+
+  // Makes the other daemon a member of the domain; the rank decides who reads.
+  void AddMembers(const std::string& other_domain) {
+    blackboard::MembershipView view;
+    view.self = "self";
+    const std::string address =
+        "127.0.0.1:" + std::to_string(listener_->port());
+    view.members["self"].failure_domain = "n1";
+    // Names are tried until one goes before "self".
+    for (int number = 0; number < 100; ++number) {
+      view.members.erase("other" + std::to_string(number - 1));
+      blackboard::Member& member =
+          view.members["other" + std::to_string(number)];
+      member.failure_domain = other_domain;
+      member.address = address;
+      blackboard_.membership.Write(view);
+      if (other_domain != "n1" || !source_->is_reader()) {
+        return;
+      }
+    }
+  }
+
+  base::Result<store::Page> List() {
+    std::optional<base::Result<store::Page>> page;
+    source_->source().list("", "", [&page](base::Result<store::Page> result) {
+      page = std::move(result);
+    });
+    RunUntil([&page] { return page.has_value(); });
+    return *page;
+  }
+
+  base::Result<store::Changes> Watch(std::int64_t cursor) {
+    std::optional<base::Result<store::Changes>> changes;
+    source_->source().watch("", cursor, Milliseconds(5'000),
+                            [&changes](base::Result<store::Changes> result) {
+                              changes = std::move(result);
+                            });
+    RunUntil([&changes] { return changes.has_value(); });
+    return *changes;
+  }
+
+  void RunUntil(const std::function<bool()>& is_done) {
+    const auto end = std::chrono::steady_clock::now() + kLongest;
+    while (!is_done() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(10));
+      context_.restart();
+    }
+    ASSERT_TRUE(is_done());
+  }
+
+  boost::asio::io_context context_;
+  const base::TaskRunner runner_{context_};
+  blackboard::Blackboard blackboard_;
+  store::EventLog log_{100};
+  std::optional<Freshness> freshness_ = Freshness{{}, true};
+  std::shared_ptr<NewsServer> server_;
+  std::shared_ptr<http1::CallerListener> listener_;
+  store::EventSource store_;
+  base::Result<store::Page> store_page_ = store::Page{{}, true, 7, 7};
+  std::function<void(base::Result<store::Changes>)> store_watch_;
+  std::shared_ptr<NewsSource> source_;
+  int asked_ = 0;
+  int store_calls_ = 0;
+};
+
+TEST_F(NewsSourceTest, AloneItReadsTheStore) {
+  EXPECT_TRUE(source_->is_reader());
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(store_calls_, 1);
+  EXPECT_TRUE(source_->freshness()->is_direct);
+}
+
+TEST_F(NewsSourceTest, AsksTheReaderOfItsDomain) {
+  AddMembers("n1");
+  log_.Append({{"a", "1", 5}});
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  EXPECT_EQ(page.value().items.size(), 1U);
+  EXPECT_EQ(store_calls_, 0);
+  // A change reaches a request that waits.
+  runner_.After(Milliseconds(20), [this] {
+    log_.Append({{"b", "1", 6}});
+    server_->DidAppend();
+  });
+  const auto changes = Watch(page.value().cursor);
+  ASSERT_TRUE(changes.is_ok());
+  ASSERT_EQ(changes.value().events.size(), 1U);
+  EXPECT_EQ(changes.value().events[0].key, "b");
+}
+
+TEST_F(NewsSourceTest, WithoutNewsTheAnswerComesAfterAShortWait) {
+  AddMembers("n1");
+  const auto page = List();
+  const auto changes = Watch(page.value().cursor);
+  ASSERT_TRUE(changes.is_ok());
+  EXPECT_TRUE(changes.value().events.empty());
+}
+
+TEST_F(NewsSourceTest, ACursorOfAnotherProcessMeansReadingAnew) {
+  AddMembers("n1");
+  (void)List();
+  const auto changes = Watch(3);
+  ASSERT_FALSE(changes.is_ok());
+  EXPECT_EQ(changes.error().code, ErrorCode::kExpired);
+}
+
+TEST_F(NewsSourceTest, LeavesAReaderThatHasLostTheStore) {
+  AddMembers("n1");
+  const auto page = List();
+  freshness_ = Freshness{Milliseconds(3'000), true};
+  (void)Watch(page.value().cursor);
+  const auto changes = Watch(page.value().cursor);
+  ASSERT_FALSE(changes.is_ok());
+  EXPECT_EQ(changes.error().code, ErrorCode::kExpired);
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(store_calls_, 1);
+}
+
+TEST_F(NewsSourceTest, TurnsToTheStoreWhenTheReaderIsGone) {
+  AddMembers("n1");
+  listener_->StopAccepting();
+  EXPECT_FALSE(List().is_ok());
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(store_calls_, 1);
+}
+
+TEST_F(NewsSourceTest, AsksTheStoreAgainBeforeItAsksOtherDomains) {
+  AddMembers("s1");
+  (void)List();
+  store_page_ = base::MakeError(ErrorCode::kConnectionLost,
+                                base::Step::kReadStore, "store", "");
+  EXPECT_FALSE(List().is_ok());
+  EXPECT_FALSE(List().is_ok());
+  EXPECT_EQ(asked_, 0);
+  // After two failures the reader of the other domain is asked.
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(asked_, 1);
+  EXPECT_FALSE(source_->freshness()->is_direct);
+}
+
+TEST_F(NewsSourceTest, NeverFollowsAReaderThatFollowsAnother) {
+  AddMembers("s1");
+  (void)List();
+  store_page_ = base::MakeError(ErrorCode::kConnectionLost,
+                                base::Step::kReadStore, "store", "");
+  (void)List();
+  (void)List();
+  freshness_ = Freshness{{}, false};
+  const auto page = List();
+  (void)Watch(page.is_ok() ? page.value().cursor : 0);
+  // It is left alone from then on, and the store is what is asked.
+  const int asked = asked_;
+  (void)List();
+  EXPECT_EQ(asked_, asked);
+}
+
+TEST_F(NewsSourceTest, ARenewalSaysNothingOfNewsFromAPeer) {
+  AddMembers("n1");
+  freshness_ = Freshness{Milliseconds(1'500), true};
+  (void)List();
+  source_->DidRenew();
+  EXPECT_GE(source_->freshness()->age, Milliseconds(1'500));
+}
+
+TEST_F(NewsSourceTest, ADaemonThatHasReadNothingSaysSo) {
+  AddMembers("n1");
+  freshness_.reset();
+  EXPECT_FALSE(List().is_ok());
+}
+
+}  // namespace
+}  // namespace medlarspread::relay
--- /dev/null
+++ b/tests/routing/leaf_tracker_test.cc
@@ -0,0 +1,145 @@
+// LeafTracker: which leaf the next request goes to.
+
+#include "src/routing/leaf_tracker.h"
+
+#include <gtest/gtest.h>
+
+namespace medlarspread::routing {
+namespace {
+
+using blackboard::Upstream;
+using blackboard::UpstreamState;
+using upstream::ForwardReply;
+using upstream::LeafOutcome;
+
+constexpr const char* kClass = "lookup";
+
+class LeafTrackerTest : public testing::Test {
+ protected:
+  LeafTrackerTest() {
+    for (Upstream* leaf : {&near_, &far_}) {
+      leaf->slots = 2;
+      leafs_.push_back(leaf);
+    }
+    near_.name = "near";
+    near_.region = "north";
+    near_.failure_domain = "n1";
+    far_.name = "far";
+    far_.region = "south";
+    far_.failure_domain = "s1";
+  }
+
+  const Upstream* Choose(const std::set<std::string>& excluded = {}) {
+    return tracker_.Choose(leafs_, kClass, excluded,
+                           [](const Upstream&) { return true; });
+  }
+
+  // One request that the leaf answers after `milliseconds`.
+  void Serve(const Upstream& leaf,
+             int milliseconds,
+             LeafOutcome outcome = LeafOutcome::kAnswered) {
+    const base::MonotonicTime sent = clock_.Now();
+    tracker_.DidSend(leaf, sent);
+    time_->Advance(base::Milliseconds(milliseconds));
+    ForwardReply reply;
+    reply.outcome = outcome;
+    reply.service_time = base::Milliseconds(milliseconds);
+    tracker_.DidReply(leaf, kClass, sent, reply);
+  }
+
+  void Learn() {
+    for (int request = 0; request < 100; ++request) {
+      Serve(near_, 8);
+      Serve(far_, 24);
+    }
+  }
+
+  const std::shared_ptr<base::ManualTime> time_ =
+      std::make_shared<base::ManualTime>(1'000'000, 0);
+  const base::Clock clock_{time_};
+  Upstream near_;
+  Upstream far_;
+  LeafIndex::Leafs leafs_;
+  LeafTracker tracker_{{"north", "n1"},
+                       clock_,
+                       std::make_shared<base::Random>(1)};
+};
+
+TEST_F(LeafTrackerTest, TakesTheOwnFailureDomainFirst) {
+  EXPECT_EQ(Choose(), &near_);
+  Learn();
+  EXPECT_EQ(Choose(), &near_);
+}
+
+TEST_F(LeafTrackerTest, GoesRoundALeafWithAnOverdueRequest) {
+  Learn();
+  tracker_.DidSend(near_, clock_.Now());
+  time_->Advance(base::Milliseconds(50));
+  EXPECT_EQ(Choose(), &far_);
+}
+
+TEST_F(LeafTrackerTest, ComesBackWithTheFirstReplyAfterAPause) {
+  Learn();
+  const base::MonotonicTime sent = clock_.Now();
+  tracker_.DidSend(near_, sent);
+  time_->Advance(base::Milliseconds(100));
+  tracker_.DidStall(near_);
+  EXPECT_EQ(Choose(), &far_);
+  ForwardReply reply;
+  reply.outcome = LeafOutcome::kAnswered;
+  reply.service_time = base::Milliseconds(100);
+  tracker_.DidReply(near_, kClass, sent, reply);
+  EXPECT_EQ(Choose(), &near_);
+}
+
+TEST_F(LeafTrackerTest, LeavesALeafThatIsSlowForEveryRequest) {
+  Learn();
+  for (int request = 0; request < 10; ++request) {
+    Serve(near_, 70);
+  }
+  EXPECT_EQ(Choose(), &far_);
+  // After some seconds it is tried again.
+  time_->Advance(base::Milliseconds(8'000));
+  EXPECT_EQ(Choose(), &near_);
+}
+
+TEST_F(LeafTrackerTest, AvoidsALeafThatFailsForLongerEachTime) {
+  Learn();
+  Serve(near_, 1, LeafOutcome::kUnreachable);
+  EXPECT_EQ(Choose(), &far_);
+  time_->Advance(base::Milliseconds(300));
+  EXPECT_EQ(Choose(), &near_);
+  Serve(near_, 1, LeafOutcome::kUnreachable);
+  time_->Advance(base::Milliseconds(290));
+  EXPECT_EQ(Choose(), &far_);
+}
+
+TEST_F(LeafTrackerTest, AFailingLeafIsBetterThanNone) {
+  Serve(near_, 1, LeafOutcome::kLost);
+  EXPECT_EQ(Choose({"far"}), &near_);
+}
+
+TEST_F(LeafTrackerTest, NeverTakesADrainingLeaf) {
+  near_.state = UpstreamState::kDraining;
+  EXPECT_EQ(Choose(), &far_);
+  EXPECT_EQ(Choose({"far"}), nullptr);
+}
+
+TEST_F(LeafTrackerTest, SkipsALeafWithoutRoom) {
+  const auto* leaf = tracker_.Choose(
+      leafs_, kClass, {},
+      [this](const Upstream& candidate) { return &candidate != &near_; });
+  EXPECT_EQ(leaf, &far_);
+}
+
+TEST_F(LeafTrackerTest, SecondSendWaitsLongerForAFarLeaf) {
+  Learn();
+  const auto near_delay = tracker_.SecondSendDelay(near_, kClass);
+  const auto far_delay = tracker_.SecondSendDelay(far_, kClass);
+  EXPECT_GT(near_delay, base::Milliseconds(10));
+  EXPECT_LT(near_delay, base::Milliseconds(40));
+  EXPECT_GT(far_delay, near_delay + base::Milliseconds(10));
+}
+
+}  // namespace
+}  // namespace medlarspread::routing
--- /dev/null
+++ b/tests/store/follower_test.cc
@@ -0,0 +1,194 @@
+// Follower over a scripted store and a manual clock.
+
+#include "src/store/follower.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+namespace medlarspread::store {
+namespace {
+
+using base::ErrorCode;
+using base::Milliseconds;
+using base::Step;
+
+class FollowerTest : public testing::Test {
+ protected:
+  FollowerTest() {
+    EventSource source;
+    source.list = [this](const std::string&, const std::string& after,
+                         std::function<void(base::Result<Page>)> done) {
+      ++lists_;
+      list_after_ = after;
+      list_ = std::move(done);
+    };
+    source.watch = [this](const std::string&, std::int64_t cursor,
+                          base::Duration,
+                          std::function<void(base::Result<Changes>)> done) {
+      ++watches_;
+      watch_cursor_ = cursor;
+      watch_ = std::move(done);
+    };
+    follower_ = std::make_shared<Follower>(
+        FollowerSettings{}, base::Clock(time_),
+        std::make_shared<base::Random>(1), base::TaskRunner(scheduler_),
+        std::move(source),
+        [this](const std::vector<Event>& events) {
+          for (const Event& event : events) {
+            told_.push_back(event);
+            if (event.value) {
+              known_[event.key] = *event.value;
+            } else {
+              known_.erase(event.key);
+            }
+          }
+        },
+        base::Log());
+    follower_->Start();
+  }
+
+  static Event Write(const std::string& key,
+                     const std::string& value,
+                     std::int64_t revision) {
+    return {key, value, revision};
+  }
+  static Event Remove(const std::string& key, std::int64_t revision) {
+    return {key, std::nullopt, revision};
+  }
+  static base::Error Failure(ErrorCode code) {
+    return base::MakeError(code, Step::kWatchStore, "store", "");
+  }
+
+  void AnswerList(std::vector<Event> items,
+                  std::int64_t revision,
+                  bool is_last = true) {
+    std::exchange(list_, nullptr)(
+        Page{std::move(items), is_last, revision, revision});
+  }
+  void AnswerWatch(std::vector<Event> events, std::int64_t cursor) {
+    std::exchange(watch_, nullptr)(Changes{std::move(events), cursor});
+  }
+  void FailWatch(ErrorCode code) {
+    std::exchange(watch_, nullptr)(Failure(code));
+  }
+  void Advance(int milliseconds) {
+    scheduler_->Advance(Milliseconds(milliseconds));
+  }
+
+  const std::shared_ptr<base::ManualTime> time_ =
+      std::make_shared<base::ManualTime>(1'000'000, 0);
+  const std::shared_ptr<base::ManualScheduler> scheduler_ =
+      std::make_shared<base::ManualScheduler>(time_);
+  std::function<void(base::Result<Page>)> list_;
+  std::function<void(base::Result<Changes>)> watch_;
+  int lists_ = 0;
+  int watches_ = 0;
+  std::string list_after_;
+  std::int64_t watch_cursor_ = 0;
+  std::vector<Event> told_;
+  std::map<std::string, std::string> known_;
+  std::shared_ptr<Follower> follower_;
+};
+
+TEST_F(FollowerTest, ReadsAllPagesThenWatchesFromTheFirst) {
+  AnswerList({Write("a", "1", 3)}, 10, false);
+  EXPECT_EQ(list_after_, "a");
+  AnswerList({Write("b", "2", 12)}, 12);
+  EXPECT_EQ(known_.size(), 2U);
+  EXPECT_EQ(watch_cursor_, 10);
+}
+
+TEST_F(FollowerTest, AKeyNeverGoesBack) {
+  AnswerList({Write("a", "new", 5)}, 5);
+  AnswerWatch({Write("a", "old", 4)}, 6);
+  EXPECT_EQ(known_["a"], "new");
+  AnswerWatch({Remove("a", 3)}, 7);
+  EXPECT_EQ(known_["a"], "new");
+}
+
+TEST_F(FollowerTest, TellsNothingTwice) {
+  AnswerList({Write("a", "1", 5)}, 5);
+  AnswerWatch({Write("a", "1", 5)}, 6);
+  EXPECT_EQ(told_.size(), 1U);
+}
+
+TEST_F(FollowerTest, HistoryThatIsGoneMeansReadingAnew) {
+  AnswerList({Write("a", "1", 3), Write("b", "1", 4)}, 5);
+  FailWatch(ErrorCode::kExpired);
+  ASSERT_TRUE(list_);
+  AnswerList({Write("b", "2", 8)}, 9);
+  EXPECT_FALSE(known_.contains("a"));
+  EXPECT_EQ(known_["b"], "2");
+}
+
+TEST_F(FollowerTest, AFailedWatchIsTriedAgainAfterAPause) {
+  AnswerList({}, 5);
+  FailWatch(ErrorCode::kConnectionLost);
+  EXPECT_EQ(watches_, 1);
+  Advance(200);
+  EXPECT_EQ(watches_, 2);
+  EXPECT_EQ(watch_cursor_, 5);
+}
+
+TEST_F(FollowerTest, CallsAreFewWhileTheStoreIsAway) {
+  AnswerList({}, 5);
+  for (int step = 0; step < 1'000; ++step) {
+    if (watch_) {
+      FailWatch(ErrorCode::kUnreachable);
+    }
+    Advance(10);
+  }
+  EXPECT_LT(watches_, 22);
+  EXPECT_GT(watches_, 8);
+}
+
+TEST_F(FollowerTest, RemovalsAreHeldBackAfterAnOutage) {
+  AnswerList({Write("a", "1", 3), Write("b", "1", 4)}, 5);
+  FailWatch(ErrorCode::kUnreachable);
+  for (int step = 0; step < 400; ++step) {
+    Advance(10);
+    if (watch_) {
+      FailWatch(ErrorCode::kUnreachable);
+    }
+  }
+  Advance(1'100);
+  ASSERT_TRUE(watch_);
+  AnswerWatch({Remove("a", 6), Remove("b", 7)}, 7);
+  EXPECT_EQ(known_.size(), 2U);
+  AnswerWatch({Write("a", "1", 8)}, 8);
+  Advance(2'600);
+  EXPECT_TRUE(known_.contains("a"));
+  EXPECT_FALSE(known_.contains("b"));
+}
+
+TEST_F(FollowerTest, WithoutAnOutageRemovalsCountAtOnce) {
+  AnswerList({Write("a", "1", 3)}, 5);
+  FailWatch(ErrorCode::kConnectionLost);
+  Advance(200);
+  AnswerWatch({Remove("a", 6)}, 6);
+  EXPECT_FALSE(known_.contains("a"));
+}
+
+TEST_F(FollowerTest, AWatchThatWasNeverAnsweredCountsAsAnOutageSinceItsStart) {
+  AnswerList({Write("a", "1", 3)}, 5);
+  Advance(6'000);
+  FailWatch(ErrorCode::kTimeout);
+  Advance(200);
+  AnswerWatch({Remove("a", 6)}, 6);
+  EXPECT_TRUE(known_.contains("a"));
+  Advance(2'600);
+  EXPECT_FALSE(known_.contains("a"));
+}
+
+TEST_F(FollowerTest, AfterStopNothingIsAsked) {
+  AnswerList({}, 5);
+  follower_->Stop();
+  AnswerWatch({Write("a", "1", 6)}, 6);
+  Advance(10'000);
+  EXPECT_EQ(watches_, 1);
+  EXPECT_TRUE(known_.empty());
+}
+
+}  // namespace
+}  // namespace medlarspread::store
--- /dev/null
+++ b/tests/upstream/forward_client_test.cc
@@ -0,0 +1,128 @@
+// ForwardClient against a leaf at the level of bytes.
+
+#include "src/upstream/forward_client.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "tests/upstream/raw_leaf.h"
+
+namespace medlarspread::upstream {
+namespace {
+
+using base::Milliseconds;
+
+constexpr auto kLongest = std::chrono::seconds(20);
+
+class ForwardClientTest : public testing::Test {
+ protected:
+  void Open(RawLeaf::Script script) {
+    raw_ = std::make_unique<RawLeaf>(std::move(script), "\r\n\r\n");
+    leaf_.name = "i-1";
+    leaf_.address = raw_->address();
+    ForwardCodec codec;
+    codec.encode = [](const blackboard::Upstream&, const ForwardCall& call) {
+      return *call.message;
+    };
+    codec.is_mine = [](const ForwardCall&, const http1::Response&) {
+      return true;
+    };
+    codec.decode = [](const blackboard::Upstream&, http1::Response response) {
+      ForwardReply reply;
+      reply.outcome = LeafOutcome::kAnswered;
+      reply.message = std::move(response);
+      return reply;
+    };
+    client_ = std::make_unique<ForwardClient>(
+        context_, base::Clock(), base::TaskRunner(context_), std::move(codec),
+        [](const blackboard::Upstream&) { return 2; });
+  }
+
+  SentCall Send(std::optional<ForwardReply>& reply,
+                base::Duration time_left = Milliseconds(20'000)) {
+    ForwardCall call;
+    call.message = std::make_shared<const http1::Request>(
+        boost::beast::http::verb::get, "/", 11);
+    call.time_left = time_left;
+    return client_->port().send(leaf_, std::move(call),
+                                [&reply](ForwardReply ended) {
+                                  EXPECT_FALSE(reply.has_value());
+                                  reply = std::move(ended);
+                                });
+  }
+
+  void RunUntil(const std::function<bool()>& is_done) {
+    const auto end = std::chrono::steady_clock::now() + kLongest;
+    while (!is_done() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(10));
+      context_.restart();
+    }
+    ASSERT_TRUE(is_done());
+  }
+
+  boost::asio::io_context context_;
+  std::unique_ptr<RawLeaf> raw_;
+  blackboard::Upstream leaf_;
+  std::unique_ptr<ForwardClient> client_;
+};
+
+TEST_F(ForwardClientTest, NeverUsesMoreConnectionsThanItsShare) {
+  Open([](int) { return RawLeaf::Reply{"", false}; });
+  std::optional<ForwardReply> first;
+  std::optional<ForwardReply> second;
+  std::optional<ForwardReply> third;
+  (void)Send(first);
+  EXPECT_TRUE(client_->port().has_room(leaf_));
+  (void)Send(second);
+  EXPECT_FALSE(client_->port().has_room(leaf_));
+  (void)Send(third);
+  RunUntil([&third] { return third.has_value(); });
+  EXPECT_EQ(third->outcome, LeafOutcome::kUnreachable);
+  EXPECT_FALSE(first.has_value());
+}
+
+TEST_F(ForwardClientTest, CancelClosesTheConnectionAndCallsNobody) {
+  Open([](int) { return RawLeaf::Reply{"", false}; });
+  std::optional<ForwardReply> reply;
+  const SentCall call = Send(reply);
+  RunUntil([this] { return raw_->requests() == 1; });
+  call.cancel();
+  RunUntil([this] { return raw_->open_connections() == 0; });
+  EXPECT_FALSE(reply.has_value());
+  EXPECT_TRUE(client_->port().has_room(leaf_));
+}
+
+TEST_F(ForwardClientTest, ALingeringCallEndsSoon) {
+  Open([](int) { return RawLeaf::Reply{"", false}; });
+  std::optional<ForwardReply> reply;
+  const SentCall call = Send(reply);
+  RunUntil([this] { return raw_->requests() == 1; });
+  call.let_linger();
+  RunUntil([&reply] { return reply.has_value(); });
+  EXPECT_EQ(reply->outcome, LeafOutcome::kTimeout);
+  EXPECT_LT(reply->service_time, Milliseconds(5'000));
+}
+
+TEST_F(ForwardClientTest, WithoutAReplyItEndsWithTheDeadline) {
+  Open([](int) { return RawLeaf::Reply{"", false}; });
+  std::optional<ForwardReply> reply;
+  (void)Send(reply, Milliseconds(30));
+  RunUntil([&reply] { return reply.has_value(); });
+  EXPECT_EQ(reply->outcome, LeafOutcome::kTimeout);
+}
+
+TEST_F(ForwardClientTest, ALeafThatIsGoneLosesItsIdleConnections) {
+  Open([](int) {
+    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false};
+  });
+  std::optional<ForwardReply> reply;
+  (void)Send(reply);
+  RunUntil([&reply] { return reply.has_value(); });
+  EXPECT_EQ(reply->outcome, LeafOutcome::kAnswered);
+  client_->Prune({});
+  RunUntil([this] { return raw_->open_connections() == 0; });
+}
+
+}  // namespace
+}  // namespace medlarspread::upstream
--- a/tests/upstream/raw_leaf.h
+++ b/tests/upstream/raw_leaf.h
@@ -20,8 +20,9 @@
 
 namespace medlarspread::upstream {
 
-// Requests must have a body of one line of JSON that ends with "}}" and has
-// no such pair before, as those of LeafClient for the query "{}" do.
+// Each request must end with the bytes `end_of_request` and have none such
+// before. Those of LeafClient for the query "{}" end with "}}", those without a
+// body with their blank line.
 class RawLeaf {
  public:
   struct Reply {
@@ -31,8 +32,9 @@
   // `index` counts requests over all connections, from 1.
   using Script = std::function<Reply(int index)>;
 
-  explicit RawLeaf(Script script)
+  explicit RawLeaf(Script script, std::string end_of_request = "}}")
       : script_(std::move(script)),
+        end_of_request_(std::move(end_of_request)),
         acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}) {
     Accept();
     thread_ = std::thread([this] { context_.run(); });
@@ -80,7 +82,7 @@
 
   void Read(const std::shared_ptr<Connection>& connection) {
     boost::asio::async_read_until(
-        connection->socket, connection->buffer, "}}",
+        connection->socket, connection->buffer, end_of_request_,
         [this, connection](const boost::system::error_code& error,
                            std::size_t size) {
           if (error) {
@@ -108,6 +110,7 @@
   }
 
   const Script script_;
+  const std::string end_of_request_;
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<int> requests_ = 0;
