Query, Routing: Prepare the connection of a second send; count failures and connecting

Cause: on the grown sites a second send opens a connection to another region (22 ms) after its delay, and a leaf that refuses every other request looked well after each answer.

--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -47,6 +47,12 @@
       socket_(context),
       connect_timer_(context) {}
 
+void ClientConnection::Prepare() {
+  if (!is_open_ && !is_connecting_ && !is_closed_) {
+    Connect();
+  }
+}
+
 void ClientConnection::Start(Exchange exchange) {
   assert(is_free());
   exchange_ = std::move(exchange);
@@ -57,7 +63,7 @@
     Write();
     return;
   }
-  Connect();
+  Prepare();
 }
 
 void ClientConnection::Abort() {
@@ -80,6 +86,7 @@
 }
 
 void ClientConnection::Connect() {
+  is_connecting_ = true;
   connect_timer_.expires_after(settings_.connect_timeout);
   connect_timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
@@ -100,6 +107,7 @@
     return;
   }
   connect_timer_.cancel();
+  is_connecting_ = false;
   if (error) {
     Fail(ErrorCode::kUnreachable, error.message());
     Close();
@@ -108,7 +116,9 @@
   is_open_ = true;
   SetSocketOptions(socket_, settings_.silence);
   Read();
-  Write();
+  if (exchange_) {
+    Write();
+  }
 }
 
 void ClientConnection::Write() {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -69,6 +69,8 @@
 
   ClientConnection(boost::asio::io_context& context, Settings settings);
 
+  // Connects without an exchange, so that the next one finds it open.
+  void Prepare();
   // Starts an exchange; only while the connection is free.
   void Start(Exchange exchange);
   // Gives the exchange up and closes the connection; `done` is not called.
@@ -77,6 +79,7 @@
   void Close();
 
   bool is_free() const { return !exchange_ && !is_closed_ && !is_writing_; }
+  bool is_open() const { return is_open_ && !is_closed_; }
   bool is_closed() const { return is_closed_; }
   // Until when the peer keeps the connection open without a request, as far
   // as it said so.
@@ -107,6 +110,7 @@
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
   std::optional<Exchange> exchange_;
+  bool is_connecting_ = false;
   // Invariant: an open connection always has one read pending.
   bool is_open_ = false;
   bool is_closed_ = false;
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -35,6 +35,12 @@
 // When to come back after a refusal: room appears within some service times,
 // and a leaf that is down is replaced within seconds.
 constexpr base::Duration kRetryAfter = Milliseconds(50);
+// Until the times of a class are known, a second send follows after this part
+// of its latency target.
+constexpr int kFirstDelayShare = 3;
+// A connection for a second send is opened after this part of its delay. To
+// another region it takes 22 ms to open, as long as the delay itself.
+constexpr int kPreparePercent = 55;
 constexpr double kRounding = 1e-9;
 
 bool IsCertainlyNotRun(LeafOutcome outcome) {
@@ -121,9 +127,7 @@
 
 bool FanOutSession::TrySend(Shard& shard, Payment payment) {
   const auto index = dependencies_->index();
-  const blackboard::Upstream* leaf = dependencies_->tracker->Choose(
-      index->LeafsOf(shard.collection), route_.targets.name, shard.excluded,
-      dependencies_->leafs.has_room);
+  const blackboard::Upstream* leaf = NextLeaf(shard);
   if (leaf == nullptr) {
     return false;
   }
@@ -137,13 +141,20 @@
   return true;
 }
 
+const blackboard::Upstream* FanOutSession::NextLeaf(const Shard& shard) const {
+  return dependencies_->tracker->Choose(
+      dependencies_->index()->LeafsOf(shard.collection), route_.targets.name,
+      shard.excluded, dependencies_->leafs.readiness);
+}
+
 void FanOutSession::SendTo(Shard& shard, const blackboard::Upstream& leaf) {
   auto attempt = std::make_shared<Attempt>();
   attempt->leaf = leaf;
   attempt->sent = dependencies_->clock.Now();
-  attempt->overdue =
-      attempt->sent +
-      dependencies_->tracker->SecondSendDelay(leaf, route_.targets.name);
+  const base::Duration delay = dependencies_->tracker->SecondSendDelay(
+      leaf, route_.targets.name, route_.targets.latency / kFirstDelayShare);
+  attempt->prepare = attempt->sent + delay * kPreparePercent / 100;
+  attempt->overdue = attempt->sent + delay;
   shard.excluded.insert(leaf.name);
   ++shard.arrivals;
   shard.has_first = true;
@@ -251,7 +262,14 @@
       continue;
     }
     Attempt& latest = *shard.attempts.back();
-    if (latest.is_finished || latest.was_overdue || now < latest.overdue) {
+    if (latest.is_finished || latest.was_overdue) {
+      continue;
+    }
+    if (!latest.was_prepared && now >= latest.prepare) {
+      latest.was_prepared = true;
+      PrepareSecondSend(shard);
+    }
+    if (now < latest.overdue) {
       continue;
     }
     latest.was_overdue = true;
@@ -262,6 +280,16 @@
   }
 }
 
+void FanOutSession::PrepareSecondSend(const Shard& shard) {
+  if (!route_.is_idempotent || !MaySendAgain(shard)) {
+    return;
+  }
+  const auto index = dependencies_->index();
+  if (const blackboard::Upstream* leaf = NextLeaf(shard)) {
+    dependencies_->leafs.prepare(*leaf);
+  }
+}
+
 void FanOutSession::ConcludeIfDue() {
   const MonotonicTime now = dependencies_->clock.Now();
   const int total = static_cast<int>(shards_.size());
@@ -342,7 +370,9 @@
     }
     if (!shard.attempts.empty() && !shard.attempts.back()->is_finished &&
         !shard.attempts.back()->was_overdue) {
-      due = std::min(due, shard.attempts.back()->overdue);
+      const Attempt& latest = *shard.attempts.back();
+      due = std::min(due,
+                     latest.was_prepared ? latest.overdue : latest.prepare);
     }
   }
   return due;
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -89,10 +89,14 @@
   struct Attempt {
     blackboard::Upstream leaf;
     base::MonotonicTime sent;
+    // When a connection for a second send is opened, so that it is there in
+    // time.
+    base::MonotonicTime prepare;
     // When a second send to another leaf pays.
     base::MonotonicTime overdue;
     upstream::SentCall call;
     bool is_finished = false;
+    bool was_prepared = false;
     bool was_overdue = false;
   };
 
@@ -129,6 +133,9 @@
   // Second sends, waiting shards, the target and the deadline: all that is due.
   void Wake();
   void SecondSends(base::MonotonicTime now);
+  void PrepareSecondSend(const Shard& shard);
+  // The leaf that the shard would be sent to next; null if there is none.
+  const blackboard::Upstream* NextLeaf(const Shard& shard) const;
   void ConcludeIfDue();
   void Conclude();
   void ConcludeFailed();
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -30,6 +30,8 @@
 constexpr double kSlownessForgotten = 1'500'000.0;
 // A leaf works about 1.6 times as long in the seconds after its start.
 constexpr double kColdFactor = 1.6;
+// A request that is in work for this many times what is typical is overdue.
+constexpr double kPatience = 3.0;
 // Microseconds that keep a leaf out while there is any other.
 constexpr double kStalledPenalty = 60'000.0;
 constexpr double kFailingPenalty = 10'000'000.0;
@@ -37,8 +39,17 @@
 constexpr int kMostStallDoublings = 3;
 constexpr base::Duration kFirstAvoidance = base::Milliseconds(150);
 constexpr int kMostAvoidanceDoublings = 4;
-// Before the time of replies is known.
-constexpr base::Duration kFirstSecondSend = base::Milliseconds(40);
+// How much one reply counts in a leaf's share of failures, and after how many
+// microseconds about a third of the share is left.
+constexpr double kFailureWeight = 0.15;
+constexpr double kFailureForgotten = 2'000'000.0;
+// Microseconds that a failed send costs: the way there and back and another
+// send, which is also paid for from the budget. A leaf that fails every other
+// request loses against one in another region.
+constexpr double kFailureCost = 80'000.0;
+// Microseconds that a leaf takes to accept a connection, beside the way there
+// and back.
+constexpr double kConnectCost = 6'000.0;
 
 }  // namespace
 
@@ -53,19 +64,26 @@
     const LeafIndex::Leafs& leafs,
     const std::string& class_name,
     const std::set<std::string>& excluded,
-    const HasRoom& has_room) {
+    const ReadinessOf& readiness_of) {
   const base::MonotonicTime now = clock_.Now();
   const blackboard::Upstream* best = nullptr;
   double best_time = 0.0;
   for (const blackboard::Upstream* leaf : leafs) {
     if (leaf->state == UpstreamState::kDraining ||
         leaf->state == UpstreamState::kUnreachable ||
-        excluded.contains(leaf->name) || !has_room(*leaf)) {
+        excluded.contains(leaf->name)) {
+      continue;
+    }
+    const upstream::Readiness readiness = readiness_of(*leaf);
+    if (readiness == upstream::Readiness::kFull) {
       continue;
     }
     // Jitter of up to a tenth spreads the daemons over leafs that look alike.
-    const double time =
+    double time =
         Expect(*leaf, class_name, now) * (1.0 + 0.1 * random_->Unit());
+    if (readiness == upstream::Readiness::kMustConnect) {
+      time += kConnectCost + Distance(*leaf);
+    }
     if (best == nullptr || time < best_time) {
       best = leaf;
       best_time = time;
@@ -76,10 +94,11 @@
 
 base::Duration LeafTracker::SecondSendDelay(
     const blackboard::Upstream& leaf,
-    const std::string& class_name) const {
-  base::Duration delay = kFirstSecondSend;
+    const std::string& class_name,
+    base::Duration first_delay) const {
+  base::Duration delay = first_delay;
   if (const auto row = work_.find(class_name); row != work_.end()) {
-    delay = row->second.second_sends.Delay().value_or(kFirstSecondSend);
+    delay = row->second.second_sends.Delay().value_or(first_delay);
   }
   return delay + base::Duration(static_cast<std::int64_t>(Distance(leaf)));
 }
@@ -95,6 +114,7 @@
                            const upstream::ForwardReply& reply) {
   DidCancel(leaf, sent);
   Row& row = rows_[leaf.name];
+  LearnFailure(row, reply.outcome != LeafOutcome::kAnswered, clock_.Now());
   switch (reply.outcome) {
     case LeafOutcome::kAnswered:
       row.failures_in_a_row = 0;
@@ -159,11 +179,14 @@
   }
   const Row& state = row->second;
   work *= Slowness(state, now);
+  time += FailureShare(state, now) * kFailureCost;
   time += work * (1.0 + static_cast<double>(state.in_flight.size()) /
                             std::max(1, leaf.slots));
   if (!state.in_flight.empty()) {
     const base::Duration age = now - *state.in_flight.begin();
-    if (age > SecondSendDelay(leaf, class_name)) {
+    const auto patience = base::Duration(
+        static_cast<std::int64_t>(kPatience * typical + Distance(leaf)));
+    if (age > patience) {
       time += std::max(kStalledPenalty, static_cast<double>(age.count()));
     }
   }
@@ -189,7 +212,21 @@
                                       : kFirstDistanceToRegion;
 }
 
-double LeafTracker::Slowness(const Row& row, base::MonotonicTime now) const {
+double LeafTracker::FailureShare(const Row& row, base::MonotonicTime now) {
+  const auto age = static_cast<double>((now - row.failure_share_at).count());
+  return row.failure_share * std::exp(-age / kFailureForgotten);
+}
+
+void LeafTracker::LearnFailure(Row& row,
+                               bool is_failure,
+                               base::MonotonicTime now) {
+  const double share = FailureShare(row, now);
+  row.failure_share =
+      share + kFailureWeight * ((is_failure ? 1.0 : 0.0) - share);
+  row.failure_share_at = now;
+}
+
+double LeafTracker::Slowness(const Row& row, base::MonotonicTime now) {
   const auto age = static_cast<double>((now - row.slowness_at).count());
   return 1.0 + (row.slowness - 1.0) * std::exp(-age / kSlownessForgotten);
 }
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -8,7 +8,8 @@
 //   - the work, from the replies of that class of work, times how much slower
 //     than others this leaf was of late, times what it has in work already,
 //   - what is known to be wrong: an overdue request (the leaf stands still), a
-//     request given up after it was overdue, failures, a cold start.
+//     request given up after it was overdue, failures, a cold start,
+//   - a new connection, where none is open.
 //
 // Not thread-safe; used on the traffic thread.
 
@@ -41,7 +42,8 @@
  public:
   LeafTracker(Place place, base::Clock clock, std::shared_ptr<base::Random> random);
 
-  using HasRoom = std::function<bool(const blackboard::Upstream&)>;
+  using ReadinessOf =
+      std::function<upstream::Readiness(const blackboard::Upstream&)>;
 
   // The leaf with the earliest expected reply to a request of the class, or
   // null if none of `leafs` may be sent to now. Leafs named in `excluded` are
@@ -49,10 +51,12 @@
   const blackboard::Upstream* Choose(const LeafIndex::Leafs& leafs,
                                      const std::string& class_name,
                                      const std::set<std::string>& excluded,
-                                     const HasRoom& has_room);
+                                     const ReadinessOf& readiness_of);
   // How long after a send to the leaf a second one to another leaf pays.
+  // `first_delay` holds until enough replies of the class have been seen.
   base::Duration SecondSendDelay(const blackboard::Upstream& leaf,
-                                 const std::string& class_name) const;
+                                 const std::string& class_name,
+                                 base::Duration first_delay) const;
 
   void DidSend(const blackboard::Upstream& leaf, base::MonotonicTime now);
   // The end of a request that was sent at `sent`.
@@ -75,6 +79,9 @@
     // Time of replies divided by what is typical of their class.
     double slowness = 1.0;
     base::MonotonicTime slowness_at;
+    // Share of the replies of late that were failures or refusals, 0 to 1.
+    double failure_share = 0.0;
+    base::MonotonicTime failure_share_at;
     int failures_in_a_row = 0;
     int stalls_in_a_row = 0;
     base::MonotonicTime avoid_until;
@@ -92,7 +99,9 @@
   // Microseconds that a reply from the domain takes longer than one from the
   // nearest.
   double Distance(const blackboard::Upstream& leaf) const;
-  double Slowness(const Row& row, base::MonotonicTime now) const;
+  static double Slowness(const Row& row, base::MonotonicTime now);
+  static double FailureShare(const Row& row, base::MonotonicTime now);
+  static void LearnFailure(Row& row, bool is_failure, base::MonotonicTime now);
   double TypicalOf(const std::string& class_name) const;
   void Learn(const blackboard::Upstream& leaf,
              const std::string& class_name,
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -47,7 +47,8 @@
   SentCall Send(const blackboard::Upstream& upstream,
                 ForwardCall call,
                 ForwardPort::Callback done);
-  bool HasRoom(const blackboard::Upstream& upstream);
+  Readiness ReadinessOf(const blackboard::Upstream& upstream);
+  void Prepare(const blackboard::Upstream& upstream);
   void Prune(const blackboard::UpstreamsView& view);
 
   ForwardClientCounters counters_;
@@ -134,13 +135,26 @@
           }};
 }
 
-bool ForwardClient::Impl::HasRoom(const blackboard::Upstream& upstream) {
+Readiness ForwardClient::Impl::ReadinessOf(
+    const blackboard::Upstream& upstream) {
   const auto row = connections_.find(upstream.name);
   if (row == connections_.end()) {
-    return true;
+    return Readiness::kMustConnect;
   }
+  // NOTE: looking for a free one may close stale ones and so end the row.
   const auto share = static_cast<std::size_t>(connection_share_(upstream));
-  return row->second.size() < share || FindFree(row->second) != nullptr;
+  const bool has_place = row->second.size() < share;
+  const auto free = FindFree(row->second);
+  if (!free) {
+    return has_place ? Readiness::kMustConnect : Readiness::kFull;
+  }
+  return free->is_open() ? Readiness::kOpen : Readiness::kMustConnect;
+}
+
+void ForwardClient::Impl::Prepare(const blackboard::Upstream& upstream) {
+  if (const auto connection = Take(upstream)) {
+    connection->Prepare();
+  }
 }
 
 void ForwardClient::Impl::Prune(const blackboard::UpstreamsView& view) {
@@ -300,7 +314,10 @@
             return impl->Send(upstream, std::move(call), std::move(done));
           },
           [impl = impl_](const blackboard::Upstream& upstream) {
-            return impl->HasRoom(upstream);
+            return impl->ReadinessOf(upstream);
+          },
+          [impl = impl_](const blackboard::Upstream& upstream) {
+            impl->Prepare(upstream);
           }};
 }
 
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -48,14 +48,25 @@
   std::function<void()> let_linger;
 };
 
+enum class Readiness {
+  // A connection is open and free.
+  kOpen,
+  // A connection has to be opened first.
+  kMustConnect,
+  // All connections that this daemon may have are in use.
+  kFull,
+};
+
 struct ForwardPort {
   using Callback = std::function<void(ForwardReply)>;
 
   // Calls back once, never before it has returned.
   std::function<SentCall(const blackboard::Upstream&, ForwardCall, Callback)>
       send;
-  // Whether a connection to the leaf is free or may be opened.
-  std::function<bool(const blackboard::Upstream&)> has_room;
+  // How soon a request to the leaf could leave.
+  std::function<Readiness(const blackboard::Upstream&)> readiness;
+  // Opens a connection to the leaf, if none is free and one may be opened.
+  std::function<void(const blackboard::Upstream&)> prepare;
 };
 
 }  // namespace medlarspread::upstream
