Query: Ask a leaf that refused again, within the route's attempts

Ruled out: processor time; the number of attempts (a refused request has not run, and the same leaf is no further one).

--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -29,10 +29,10 @@
 constexpr base::Duration kSettingsInterval = base::Milliseconds(3'000);
 constexpr base::Duration kPruneInterval = base::Milliseconds(2'000);
 // Of what all daemons together may send beyond the first sends, this part is
-// planned with. The rest is left for daemons that restart and have forgotten
-// what was sent before, and for the difference between this daemon's count of
-// requests and the callers'.
-constexpr double kPlannedShare = 0.6;
+// planned with. Half of the slack is left for daemons that restart all at once
+// and have forgotten what was sent before; of the share, which grows with the
+// requests themselves, less has to be left.
+constexpr double kPlannedShare = 0.85;
 constexpr double kPlannedSlack = 0.5;
 // Of the connections of a leaf: the rest is for daemons that have just joined.
 constexpr double kPlannedConnections = 0.9;
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -41,6 +41,11 @@
 // A connection for a second send is opened after this part of its delay. To
 // another region it takes 22 ms to open, as long as the delay itself.
 constexpr int kPreparePercent = 55;
+// A leaf that refused for want of room is asked again after this time; its
+// slots turn over in about as much.
+constexpr base::Duration kRefusalPause = Milliseconds(8);
+// Sends of one shard, refused ones included.
+constexpr int kMostSends = 5;
 constexpr double kRounding = 1e-9;
 
 bool IsCertainlyNotRun(LeafOutcome outcome) {
@@ -144,7 +149,17 @@
 const blackboard::Upstream* FanOutSession::NextLeaf(const Shard& shard) const {
   return dependencies_->tracker->Choose(
       dependencies_->index()->LeafsOf(shard.collection), route_.targets.name,
-      shard.excluded, dependencies_->leafs.readiness);
+      [&](const blackboard::Upstream& leaf) { return MayUse(shard, leaf); },
+      dependencies_->leafs.readiness);
+}
+
+bool FanOutSession::MayUse(const Shard& shard,
+                           const blackboard::Upstream& leaf) const {
+  const bool is_further_leaf = !shard.refused.contains(leaf.name);
+  if (is_further_leaf && shard.leafs >= route_.most_attempts) {
+    return false;
+  }
+  return !shard.excluded.contains(leaf.name);
 }
 
 void FanOutSession::SendTo(Shard& shard, const blackboard::Upstream& leaf) {
@@ -156,7 +171,8 @@
   attempt->prepare = attempt->sent + delay * kPreparePercent / 100;
   attempt->overdue = attempt->sent + delay;
   shard.excluded.insert(leaf.name);
-  ++shard.arrivals;
+  shard.leafs += shard.refused.erase(leaf.name) > 0 ? 0 : 1;
+  ++shard.sends;
   shard.has_first = true;
   shard.is_waiting = false;
   ++sends_;
@@ -171,11 +187,34 @@
   shard.attempts.push_back(std::move(attempt));
 }
 
-bool FanOutSession::MaySendAgain(const Shard& shard) const {
-  return shard.arrivals < route_.most_attempts &&
+bool FanOutSession::MaySendElsewhere(const Shard& shard) const {
+  return shard.leafs < route_.most_attempts &&
          time_left() >= kReplyMargin + kLeastTimeLeft;
 }
 
+bool FanOutSession::PlanRepeat(Shard& shard) {
+  const bool is_in_time =
+      time_left() >= kRefusalPause + kReplyMargin + kLeastTimeLeft;
+  if (shard.refused.empty() || shard.sends >= kMostSends || !is_in_time) {
+    return false;
+  }
+  for (const std::string& leaf : shard.refused) {
+    shard.excluded.erase(leaf);
+  }
+  shard.again_at = dependencies_->clock.Now() + kRefusalPause;
+  return true;
+}
+
+void FanOutSession::SendAgain(Shard& shard, MonotonicTime now) {
+  if (shard.again_at == MonotonicTime{} || now < shard.again_at) {
+    return;
+  }
+  shard.again_at = {};
+  if (!TrySend(shard, Payment::kFromBudget)) {
+    Settle(shard, ShardState::kFailed);
+  }
+}
+
 void FanOutSession::DidReply(std::size_t shard_index,
                              const std::shared_ptr<Attempt>& attempt,
                              ForwardReply reply) {
@@ -190,7 +229,7 @@
   if (reply.outcome == LeafOutcome::kAnswered) {
     DidAnswer(shard, std::move(reply));
   } else {
-    DidFail(shard, std::move(reply));
+    DidFail(shard, attempt->leaf.name, std::move(reply));
   }
   if (!is_finished_) {
     ConcludeIfDue();
@@ -206,7 +245,9 @@
   Settle(shard, ShardState::kAnswered);
 }
 
-void FanOutSession::DidFail(Shard& shard, ForwardReply reply) {
+void FanOutSession::DidFail(Shard& shard,
+                            const std::string& leaf,
+                            ForwardReply reply) {
   dependencies_->log.DidFail(reply.error, "a send to a leaf failed",
                              request_.request_id);
   last_error_ = reply.error;
@@ -214,7 +255,11 @@
   may_have_run_ = may_have_run_ || !did_not_run;
   const bool never_left = reply.outcome == LeafOutcome::kUnreachable;
   if (never_left) {
-    --shard.arrivals;
+    --shard.leafs;
+    --shard.sends;
+  }
+  if (reply.outcome == LeafOutcome::kShed) {
+    shard.refused.insert(leaf);
   }
   shard.reply = std::move(reply);
   if (running(shard) > 0) {
@@ -222,7 +267,10 @@
   }
   const bool may_repeat = route_.is_idempotent || did_not_run;
   const Payment payment = never_left ? Payment::kFree : Payment::kFromBudget;
-  if (may_repeat && MaySendAgain(shard) && TrySend(shard, payment)) {
+  if (may_repeat && MaySendElsewhere(shard) && TrySend(shard, payment)) {
+    return;
+  }
+  if (may_repeat && PlanRepeat(shard)) {
     return;
   }
   Settle(shard, ShardState::kFailed);
@@ -248,6 +296,9 @@
     if (shard.state == ShardState::kOpen && shard.is_waiting) {
       SendWaiting(shard, now);
     }
+    if (shard.state == ShardState::kOpen) {
+      SendAgain(shard, now);
+    }
   }
   SecondSends(now);
   ConcludeIfDue();
@@ -274,14 +325,14 @@
     }
     latest.was_overdue = true;
     dependencies_->tracker->DidStall(latest.leaf);
-    if (route_.is_idempotent && MaySendAgain(shard)) {
+    if (route_.is_idempotent && MaySendElsewhere(shard)) {
       (void)TrySend(shard, Payment::kFromBudget);
     }
   }
 }
 
 void FanOutSession::PrepareSecondSend(const Shard& shard) {
-  if (!route_.is_idempotent || !MaySendAgain(shard)) {
+  if (!route_.is_idempotent || !MaySendElsewhere(shard)) {
     return;
   }
   const auto index = dependencies_->index();
@@ -368,6 +419,9 @@
     if (shard.is_waiting) {
       due = std::min(due, now + kRoomInterval);
     }
+    if (shard.again_at != MonotonicTime{}) {
+      due = std::min(due, shard.again_at);
+    }
     if (!shard.attempts.empty() && !shard.attempts.back()->is_finished &&
         !shard.attempts.back()->was_overdue) {
       const Attempt& latest = *shard.attempts.back();
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -106,8 +106,14 @@
     std::vector<std::shared_ptr<Attempt>> attempts;
     // Leafs that are not sent to again.
     std::set<std::string> excluded;
-    // Sends that reached a leaf, or may have.
-    int arrivals = 0;
+    // Leafs that refused for want of room: they may be sent to again, and are
+    // no further leafs then.
+    std::set<std::string> refused;
+    // Leafs that the shard reached, or may have.
+    int leafs = 0;
+    int sends = 0;
+    // When to send again after a refusal; zero if that is not planned.
+    base::MonotonicTime again_at;
     bool has_first = false;
     // Since when no leaf had room; the shard waits for one.
     bool is_waiting = false;
@@ -123,12 +129,19 @@
   bool TrySend(Shard& shard, Payment payment);
   // Sends a shard that found no leaf so far, or gives it up after a while.
   void SendWaiting(Shard& shard, base::MonotonicTime now);
-  bool MaySendAgain(const Shard& shard) const;
+  // Whether the route allows one more leaf.
+  bool MaySendElsewhere(const Shard& shard) const;
+  bool MayUse(const Shard& shard, const blackboard::Upstream& leaf) const;
+  // Plans another send to a leaf that refused; false if that is no use.
+  bool PlanRepeat(Shard& shard);
+  void SendAgain(Shard& shard, base::MonotonicTime now);
   void DidReply(std::size_t shard,
                 const std::shared_ptr<Attempt>& attempt,
                 upstream::ForwardReply reply);
   void DidAnswer(Shard& shard, upstream::ForwardReply reply);
-  void DidFail(Shard& shard, upstream::ForwardReply reply);
+  void DidFail(Shard& shard,
+               const std::string& leaf,
+               upstream::ForwardReply reply);
   void Settle(Shard& shard, ShardState state);
   // Second sends, waiting shards, the target and the deadline: all that is due.
   void Wake();
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -41,11 +41,12 @@
 constexpr int kMostAvoidanceDoublings = 4;
 // How much one reply counts in a leaf's share of failures, and after how many
 // microseconds about a third of the share is left.
-constexpr double kFailureWeight = 0.15;
-constexpr double kFailureForgotten = 2'000'000.0;
+constexpr double kFailureWeight = 0.3;
+constexpr double kFailureForgotten = 3'000'000.0;
 // Microseconds that a failed send costs: the way there and back and another
-// send, which is also paid for from the budget. A leaf that fails every other
-// request loses against one in another region.
+// send, which is also paid for from the budget. One failure makes a leaf in
+// another region the better choice for a while: each daemon sends a leaf few
+// requests a second and can't wait for a second opinion.
 constexpr double kFailureCost = 80'000.0;
 // Microseconds that a leaf takes to accept a connection, beside the way there
 // and back.
@@ -63,7 +64,7 @@
 const blackboard::Upstream* LeafTracker::Choose(
     const LeafIndex::Leafs& leafs,
     const std::string& class_name,
-    const std::set<std::string>& excluded,
+    const MayUse& may_use,
     const ReadinessOf& readiness_of) {
   const base::MonotonicTime now = clock_.Now();
   const blackboard::Upstream* best = nullptr;
@@ -71,7 +72,7 @@
   for (const blackboard::Upstream* leaf : leafs) {
     if (leaf->state == UpstreamState::kDraining ||
         leaf->state == UpstreamState::kUnreachable ||
-        excluded.contains(leaf->name)) {
+        !may_use(*leaf)) {
       continue;
     }
     const upstream::Readiness readiness = readiness_of(*leaf);
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -42,15 +42,16 @@
  public:
   LeafTracker(Place place, base::Clock clock, std::shared_ptr<base::Random> random);
 
+  // Whether the caller of Choose() takes a leaf at all.
+  using MayUse = std::function<bool(const blackboard::Upstream&)>;
   using ReadinessOf =
       std::function<upstream::Readiness(const blackboard::Upstream&)>;
 
   // The leaf with the earliest expected reply to a request of the class, or
-  // null if none of `leafs` may be sent to now. Leafs named in `excluded` are
-  // left out.
+  // null if none of `leafs` may be sent to now.
   const blackboard::Upstream* Choose(const LeafIndex::Leafs& leafs,
                                      const std::string& class_name,
-                                     const std::set<std::string>& excluded,
+                                     const MayUse& may_use,
                                      const ReadinessOf& readiness_of);
   // How long after a send to the leaf a second one to another leaf pays.
   // `first_delay` holds until enough replies of the class have been seen.
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -256,12 +256,32 @@
   ASSERT_EQ(leafs_.sent().size(), 2U);
   leafs_.Fail(1, LeafOutcome::kReplaced);
   ASSERT_EQ(leafs_.sent().size(), 3U);
-  leafs_.Fail(2, LeafOutcome::kShed);
+  leafs_.Fail(2, LeafOutcome::kReplaced);
+  // The one that only had no room is asked once more.
+  Advance(10);
+  ASSERT_EQ(leafs_.sent().size(), 4U);
+  EXPECT_EQ(leafs_.sent()[3].leaf.name, leafs_.sent()[0].leaf.name);
+  leafs_.Fail(3, LeafOutcome::kReplaced);
   const auto* refused = AnswerAs<Refused>();
   ASSERT_NE(refused, nullptr);
   EXPECT_GT(refused->retry_after, base::Duration{});
 }
 
+TEST_F(ForwardServiceTest, ALeafThatRefusedIsAskedAgainButNoFurtherLeaf) {
+  SetRoute(OneCollection{"single"}, true, 1);
+  Submit();
+  std::set<std::string> leafs;
+  for (std::size_t send = 0; send < 5; ++send) {
+    ASSERT_GT(leafs_.sent().size(), send);
+    leafs.insert(leafs_.sent()[send].leaf.name);
+    leafs_.Fail(send, LeafOutcome::kShed);
+    Advance(9);
+  }
+  EXPECT_EQ(leafs_.sent().size(), 5U);
+  EXPECT_EQ(leafs.size(), 1U);
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
 TEST_F(ForwardServiceTest, ALeafsOwnFailureIsPassedOn) {
   SetRoute(OneCollection{"single"}, false);
   Submit();
--- a/tests/routing/leaf_tracker_test.cc
+++ b/tests/routing/leaf_tracker_test.cc
@@ -31,7 +31,10 @@
   }
 
   const Upstream* Choose(const std::set<std::string>& excluded = {}) {
-    return tracker_.Choose(leafs_, kClass, excluded,
+    return tracker_.Choose(leafs_, kClass,
+                           [&excluded](const Upstream& leaf) {
+                             return !excluded.contains(leaf.name);
+                           },
                            [](const Upstream&) {
                              return upstream::Readiness::kOpen;
                            });
@@ -110,11 +113,14 @@
   Learn();
   Serve(near_, 1, LeafOutcome::kUnreachable);
   EXPECT_EQ(Choose(), &far_);
-  time_->Advance(base::Milliseconds(300));
+  time_->Advance(Milliseconds(2'000));
   EXPECT_EQ(Choose(), &near_);
   Serve(near_, 1, LeafOutcome::kUnreachable);
-  time_->Advance(base::Milliseconds(290));
+  Serve(near_, 1, LeafOutcome::kUnreachable);
+  time_->Advance(Milliseconds(2'000));
   EXPECT_EQ(Choose(), &far_);
+  time_->Advance(Milliseconds(4'000));
+  EXPECT_EQ(Choose(), &near_);
 }
 
 TEST_F(LeafTrackerTest, AFailingLeafIsBetterThanNone) {
@@ -130,7 +136,7 @@
 
 TEST_F(LeafTrackerTest, SkipsALeafWithoutRoom) {
   const auto* leaf = tracker_.Choose(
-      leafs_, kClass, {},
+      leafs_, kClass, [](const Upstream&) { return true; },
       [this](const Upstream& candidate) {
         return &candidate == &near_ ? upstream::Readiness::kFull
                                     : upstream::Readiness::kOpen;
@@ -148,7 +154,7 @@
   leafs_ = {&far_, &other};
   for (int request = 0; request < 20; ++request) {
     const auto* leaf = tracker_.Choose(
-        leafs_, kClass, {}, [&other](const Upstream& candidate) {
+        leafs_, kClass, [](const Upstream&) { return true; }, [&other](const Upstream& candidate) {
           return &candidate == &other ? upstream::Readiness::kOpen
                                       : upstream::Readiness::kMustConnect;
         });
