--- /dev/null
+++ b/emulator/hosted/hosted_leaf.cc
@@ -0,0 +1,100 @@
+// Answers with a proof, refuses, or keeps silent.
+
+#include "emulator/hosted/hosted_leaf.h"
+
+#include <utility>
+
+#include "src/base/json_string.h"
+
+namespace medlarspread::emulator {
+
+namespace {
+
+using http1::Response;
+using http1::Status;
+
+constexpr int kHttpVersion = 11;
+constexpr const char* kRequestId = "Medlarspread-Request-Id";
+
+Response MakeRefusal(Status status) {
+  Response response(status, kHttpVersion);
+  response.set("Medlarspread-Not-Executed", "1");
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace
+
+HostedLeaf::HostedLeaf(boost::asio::io_context& context,
+                       std::string id,
+                       std::string service,
+                       std::string zone)
+    : runner_(context),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      zone_(std::move(zone)) {
+  http1::CallerListener::Settings settings;
+  settings.address = "127.0.0.1:0";
+  settings.limits = [] { return http1::MessageLimits{}; };
+  settings.handle = [this](const http1::Request& request,
+                           http1::Respond respond) {
+    return Handle(request, std::move(respond));
+  };
+  listener_ = std::make_shared<http1::CallerListener>(
+      context, std::move(settings), base::Clock());
+  (void)listener_->Open();
+}
+
+std::string HostedLeaf::MakeEntry(const std::string& state) const {
+  return R"({"service":)" + base::JsonString(service_) +
+         R"(,"addr":"127.0.0.1:)" + std::to_string(listener_->port()) +
+         R"(","zone":)" + base::JsonString(zone_) +
+         R"(,"version":"v1","slots":2,"state":)" + base::JsonString(state) +
+         R"(,"warmup_left_ms":0,"seq":1})";
+}
+
+int HostedLeaf::RunsOf(const std::string& request_id) const {
+  const std::lock_guard lock(mutex_);
+  const auto row = runs_by_request_.find(request_id);
+  return row == runs_by_request_.end() ? 0 : row->second;
+}
+
+http1::Abandon HostedLeaf::Handle(const http1::Request& request,
+                                  http1::Respond respond) {
+  if (request["Medlarspread-Expect-Instance"] != id_) {
+    respond(MakeRefusal(Status::misdirected_request));
+    return [] {};
+  }
+  if (mood_ == LeafMood::kShed) {
+    respond(MakeRefusal(Status::service_unavailable));
+    return [] {};
+  }
+  const std::string request_id(request[kRequestId]);
+  ++runs_;
+  {
+    const std::lock_guard lock(mutex_);
+    ++runs_by_request_[request_id];
+  }
+  base::Timer timer;
+  if (mood_ == LeafMood::kAnswer) {
+    timer = runner_.After(work_, [this, request_id, respond] {
+      respond(MakeAnswer(request_id));
+    });
+  }
+  return [this, timer]() mutable {
+    timer.Cancel();
+    ++cancelled_;
+  };
+}
+
+Response HostedLeaf::MakeAnswer(const std::string& request_id) const {
+  Response response(Status::ok, kHttpVersion);
+  response.set(kRequestId, request_id);
+  response.set("Medlarspread-Leaf-Stamp", "stamp-" + id_);
+  // One record of sixteen bytes that begins with the service's name.
+  response.body() = service_ + std::string(16 - service_.size(), '.');
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace medlarspread::emulator
--- /dev/null
+++ b/emulator/hosted/hosted_leaf.h
@@ -0,0 +1,69 @@
+// A stand-in for a leaf of the users' platform, which answers opaque requests
+// and counts what it runs.
+//
+// Runs on the thread of its context; the controls may be called from others.
+
+#ifndef MEDLARSPREAD_EMULATOR_HOSTED_HOSTED_LEAF_H_
+#define MEDLARSPREAD_EMULATOR_HOSTED_HOSTED_LEAF_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "src/base/task_runner.h"
+#include "src/http1/caller_listener.h"
+
+namespace medlarspread::emulator {
+
+// What it does with a request.
+enum class LeafMood {
+  kAnswer,
+  // Refuses without running it.
+  kShed,
+  // Runs it and never answers.
+  kMute,
+};
+
+class HostedLeaf {
+ public:
+  HostedLeaf(boost::asio::io_context& context,
+             std::string id,
+             std::string service,
+             std::string zone);
+
+  // The value of its entry in the store; `state` is "ready" or "draining".
+  std::string MakeEntry(const std::string& state) const;
+  const std::string& id() const { return id_; }
+
+  void set_mood(LeafMood mood) { mood_ = mood; }
+  void set_work(base::Duration work) { work_ = work; }
+
+  int runs() const { return runs_; }
+  int cancelled() const { return cancelled_; }
+  // How often it ran the request.
+  int RunsOf(const std::string& request_id) const;
+
+ private:
+  http1::Abandon Handle(const http1::Request& request, http1::Respond respond);
+  http1::Response MakeAnswer(const std::string& request_id) const;
+
+  const base::TaskRunner runner_;
+  const std::string id_;
+  const std::string service_;
+  const std::string zone_;
+  std::shared_ptr<http1::CallerListener> listener_;
+  std::atomic<LeafMood> mood_ = LeafMood::kAnswer;
+  std::atomic<base::Duration> work_ = base::Milliseconds(2);
+  std::atomic<int> runs_ = 0;
+  std::atomic<int> cancelled_ = 0;
+  mutable std::mutex mutex_;
+  std::map<std::string, int> runs_by_request_;
+};
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_HOSTED_HOSTED_LEAF_H_
--- /dev/null
+++ b/emulator/hosted/hosted_store.cc
@@ -0,0 +1,210 @@
+// The calls of the platform's store.
+
+#include "emulator/hosted/hosted_store.h"
+
+#include <utility>
+
+#include <cpprest/asyncrt_utils.h>
+#include <cpprest/base_uri.h>
+#include <cpprest/json.h>
+
+namespace medlarspread::emulator {
+
+namespace {
+
+using http1::Response;
+using http1::Status;
+using web::json::value;
+
+constexpr int kHttpVersion = 11;
+
+Response MakeJson(Status status, const std::string& body) {
+  Response response(status, kHttpVersion);
+  response.set(boost::beast::http::field::content_type, "application/json");
+  response.body() = body;
+  response.prepare_payload();
+  return response;
+}
+
+// The parameters of the query of a target.
+std::map<std::string, std::string> ParametersOf(const std::string& target) {
+  std::map<std::string, std::string> parameters;
+  const web::uri uri(target);
+  for (const auto& [name, text] : web::uri::split_query(uri.query())) {
+    parameters[name] = web::uri::decode(text);
+  }
+  return parameters;
+}
+
+std::string Encode(const std::string& text) {
+  return utility::conversions::to_base64(
+      std::vector<unsigned char>(text.begin(), text.end()));
+}
+
+}  // namespace
+
+HostedStore::HostedStore(boost::asio::io_context& context) : runner_(context) {
+  http1::CallerListener::Settings settings;
+  settings.address = "127.0.0.1:0";
+  settings.limits = [] { return http1::MessageLimits{}; };
+  settings.handle = [this](const http1::Request& request,
+                           http1::Respond respond) {
+    return Handle(request, std::move(respond));
+  };
+  listener_ = std::make_shared<http1::CallerListener>(
+      context, std::move(settings), base::Clock());
+  (void)listener_->Open();
+}
+
+std::string HostedStore::address() const {
+  return "127.0.0.1:" + std::to_string(listener_->port());
+}
+
+void HostedStore::Put(const std::string& key, const std::string& value) {
+  runner_.Post([this, key, value] { Change(key, {value, 0, false}); });
+}
+
+void HostedStore::Remove(const std::string& key) {
+  runner_.Post([this, key] { Change(key, {"", 0, true}); });
+}
+
+void HostedStore::ForgetHistory() {
+  runner_.Post([this] {
+    forgotten_ = revision_;
+    auto watches = std::exchange(watches_, {});
+    for (const auto& [id, watch] : watches) {
+      watch.respond(MakeJson(Status::gone, "{}"));
+    }
+  });
+}
+
+http1::Abandon HostedStore::Handle(const http1::Request& request,
+                                   http1::Respond respond) {
+  const std::string target(request.target());
+  if (is_silent_) {
+    return [] {};
+  }
+  if (target.starts_with("/kv-keep/")) {
+    respond(MakeJson(Status::ok, R"({"ttl_ms":60000})"));
+    return [] {};
+  }
+  ++calls_;
+  if (target.starts_with("/kv-watch?")) {
+    return StartWatch(target, std::move(respond));
+  }
+  if (target.starts_with("/kv-range?")) {
+    Range(target, respond);
+  } else if (target == "/kv-lease") {
+    respond(MakeJson(Status::ok, R"({"lease":)" +
+                                     std::to_string(next_lease_++) +
+                                     R"(,"ttl_ms":60000})"));
+  } else if (target == "/kv-txn") {
+    Transact(request.body(), respond);
+  } else {
+    respond(MakeJson(Status::not_found, "{}"));
+  }
+  return [] {};
+}
+
+void HostedStore::Range(const std::string& target,
+                        const http1::Respond& respond) {
+  const std::string prefix = ParametersOf(target)["prefix"];
+  respond(MakeJson(Status::ok, R"({"items":)" + RowsAfter(prefix, 0, false) +
+                                   R"(,"truncated":false,"current_rev":)" +
+                                   std::to_string(revision_) + "}"));
+}
+
+http1::Abandon HostedStore::StartWatch(const std::string& target,
+                                       http1::Respond respond) {
+  auto parameters = ParametersOf(target);
+  const std::int64_t after = std::stoll(parameters["after"]);
+  if (after < forgotten_) {
+    respond(MakeJson(Status::gone, "{}"));
+    return [] {};
+  }
+  const std::uint64_t id = next_watch_++;
+  watches_[id] = {parameters["prefix"], after, std::move(respond)};
+  waiting_ = static_cast<int>(watches_.size());
+  base::Timer timer = runner_.After(
+      base::Milliseconds(std::stoll(parameters["wait_ms"])), [this, id] {
+        auto node = watches_.extract(id);
+        waiting_ = static_cast<int>(watches_.size());
+        if (!node.empty() && !is_silent_) {
+          node.mapped().respond(
+              MakeJson(Status::ok, R"({"events":[],"current_rev":)" +
+                                       std::to_string(revision_) + "}"));
+        }
+      });
+  AnswerWatches();
+  return [this, id, timer]() mutable {
+    timer.Cancel();
+    watches_.erase(id);
+    waiting_ = static_cast<int>(watches_.size());
+  };
+}
+
+void HostedStore::Transact(const std::string& body,
+                           const http1::Respond& respond) {
+  const value call = value::parse(body);
+  for (const value& write : call.at("writes").as_array()) {
+    const auto bytes =
+        utility::conversions::from_base64(write.at("value").as_string());
+    Change(write.at("key").as_string(),
+           {std::string(bytes.begin(), bytes.end()), 0, false});
+  }
+  respond(MakeJson(Status::ok,
+                   R"({"rev":)" + std::to_string(revision_) + "}"));
+}
+
+std::string HostedStore::RowsAfter(const std::string& prefix,
+                                   std::int64_t after,
+                                   bool with_removed) const {
+  auto rows = value::array();
+  std::size_t count = 0;
+  for (const auto& [key, row] : rows_) {
+    if (!key.starts_with(prefix) || row.revision <= after ||
+        (row.is_removed && !with_removed)) {
+      continue;
+    }
+    auto item = value::object();
+    item["key"] = value::string(key);
+    item["rev"] = value::number(row.revision);
+    if (row.is_removed) {
+      item["removed"] = value::boolean(true);
+    } else {
+      item["value"] = value::string(Encode(row.value));
+    }
+    rows[count++] = item;
+  }
+  return rows.serialize();
+}
+
+void HostedStore::Change(const std::string& key, Row row) {
+  row.revision = ++revision_;
+  rows_[key] = std::move(row);
+  AnswerWatches();
+}
+
+void HostedStore::AnswerWatches() {
+  if (is_silent_) {
+    return;
+  }
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, watch] : watches_) {
+    if (RowsAfter(watch.prefix, watch.after, true) != "[]") {
+      due.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : due) {
+    auto node = watches_.extract(id);
+    waiting_ = static_cast<int>(watches_.size());
+    const Watch& watch = node.mapped();
+    watch.respond(MakeJson(
+        Status::ok, R"({"events":)" +
+                        RowsAfter(watch.prefix, watch.after, true) +
+                        R"(,"current_rev":)" + std::to_string(revision_) +
+                        "}"));
+  }
+}
+
+}  // namespace medlarspread::emulator
--- /dev/null
+++ b/src/base/nonblocking_output.cc
@@ -0,0 +1,69 @@
+// Lines, a bounded buffer and write().
+
+#include "src/base/nonblocking_output.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace medlarspread::base {
+
+NonblockingOutput::NonblockingOutput(int descriptor, std::size_t most_bytes)
+    : descriptor_(descriptor), most_bytes_(most_bytes) {
+  const int flags = fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) {
+    (void)fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+NonblockingOutput::int_type NonblockingOutput::overflow(int_type letter) {
+  if (!traits_type::eq_int_type(letter, traits_type::eof())) {
+    line_ += traits_type::to_char_type(letter);
+  }
+  return traits_type::not_eof(letter);
+}
+
+std::streamsize NonblockingOutput::xsputn(const char* text,
+                                          std::streamsize size) {
+  line_.append(text, static_cast<std::size_t>(size));
+  return size;
+}
+
+int NonblockingOutput::sync() {
+  WriteOut();
+  TakeLine();
+  WriteOut();
+  return 0;
+}
+
+void NonblockingOutput::TakeLine() {
+  if (line_.empty()) {
+    return;
+  }
+  if (waiting_.size() + line_.size() > most_bytes_) {
+    ++dropped_;
+    ++dropped_untold_;
+  } else {
+    if (dropped_untold_ > 0) {
+      waiting_ += R"({"level":"warning","step":"log","message":")" +
+                  std::to_string(dropped_untold_) +
+                  " lines were dropped, since the reader is slow\"}\n";
+      dropped_untold_ = 0;
+    }
+    waiting_ += line_;
+  }
+  line_.clear();
+}
+
+void NonblockingOutput::WriteOut() {
+  while (!waiting_.empty()) {
+    const ssize_t written =
+        ::write(descriptor_, waiting_.data(), waiting_.size());
+    // Full, or gone: what waits is tried again with the next line.
+    if (written <= 0) {
+      return;
+    }
+    waiting_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace medlarspread::base
--- a/src/burn/count_writer.cc
+++ b/src/burn/count_writer.cc
@@ -106,8 +106,8 @@
 
 void CountWriter::ReadBack(const std::string& key) {
   store_.read(key, settings_.store_timeout,
-              [self = shared_from_this(), key](
-                  const base::Result<std::optional<store::Entry>>& result) {
+              [self = shared_from_this(),
+               key](const base::Result<std::optional<store::Entry>>& result) {
                 self->DidRead(key, result);
               });
 }
--- a/src/burn/day_roll_up.cc
+++ b/src/burn/day_roll_up.cc
@@ -97,15 +97,15 @@
 // Unless the list is read, none of the failure domain's segments is kept.
 void DayRollUp::KeepThoseWithoutSources(std::shared_ptr<HourPass> pass,
                                         const std::string& failure_domain) {
-  steps_.TryList(kRawPrefix + failure_domain + "/",
-                 [this, pass, failure_domain](
-                     const base::Result<std::vector<store::Entry>>& listed) {
-                   std::erase_if(pass->hours, [&](const StoredSegment& hour) {
-                     return DomainOf(hour) == failure_domain &&
-                            HasSourceIn(hour, listed);
-                   });
-                   steps_.Next();
-                 });
+  steps_.TryList(
+      kRawPrefix + failure_domain + "/",
+      [this, pass,
+       failure_domain](const base::Result<std::vector<store::Entry>>& listed) {
+        std::erase_if(pass->hours, [&](const StoredSegment& hour) {
+          return DomainOf(hour) == failure_domain && HasSourceIn(hour, listed);
+        });
+        steps_.Next();
+      });
 }
 
 void DayRollUp::FoldInto(StoredSegment day, std::shared_ptr<HourPass> pass) {
--- a/src/burn/domain_roll_up.cc
+++ b/src/burn/domain_roll_up.cc
@@ -136,28 +136,27 @@
 void DomainRollUp::StartHour(std::shared_ptr<HourPass> pass) {
   const std::string prefix = kHourPrefix + std::to_string(pass->hour) + "/" +
                              pass->failure_domain + "/";
-  steps_.List(prefix,
-              [this, pass](const std::vector<store::Entry>& entries) {
-                pass->hours = steps_.Decode(entries);
-                if (pass->hours.size() != entries.size()) {
-                  // What a damaged roll-up contains is not known.
-                  steps_.Next();
-                  return;
-                }
-                // NOTE: the day is read after the list of hours. An hour that
-                // is missing from the list is in the day by then.
-                const std::int64_t now_hour =
-                    MinuteOf(clock_.WallMilliseconds()) / kMinutesPerHour;
-                if (now_hour - pass->hour < kSurelyNotInDayHours) {
+  steps_.List(prefix, [this, pass](const std::vector<store::Entry>& entries) {
+    pass->hours = steps_.Decode(entries);
+    if (pass->hours.size() != entries.size()) {
+      // What a damaged roll-up contains is not known.
+      steps_.Next();
+      return;
+    }
+    // NOTE: the day is read after the list of hours. An hour that
+    // is missing from the list is in the day by then.
+    const std::int64_t now_hour =
+        MinuteOf(clock_.WallMilliseconds()) / kMinutesPerHour;
+    if (now_hour - pass->hour < kSurelyNotInDayHours) {
+      FoldIntoHour(pass);
+      return;
+    }
+    steps_.Read(DayKey(pass->hour / kHoursPerDay),
+                [this, pass](StoredSegment day) {
+                  pass->day = std::move(day);
                   FoldIntoHour(pass);
-                  return;
-                }
-                steps_.Read(DayKey(pass->hour / kHoursPerDay),
-                            [this, pass](StoredSegment day) {
-                              pass->day = std::move(day);
-                              FoldIntoHour(pass);
-                            });
-              });
+                });
+  });
 }
 
 // The hour's open segment, or a new one.
--- a/src/burn/store_steps.cc
+++ b/src/burn/store_steps.cc
@@ -40,15 +40,14 @@
 void StoreSteps::List(
     const std::string& prefix,
     std::function<void(const std::vector<store::Entry>&)> then) {
-  TryList(prefix,
-          [self = shared_from_this(), then = std::move(then)](
-              const base::Result<std::vector<store::Entry>>& result) {
-            if (result.is_ok()) {
-              then(result.value());
-              return;
-            }
-            self->DidFail(result.error());
-          });
+  TryList(prefix, [self = shared_from_this(), then = std::move(then)](
+                      const base::Result<std::vector<store::Entry>>& result) {
+    if (result.is_ok()) {
+      then(result.value());
+      return;
+    }
+    self->DidFail(result.error());
+  });
 }
 
 void StoreSteps::TryList(const std::string& prefix,
--- a/src/claims/bucket.cc
+++ b/src/claims/bucket.cc
@@ -152,8 +152,7 @@
   });
 }
 
-void Bucket::DidRead(
-    const base::Result<std::optional<store::Entry>>& result) {
+void Bucket::DidRead(const base::Result<std::optional<store::Entry>>& result) {
   phase_ = Phase::kIdle;
   if (!result.is_ok()) {
     // NOTE: The next swap serves as well to find out where the key stands.
--- a/src/claims/sweeper.cc
+++ b/src/claims/sweeper.cc
@@ -81,9 +81,8 @@
                });
 }
 
-void Sweeper::DidList(
-    std::int64_t slice,
-    const base::Result<std::vector<store::Entry>>& result) {
+void Sweeper::DidList(std::int64_t slice,
+                      const base::Result<std::vector<store::Entry>>& result) {
   is_sweeping_ = false;
   if (!result.is_ok()) {
     // The slice stays due and is tried again at the next tick.
--- a/src/daemon/metered_store.cc
+++ b/src/daemon/metered_store.cc
@@ -58,8 +58,8 @@
 }  // namespace
 
 store::Store MeterStore(store::Store store,
-                           metrics::Registry& registry,
-                           const base::Clock& clock) {
+                        metrics::Registry& registry,
+                        const base::Clock& clock) {
   using store::Store;
   const CallMeter meter(registry, clock);
   Store metered;
--- a/src/daemon/metered_store.h
+++ b/src/daemon/metered_store.h
@@ -14,8 +14,8 @@
 // outlive the last callback. A refused swap is a usable answer, no failure.
 // Watches count as calls; their time is waiting and is left out of the latency.
 store::Store MeterStore(store::Store store,
-                           metrics::Registry& registry,
-                           const base::Clock& clock);
+                        metrics::Registry& registry,
+                        const base::Clock& clock);
 
 }  // namespace medlarspread::daemon
 
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "src/base/json_string.h"
 #include "src/platform/caller_codec.h"
 #include "src/platform/leaf_codec.h"
 #include "src/settings/load_settings.h"
@@ -58,9 +59,12 @@
 
 }  // namespace
 
-OpaqueDaemon::OpaqueDaemon(settings::DaemonSettings settings, base::Log log)
+OpaqueDaemon::OpaqueDaemon(settings::DaemonSettings settings,
+                           base::Log log,
+                           std::ostream& announce)
     : settings_(std::move(settings)),
       log_(std::move(log)),
+      announce_(announce),
       random_(std::make_shared<base::Random>(MakeSeed())),
       store_calls_(control_.context(),
                    control_.runner(),
@@ -80,26 +84,26 @@
              [this](const blackboard::Upstream& upstream) {
                return ConnectionShare(upstream);
              }),
-      queries_({settings_.callers.max_requests,
-                [this] { return MakeExtraSendLimits(); }},
-               clock_,
-               traffic_,
-               blackboard_,
-               std::make_shared<routing::LeafTracker>(
-                   routing::Place{settings_.vm.region,
-                                  settings_.vm.failure_domain},
-                   clock_,
-                   random_),
-               {leafs_.port(),
-                [this](const burn::RequestRecord& record) { Record(record); }},
-               log_) {}
+      queries_(
+          {settings_.callers.max_requests,
+           [this] { return MakeExtraSendLimits(); }},
+          clock_,
+          traffic_,
+          blackboard_,
+          std::make_shared<routing::LeafTracker>(
+              routing::Place{settings_.vm.region, settings_.vm.failure_domain},
+              clock_,
+              random_),
+          {leafs_.port(),
+           [this](const burn::RequestRecord& record) { Record(record); }},
+          log_) {}
 
 base::Status OpaqueDaemon::Start() {
   callers_ = MakeCallers();
   readiness_ = MakePage(settings_.callers.readiness_address,
                         [this] { return RenderReadiness(); });
-  metrics_page_ = MakePage(settings_.operators.address,
-                           [this] { return RenderMetrics(); });
+  metrics_page_ =
+      MakePage(settings_.operators.address, [this] { return RenderMetrics(); });
   for (const auto& listener : {callers_, readiness_, metrics_page_}) {
     if (auto opened = listener->Open(); !opened.is_ok()) {
       return opened;
@@ -115,6 +119,7 @@
   WaitForSignal();
   WatchSettingsFile();
   PruneConnections();
+  Announce();
   log_.Write({.level = base::LogLevel::kInfo,
               .step = base::Step::kListen,
               .peer = settings_.callers.address,
@@ -122,6 +127,28 @@
   return base::Done{};
 }
 
+void OpaqueDaemon::Announce() {
+  const auto field = [](const char* name, const std::string& value) {
+    return base::JsonString(name) + ":" + base::JsonString(value);
+  };
+  const auto address = [](const std::string& text,
+                          const http1::CallerListener& listener) {
+    return text.substr(0, text.rfind(':') + 1) +
+           std::to_string(listener.port());
+  };
+  announce_ << "{" << field("ready", "medlarspread") << ","
+            << field("name", settings_.vm.name) << ","
+            << field("caller", address(settings_.callers.address, *callers_))
+            << ","
+            << field("readiness", address(settings_.callers.readiness_address,
+                                          *readiness_))
+            << ","
+            << field("metrics",
+                     address(settings_.operators.address, *metrics_page_))
+            << "}\n"
+            << std::flush;
+}
+
 void OpaqueDaemon::Run() {
   traffic_context_.run();
 }
@@ -141,11 +168,11 @@
       respond(platform::EncodeInvalid(incoming.error()));
       return [] {};
     }
-    return queries_.Submit(std::move(incoming.value()),
-                           [respond = std::move(respond)](
-                               query::ForwardedAnswer answer) {
-                             respond(platform::EncodeAnswer(std::move(answer)));
-                           });
+    return queries_.Submit(
+        std::move(incoming.value()),
+        [respond = std::move(respond)](query::ForwardedAnswer answer) {
+          respond(platform::EncodeAnswer(std::move(answer)));
+        });
   };
   return std::make_shared<http1::CallerListener>(traffic_context_,
                                                  std::move(listener), clock_);
@@ -170,18 +197,18 @@
 http1::Response OpaqueDaemon::RenderReadiness() const {
   const auto lifecycle = blackboard_.lifecycle.Read();
   const bool is_ready = lifecycle->state == LifecycleState::kReady;
-  return MakeText(is_ready ? http1::Status::ok
-                           : http1::Status::service_unavailable,
-                  lifecycle->reason);
+  return MakeText(
+      is_ready ? http1::Status::ok : http1::Status::service_unavailable,
+      lifecycle->reason);
 }
 
 http1::Response OpaqueDaemon::RenderMetrics() {
   metrics_.Set(metrics::Gauge::kRequestsInFlight, queries_.in_flight());
   metrics_.Set(metrics::Gauge::kTargetsRevision,
                blackboard_.routes.Read()->revision);
-  metrics_.Set(metrics::Gauge::kLiveVms,
-               static_cast<std::int64_t>(
-                   blackboard_.membership.Read()->members.size()));
+  metrics_.Set(
+      metrics::Gauge::kLiveVms,
+      static_cast<std::int64_t>(blackboard_.membership.Read()->members.size()));
   return MakeText(http1::Status::ok, metrics_.Render());
 }
 
@@ -222,18 +249,18 @@
 }
 
 void OpaqueDaemon::WaitForSignal() {
-  signals_.async_wait([this](const boost::system::error_code& error,
-                             int signal) {
-    if (error) {
-      return;
-    }
-    if (signal == SIGHUP) {
-      Reload("signal");
-    } else if (stop_began_ == base::MonotonicTime{}) {
-      DidAskToStop();
-    }
-    WaitForSignal();
-  });
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int signal) {
+        if (error) {
+          return;
+        }
+        if (signal == SIGHUP) {
+          Reload("signal");
+        } else if (stop_began_ == base::MonotonicTime{}) {
+          DidAskToStop();
+        }
+        WaitForSignal();
+      });
 }
 
 void OpaqueDaemon::Reload(const char* why) {
@@ -251,8 +278,7 @@
 
 void OpaqueDaemon::WatchSettingsFile() {
   std::error_code error;
-  const auto written =
-      std::filesystem::last_write_time(settings_.file, error);
+  const auto written = std::filesystem::last_write_time(settings_.file, error);
   const bool is_first = settings_written_ == decltype(settings_written_){};
   if (!error && written != settings_written_) {
     settings_written_ = written;
--- a/src/daemon/opaque_daemon.h
+++ b/src/daemon/opaque_daemon.h
@@ -8,6 +8,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <ostream>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -30,7 +31,10 @@
 
 class OpaqueDaemon {
  public:
-  OpaqueDaemon(settings::DaemonSettings settings, base::Log log);
+  // `announce` gets one line with the addresses once they are open.
+  OpaqueDaemon(settings::DaemonSettings settings,
+               base::Log log,
+               std::ostream& announce);
 
   // Opens the listeners and starts the controllers.
   base::Status Start();
@@ -38,6 +42,7 @@
   void Run();
 
  private:
+  void Announce();
   std::shared_ptr<http1::CallerListener> MakeCallers();
   std::shared_ptr<http1::CallerListener> MakePage(
       const std::string& address,
@@ -68,6 +73,7 @@
 
   settings::DaemonSettings settings_;
   const base::Log log_;
+  std::ostream& announce_;
   const base::Clock clock_;
   const std::shared_ptr<base::Random> random_;
   blackboard::Blackboard blackboard_;
--- a/src/daemon/serve.cc
+++ b/src/daemon/serve.cc
@@ -7,7 +7,10 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <unistd.h>
+
 #include "src/base/log.h"
+#include "src/base/nonblocking_output.h"
 #include "src/daemon/daemon.h"
 #include "src/daemon/opaque_daemon.h"
 
@@ -41,19 +44,21 @@
 
 int ServeOpaque(const settings::DaemonSettings& settings) {
   std::signal(SIGPIPE, SIG_IGN);
+  // NOTE: never destroyed, since the control thread may still use them.
+  auto* output = new base::NonblockingOutput(STDOUT_FILENO);
+  auto* stream = new std::ostream(output);
   const base::Log log({.level = settings.log.level,
                        .format = settings.log.format,
                        .vm = settings.vm.name},
-                      std::cout);
-  // NOTE: never destroyed, since the control thread may still use it.
-  auto* daemon = new OpaqueDaemon(settings, log);
+                      *stream);
+  auto* daemon = new OpaqueDaemon(settings, log, *stream);
   const auto started = daemon->Start();
   if (!started.is_ok()) {
     log.DidFail(started.error(), "the daemon can't start");
     std::_Exit(EXIT_FAILURE);
   }
   daemon->Run();
-  std::cout.flush();
+  stream->flush();
   std::_Exit(EXIT_SUCCESS);
 }
 
--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -55,9 +55,8 @@
   http1::CallerListener::Settings listener;
   listener.address = address;
   listener.limits = [] { return http1::MessageLimits{}; };
-  listener.handle = [server = std::move(server)](
-                        const http1::Request& request,
-                        http1::Respond respond) {
+  listener.handle = [server = std::move(server)](const http1::Request& request,
+                                                 http1::Respond respond) {
     return server->Handle(request, std::move(respond));
   };
   return std::make_shared<http1::CallerListener>(context, std::move(listener),
--- a/src/http1/caller_connection.cc
+++ b/src/http1/caller_connection.cc
@@ -76,10 +76,12 @@
     return;
   }
   is_read_pending_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](
-                              const boost::system::error_code& error,
-                              std::size_t size) { self->DidRead(error, size); });
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t size) {
+        self->DidRead(error, size);
+      });
 }
 
 void CallerConnection::DidRead(const boost::system::error_code& error,
@@ -158,11 +160,11 @@
   is_head_ = request.method() == http::verb::head;
   state_ = State::kWorking;
   const std::uint64_t number = ++request_;
-  auto abandon = settings_->handle(
-      std::move(request),
-      [self = shared_from_this(), number](Response response) {
-        self->DidRespond(number, std::move(response));
-      });
+  auto abandon =
+      settings_->handle(std::move(request),
+                        [self = shared_from_this(), number](Response response) {
+                          self->DidRespond(number, std::move(response));
+                        });
   // The handler may have answered already.
   if (state_ == State::kWorking && number == request_) {
     abandon_ = std::move(abandon);
@@ -198,8 +200,9 @@
   // serializer would wait for that body.
   auto message = std::make_shared<Response>(std::move(response));
   message->keep_alive(!should_close);
-  auto serializer = std::make_shared<
-      http::response_serializer<http::string_body, Fields>>(*message);
+  auto serializer =
+      std::make_shared<http::response_serializer<http::string_body, Fields>>(
+          *message);
   const auto did_write = [self = shared_from_this(), message, serializer,
                           should_close](const boost::system::error_code& error,
                                         std::size_t) {
--- a/src/http1/caller_listener.cc
+++ b/src/http1/caller_listener.cc
@@ -35,8 +35,7 @@
       boost::asio::ip::make_address(address.substr(0, colon), error);
   std::uint16_t port = 0;
   const char* end = address.data() + address.size();
-  const auto parsed =
-      std::from_chars(address.data() + colon + 1, end, port);
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
   if (error || parsed.ec != std::errc() || parsed.ptr != end) {
     return invalid();
   }
@@ -93,19 +92,17 @@
 }
 
 void CallerListener::CloseIdle() {
-  const std::vector<std::shared_ptr<CallerConnection>> all(
-      connections_.begin(), connections_.end());
+  const std::vector<std::shared_ptr<CallerConnection>> all(connections_.begin(),
+                                                           connections_.end());
   for (const auto& connection : all) {
     connection->CloseIfIdle();
   }
 }
 
 std::size_t CallerListener::in_work() const {
-  return static_cast<std::size_t>(
-      std::count_if(connections_.begin(), connections_.end(),
-                    [](const auto& connection) {
-                      return connection->is_in_work();
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& connection) { return connection->is_in_work(); }));
 }
 
 std::uint16_t CallerListener::port() const {
--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -141,10 +141,12 @@
 }
 
 void ClientConnection::Read() {
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](
-                              const boost::system::error_code& error,
-                              std::size_t size) { self->DidRead(error, size); });
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t size) {
+        self->DidRead(error, size);
+      });
 }
 
 void ClientConnection::DidRead(const boost::system::error_code& error,
@@ -208,8 +210,8 @@
   }
   // NOTE: bytes behind the answer belong to no request, and the next answer on
   // this connection could not be told from them.
-  should_close_ = !response.keep_alive() || response.need_eof() ||
-                  buffer_.size() > 0;
+  should_close_ =
+      !response.keep_alive() || response.need_eof() || buffer_.size() > 0;
   NoteKeepAlive(response);
   Finish(std::move(response));
 }
@@ -231,8 +233,8 @@
 void ClientConnection::NoteKeepAlive(const Response& response) {
   idle_until_.reset();
   if (const auto seconds = KeepAliveSeconds(response)) {
-    idle_until_ = base::Clock().Now() + std::chrono::seconds(*seconds) -
-                  kKeepAliveMargin;
+    idle_until_ =
+        base::Clock().Now() + std::chrono::seconds(*seconds) - kKeepAliveMargin;
   }
 }
 
--- a/src/membership/lease_registration.cc
+++ b/src/membership/lease_registration.cc
@@ -20,16 +20,16 @@
 
 }  // namespace
 
-LeaseRegistration::LeaseRegistration(LeaseRegistrationSettings settings,
-                                     blackboard::Member self,
-                                     base::Clock clock,
-                                     base::TaskRunner control,
-                                     store::EventSource source,
-                                     blackboard::Blackboard& blackboard,
-                                     std::function<bool()> is_reading_store,
-                                     std::function<void(const base::Status&)>
-                                         did_renew,
-                                     base::Log log)
+LeaseRegistration::LeaseRegistration(
+    LeaseRegistrationSettings settings,
+    blackboard::Member self,
+    base::Clock clock,
+    base::TaskRunner control,
+    store::EventSource source,
+    blackboard::Blackboard& blackboard,
+    std::function<bool()> is_reading_store,
+    std::function<void(const base::Status&)> did_renew,
+    base::Log log)
     : settings_(settings),
       self_(std::move(self)),
       clock_(std::move(clock)),
@@ -67,8 +67,7 @@
   const auto blank = value->find(' ');
   member.name = name;
   member.failure_domain = value->substr(0, blank);
-  member.address =
-      blank == std::string::npos ? "" : value->substr(blank + 1);
+  member.address = blank == std::string::npos ? "" : value->substr(blank + 1);
 }
 
 void LeaseRegistration::Publish() {
@@ -85,11 +84,11 @@
 }
 
 void LeaseRegistration::Register() {
-  source_.open_lease(settings_.time_to_live,
-                     [self = shared_from_this()](
-                         const base::Result<store::Lease>& lease) {
-                       self->DidOpenLease(lease);
-                     });
+  source_.open_lease(
+      settings_.time_to_live,
+      [self = shared_from_this()](const base::Result<store::Lease>& lease) {
+        self->DidOpenLease(lease);
+      });
 }
 
 void LeaseRegistration::DidOpenLease(const base::Result<store::Lease>& lease) {
@@ -129,19 +128,18 @@
     return;
   }
   renewed_ = clock_.Now();
-  source_.keep_lease(
-      lease_, [self = shared_from_this()](const base::Status& status) {
-        const bool has_ended =
-            !status.is_ok() &&
-            status.error().code == base::ErrorCode::kNotFound;
-        if (has_ended) {
-          self->log_.DidFail(status.error(), "registering again");
-          self->Again(base::Duration{}, &LeaseRegistration::Register);
-          return;
-        }
-        self->did_renew_(status);
-        self->RenewLater();
-      });
+  source_.keep_lease(lease_, [self = shared_from_this()](
+                                 const base::Status& status) {
+    const bool has_ended =
+        !status.is_ok() && status.error().code == base::ErrorCode::kNotFound;
+    if (has_ended) {
+      self->log_.DidFail(status.error(), "registering again");
+      self->Again(base::Duration{}, &LeaseRegistration::Register);
+      return;
+    }
+    self->did_renew_(status);
+    self->RenewLater();
+  });
 }
 
 void LeaseRegistration::Again(base::Duration delay,
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -17,6 +17,7 @@
 using http1::Response;
 using http1::Status;
 namespace http = boost::beast::http;
+using query::IncomingRequest;
 
 constexpr int kHttpVersion = 11;
 
@@ -34,10 +35,9 @@
 std::string SecondsText(base::Duration duration) {
   constexpr double kMicrosecondsPerSecond = 1e6;
   char text[32];
-  const int size =
-      std::snprintf(text, sizeof(text), "%.3f",
-                    static_cast<double>(duration.count()) /
-                        kMicrosecondsPerSecond);
+  const int size = std::snprintf(
+      text, sizeof(text), "%.3f",
+      static_cast<double>(duration.count()) / kMicrosecondsPerSecond);
   return {text, static_cast<std::size_t>(size)};
 }
 
@@ -88,8 +88,8 @@
 
 }  // namespace
 
-base::Result<query::IncomingRequest> DecodeRequest(http1::Request request) {
-  query::IncomingRequest incoming;
+base::Result<IncomingRequest> DecodeRequest(http1::Request request) {
+  IncomingRequest incoming;
   incoming.request_id = std::string(request[kRequestId]);
   incoming.host = std::string(request[http::field::host]);
   if (incoming.request_id.empty() || incoming.host.empty()) {
@@ -100,8 +100,7 @@
   incoming.deadline = DecodeDeadline(request);
   http1::RemoveConnectionFields(request);
   request.erase(http::field::expect);
-  incoming.message =
-      std::make_shared<const http1::Request>(std::move(request));
+  incoming.message = std::make_shared<const http1::Request>(std::move(request));
   return incoming;
 }
 
--- a/src/platform/configuration_decoder.cc
+++ b/src/platform/configuration_decoder.cc
@@ -43,8 +43,7 @@
       static_cast<std::int64_t>(*number * kMicrosecondsPerMillisecond));
 }
 
-std::optional<blackboard::WeightedCollections> DecodeSplit(
-    const value& split) {
+std::optional<blackboard::WeightedCollections> DecodeSplit(const value& split) {
   blackboard::WeightedCollections collections;
   for (const value& row : split.as_array()) {
     const auto service = ReadString(row, "service");
@@ -120,8 +119,8 @@
       body ? static_cast<std::size_t>(*body) : limits.body_bytes;
   limits.header_timeout = ReadMilliseconds(object, "header_timeout_ms")
                               .value_or(limits.header_timeout);
-  limits.idle_timeout = ReadMilliseconds(object, "idle_timeout_ms")
-                            .value_or(limits.idle_timeout);
+  limits.idle_timeout =
+      ReadMilliseconds(object, "idle_timeout_ms").value_or(limits.idle_timeout);
 }
 
 }  // namespace
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -156,8 +156,8 @@
           calls->connections_.remove(connection.shared_from_this());
         }
       };
-  connections_.push_back(std::make_shared<http1::ClientConnection>(
-      context_, std::move(settings)));
+  connections_.push_back(
+      std::make_shared<http1::ClientConnection>(context_, std::move(settings)));
   return connections_.back();
 }
 
@@ -166,8 +166,7 @@
                             const std::string& body,
                             base::Duration timeout,
                             JsonCallback done) {
-  auto request =
-      std::make_shared<http1::Request>(method, target, kHttpVersion);
+  auto request = std::make_shared<http1::Request>(method, target, kHttpVersion);
   request->set(http::field::host, settings_.address);
   if (method == http::verb::post) {
     request->set(http::field::content_type, "application/json");
@@ -190,8 +189,8 @@
       callback(std::move(result));
     }
   };
-  *timer = control_.After(
-      timeout, [connection, end, address = settings_.address] {
+  *timer =
+      control_.After(timeout, [connection, end, address = settings_.address] {
         connection->Abort();
         end(base::MakeError(ErrorCode::kTimeout, Step::kReadStore, address,
                             "no answer in time"));
@@ -248,49 +247,49 @@
   };
   source.list = [impl = impl_, encode](const std::string& prefix,
                                        const std::string& after, auto done) {
-    impl->Call(
-        http::verb::get,
-        "/kv-range?prefix=" + encode(prefix) +
-            (after.empty() ? "" : "&after=" + encode(after)),
-        "", impl->settings().timeout,
-        [impl, done](const Result<std::shared_ptr<value>>& body) {
-          if (!body.is_ok()) {
-            done(body.error());
-            return;
-          }
-          auto items = DecodeEvents(*body.value(), "items");
-          const auto revision = ReadInteger(*body.value(), "current_rev");
-          if (!items || !revision) {
-            done(Malformed(impl->settings().address));
-            return;
-          }
-          done(store::Page{std::move(*items),
-                           !ReadFlag(*body.value(), "truncated"), *revision,
-                           *revision});
-        });
+    impl->Call(http::verb::get,
+               "/kv-range?prefix=" + encode(prefix) +
+                   (after.empty() ? "" : "&after=" + encode(after)),
+               "", impl->settings().timeout,
+               [impl, done](const Result<std::shared_ptr<value>>& body) {
+                 if (!body.is_ok()) {
+                   done(body.error());
+                   return;
+                 }
+                 auto items = DecodeEvents(*body.value(), "items");
+                 const auto revision =
+                     ReadInteger(*body.value(), "current_rev");
+                 if (!items || !revision) {
+                   done(Malformed(impl->settings().address));
+                   return;
+                 }
+                 done(store::Page{std::move(*items),
+                                  !ReadFlag(*body.value(), "truncated"),
+                                  *revision, *revision});
+               });
   };
   source.watch = [impl = impl_, encode](const std::string& prefix,
-                                        std::int64_t after,
-                                        base::Duration wait, auto done) {
-    impl->Call(
-        http::verb::get,
-        "/kv-watch?prefix=" + encode(prefix) +
-            "&after=" + std::to_string(after) +
-            "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
-        "", wait + impl->settings().timeout,
-        [impl, done](const Result<std::shared_ptr<value>>& body) {
-          if (!body.is_ok()) {
-            done(body.error());
-            return;
-          }
-          auto events = DecodeEvents(*body.value(), "events");
-          const auto revision = ReadInteger(*body.value(), "current_rev");
-          if (!events || !revision) {
-            done(Malformed(impl->settings().address));
-            return;
-          }
-          done(store::Changes{std::move(*events), *revision});
-        });
+                                        std::int64_t after, base::Duration wait,
+                                        auto done) {
+    impl->Call(http::verb::get,
+               "/kv-watch?prefix=" + encode(prefix) +
+                   "&after=" + std::to_string(after) +
+                   "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
+               "", wait + impl->settings().timeout,
+               [impl, done](const Result<std::shared_ptr<value>>& body) {
+                 if (!body.is_ok()) {
+                   done(body.error());
+                   return;
+                 }
+                 auto events = DecodeEvents(*body.value(), "events");
+                 const auto revision =
+                     ReadInteger(*body.value(), "current_rev");
+                 if (!events || !revision) {
+                   done(Malformed(impl->settings().address));
+                   return;
+                 }
+                 done(store::Changes{std::move(*events), *revision});
+               });
   };
   source.open_lease = [impl = impl_](base::Duration time_to_live, auto done) {
     auto body = value::object();
@@ -320,8 +319,7 @@
       }
     };
   };
-  source.keep_lease = [impl = impl_, to_status](std::int64_t lease,
-                                                auto done) {
+  source.keep_lease = [impl = impl_, to_status](std::int64_t lease, auto done) {
     impl->Call(http::verb::post, "/kv-keep/" + std::to_string(lease), "",
                impl->settings().timeout, to_status(done));
   };
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -89,7 +89,6 @@
   }
 }
 
-
 bool FanOutSession::Abandon() {
   if (is_finished_) {
     return false;
@@ -123,9 +122,9 @@
   if (has_leafs && now - arrived_ < route_.targets.latency / kWaitShare) {
     return;
   }
-  last_error_ = base::MakeError(
-      ErrorCode::kUnavailable, Step::kForward, shard.collection,
-      has_leafs ? "no leaf has room" : "no leaf is known");
+  last_error_ =
+      base::MakeError(ErrorCode::kUnavailable, Step::kForward, shard.collection,
+                      has_leafs ? "no leaf has room" : "no leaf is known");
   shard.is_waiting = false;
   Settle(shard, ShardState::kFailed);
 }
@@ -179,8 +178,7 @@
   dependencies_->tracker->DidSend(leaf, attempt->sent);
   const auto shard_index = static_cast<std::size_t>(&shard - shards_.data());
   attempt->call = dependencies_->leafs.send(
-      leaf,
-      {request_.request_id, request_.message, time_left() - kReplyMargin},
+      leaf, {request_.request_id, request_.message, time_left() - kReplyMargin},
       [self = shared_from_this(), shard_index, attempt](ForwardReply reply) {
         self->DidReply(shard_index, attempt, std::move(reply));
       });
@@ -379,8 +377,7 @@
   }
   gathered.missing = static_cast<int>(shards_.size()) - answered_;
   gathered.records = TopRecords(
-      parts,
-      std::get<blackboard::AllShards>(route_.destination).most_records);
+      parts, std::get<blackboard::AllShards>(route_.destination).most_records);
   Finish(std::move(gathered));
 }
 
@@ -425,8 +422,8 @@
     if (!shard.attempts.empty() && !shard.attempts.back()->is_finished &&
         !shard.attempts.back()->was_overdue) {
       const Attempt& latest = *shard.attempts.back();
-      due = std::min(due,
-                     latest.was_prepared ? latest.overdue : latest.prepare);
+      due =
+          std::min(due, latest.was_prepared ? latest.overdue : latest.prepare);
     }
   }
   return due;
@@ -457,31 +454,31 @@
     }
   }
   LogAnswer(answer);
-  const FanOutSummary summary{
-      dependencies_->clock.Now() - arrived_, static_cast<int>(shards_.size()),
-      answered_, sends_, extra_sends_};
+  const FanOutSummary summary{dependencies_->clock.Now() - arrived_,
+                              static_cast<int>(shards_.size()), answered_,
+                              sends_, extra_sends_};
   const Done done = std::exchange(done_, nullptr);
   done(std::move(answer), summary);
 }
 
 void FanOutSession::LogAnswer(const ForwardedAnswer& answer) const {
   const std::string outcome = std::visit(
-      base::Overloaded{
-          [](const PassedOn& passed) {
-            return "passed on status " +
-                   std::to_string(passed.message.result_int());
-          },
-          [](const Gathered& gathered) {
-            return "answered, " + std::to_string(gathered.missing) +
-                   " shards missing";
-          },
-          [](const NoRoute&) { return std::string("no route"); },
-          [](const Refused& refused) {
-            return "refused, not run: " + refused.error.ToString();
-          },
-          [](const Unknown& unknown) {
-            return "may have run: " + unknown.error.ToString();
-          }},
+      base::Overloaded{[](const PassedOn& passed) {
+                         return "passed on status " +
+                                std::to_string(passed.message.result_int());
+                       },
+                       [](const Gathered& gathered) {
+                         return "answered, " +
+                                std::to_string(gathered.missing) +
+                                " shards missing";
+                       },
+                       [](const NoRoute&) { return std::string("no route"); },
+                       [](const Refused& refused) {
+                         return "refused, not run: " + refused.error.ToString();
+                       },
+                       [](const Unknown& unknown) {
+                         return "may have run: " + unknown.error.ToString();
+                       }},
       answer);
   std::string missing;
   for (const Shard& shard : shards_) {
@@ -495,9 +492,8 @@
        .request_id = request_.request_id,
        .message = outcome + "; route=" + route_.targets.name + " revision=" +
                   std::to_string(request_.routes_revision) + " ms=" +
-                  std::to_string((dependencies_->clock.Now() - arrived_)
-                                     .count() /
-                                 1000) +
+                  std::to_string(
+                      (dependencies_->clock.Now() - arrived_).count() / 1000) +
                   " sends=" + std::to_string(sends_) +
                   " extra=" + std::to_string(extra_sends_) + missing});
 }
@@ -514,9 +510,9 @@
 }
 
 int FanOutSession::running(const Shard& shard) const {
-  return static_cast<int>(std::count_if(
-      shard.attempts.begin(), shard.attempts.end(),
-      [](const auto& attempt) { return !attempt->is_finished; }));
+  return static_cast<int>(
+      std::count_if(shard.attempts.begin(), shard.attempts.end(),
+                    [](const auto& attempt) { return !attempt->is_finished; }));
 }
 
 }  // namespace medlarspread::query
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -160,7 +160,9 @@
   bool has_coverage(int answered) const;
   bool is_gather() const;
   int running(const Shard& shard) const;
-  base::Duration time_left() const { return deadline_ - dependencies_->clock.Now(); }
+  base::Duration time_left() const {
+    return deadline_ - dependencies_->clock.Now();
+  }
 
   const std::shared_ptr<const FanOutDependencies> dependencies_;
   const ForwardedRequest request_;
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -131,8 +131,7 @@
   forwarded.route = route;
   auto session = std::make_shared<FanOutSession>(
       dependencies_, std::move(forwarded), std::move(collections),
-      [this, route, in_flight = in_flight_,
-       asked = clock_.WallMilliseconds(),
+      [this, route, in_flight = in_flight_, asked = clock_.WallMilliseconds(),
        done = std::move(done)](ForwardedAnswer answer,
                                const FanOutSummary& summary) {
         --*in_flight;
@@ -172,8 +171,7 @@
     return row->second;
   }
   const ExtraSendLimits limits = options_.extra_sends();
-  return budgets_
-      .try_emplace(collection, limits.share, limits.burst)
+  return budgets_.try_emplace(collection, limits.share, limits.burst)
       .first->second;
 }
 
--- a/src/query/forwarded_request.h
+++ b/src/query/forwarded_request.h
@@ -46,7 +46,8 @@
 
 // Refused means that the request has not run and never will; Unknown that it
 // may have.
-using ForwardedAnswer = std::variant<PassedOn, Gathered, NoRoute, Refused, Unknown>;
+using ForwardedAnswer =
+    std::variant<PassedOn, Gathered, NoRoute, Refused, Unknown>;
 using ForwardedCallback = std::function<void(ForwardedAnswer)>;
 
 }  // namespace medlarspread::query
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -37,7 +37,8 @@
 constexpr base::Duration kFirstStoreAvoidance = base::Milliseconds(500);
 constexpr int kMostStoreDoublings = 3;
 // How long a watch waits while it is not known whether the store is back. One
-// that is sent into its silence is lost, and would be found out at its end only.
+// that is sent into its silence is lost, and would be found out at its end
+// only.
 constexpr base::Duration kTrialWait = base::Milliseconds(100);
 
 std::vector<std::string> RankedMembers(const blackboard::MembershipView& view,
@@ -88,8 +89,8 @@
 }
 
 bool NewsSource::is_reader() const {
-  const auto ranked = RankedMembers(*blackboard_.membership.Read(),
-                                    settings_.failure_domain);
+  const auto ranked =
+      RankedMembers(*blackboard_.membership.Read(), settings_.failure_domain);
   return ranked.empty() || ranked.front() == settings_.vm;
 }
 
@@ -141,8 +142,7 @@
   const auto others = ReadersOfOtherDomains();
   places.insert(places.end(), others.begin(), others.end());
   if (view->members.size() <= 1) {
-    places.insert(places.end(), settings_.seeds.begin(),
-                  settings_.seeds.end());
+    places.insert(places.end(), settings_.seeds.begin(), settings_.seeds.end());
   }
   return places;
 }
@@ -156,6 +156,7 @@
     }
   }
   std::vector<std::string> readers;
+  readers.reserve(domains.size());
   for (const std::string& domain : domains) {
     readers.push_back(
         view->members.at(RankedMembers(*view, domain).front()).address);
@@ -201,10 +202,9 @@
 std::optional<base::Error> NewsSource::Check(const std::string& place,
                                              const News& news) const {
   if (news.age > kMostAge) {
-    return base::MakeError(ErrorCode::kTimeout, Step::kWatchStore, place,
-                           "its news are " +
-                               std::to_string(news.age.count() / 1000) +
-                               " ms old");
+    return base::MakeError(
+        ErrorCode::kTimeout, Step::kWatchStore, place,
+        "its news are " + std::to_string(news.age.count() / 1000) + " ms old");
   }
   if (!news.is_direct && !is_in_own_domain(place) && reached_store_) {
     return base::MakeError(ErrorCode::kUnavailable, Step::kWatchStore, place,
@@ -294,16 +294,15 @@
                             WatchCallback done) {
   const auto pending = std::make_shared<WatchCallback>(std::move(done));
   watch_ = pending;
-  store_.watch(
-      prefix, cursor, store_failures_ == 0 ? wait : kTrialWait,
-      [self = shared_from_this(),
-       pending](base::Result<store::Changes> changes) {
-        // Empty if the watch was given up meanwhile.
-        if (const auto callback = std::exchange(*pending, nullptr)) {
-          self->DidWatchStore(changes);
-          callback(std::move(changes));
-        }
-      });
+  store_.watch(prefix, cursor, store_failures_ == 0 ? wait : kTrialWait,
+               [self = shared_from_this(),
+                pending](base::Result<store::Changes> changes) {
+                 // Empty if the watch was given up meanwhile.
+                 if (const auto callback = std::exchange(*pending, nullptr)) {
+                   self->DidWatchStore(changes);
+                   callback(std::move(changes));
+                 }
+               });
 }
 
 void NewsSource::DidWatchStore(const base::Result<store::Changes>& changes) {
@@ -331,13 +330,12 @@
     });
     return;
   }
-  auto request = std::make_shared<http1::Request>(
-      boost::beast::http::verb::get, target, kHttpVersion);
+  auto request = std::make_shared<http1::Request>(boost::beast::http::verb::get,
+                                                  target, kHttpVersion);
   request->set(boost::beast::http::field::host, peer);
   auto timer = std::make_shared<base::Timer>();
-  auto finish =
-      std::make_shared<std::function<void(base::Result<News>)>>(
-          std::move(done));
+  auto finish = std::make_shared<std::function<void(base::Result<News>)>>(
+      std::move(done));
   const auto end = [timer, finish](base::Result<News> news) {
     timer->Cancel();
     if (auto callback = std::exchange(*finish, nullptr)) {
@@ -368,9 +366,7 @@
                   Step::kPeerLink, peer,
                   "status " + std::to_string(response.result_int())));
             },
-            [&](const http1::ExchangeFailure& failure) {
-              end(failure.error);
-            }},
+            [&](const http1::ExchangeFailure& failure) { end(failure.error); }},
         result);
   };
   connection->Start(std::move(exchange));
@@ -393,8 +389,8 @@
   settings.connect_timeout = kPeerMargin;
   settings.did_change = [](http1::ClientConnection&) {};
   connected_to_ = peer;
-  connection_ = std::make_shared<http1::ClientConnection>(context_,
-                                                          std::move(settings));
+  connection_ =
+      std::make_shared<http1::ClientConnection>(context_, std::move(settings));
   return connection_;
 }
 
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -22,12 +22,12 @@
 // link that has become slower is noticed after some hundred replies.
 constexpr double kFastestDrift = 1.002;
 constexpr double kTypicalWeight = 0.05;
-constexpr double kSlownessWeight = 0.25;
-// The most that one reply can say: a leaf that paused once is back at its speed,
-// and only a row of slow replies must send requests to another region.
-constexpr double kHighestSlowness = 4.0;
+constexpr double kSlownessWeight = 0.5;
+// The most that one reply can say: a leaf that paused once is back at its
+// speed, and only a row of slow replies must send requests to another region.
+constexpr double kHighestSlowness = 4.5;
 // A leaf that was slow is tried again about so many microseconds later.
-constexpr double kSlownessForgotten = 1'500'000.0;
+constexpr double kSlownessForgotten = 4'000'000.0;
 // A leaf works about 1.6 times as long in the seconds after its start.
 constexpr double kColdFactor = 1.6;
 // A request that is in work for this many times what is typical is overdue.
@@ -71,8 +71,7 @@
   double best_time = 0.0;
   for (const blackboard::Upstream* leaf : leafs) {
     if (leaf->state == UpstreamState::kDraining ||
-        leaf->state == UpstreamState::kUnreachable ||
-        !may_use(*leaf)) {
+        leaf->state == UpstreamState::kUnreachable || !may_use(*leaf)) {
       continue;
     }
     const upstream::Readiness readiness = readiness_of(*leaf);
@@ -93,10 +92,9 @@
   return best;
 }
 
-base::Duration LeafTracker::SecondSendDelay(
-    const blackboard::Upstream& leaf,
-    const std::string& class_name,
-    base::Duration first_delay) const {
+base::Duration LeafTracker::SecondSendDelay(const blackboard::Upstream& leaf,
+                                            const std::string& class_name,
+                                            base::Duration first_delay) const {
   base::Duration delay = first_delay;
   if (const auto row = work_.find(class_name); row != work_.end()) {
     delay = row->second.second_sends.Delay().value_or(first_delay);
@@ -162,8 +160,7 @@
 
 void LeafTracker::Prune(const blackboard::UpstreamsView& view) {
   std::erase_if(rows_, [&view](const auto& row) {
-    return row.second.in_flight.empty() &&
-           !view.upstreams.contains(row.first);
+    return row.second.in_flight.empty() && !view.upstreams.contains(row.first);
   });
 }
 
@@ -260,13 +257,13 @@
   const base::MonotonicTime now = clock_.Now();
   const double ratio = std::min(kHighestSlowness, own / work.typical);
   row.slowness = std::max(
-      1.0, Slowness(row, now) +
-               kSlownessWeight * (ratio - Slowness(row, now)));
+      1.0, Slowness(row, now) + kSlownessWeight * (ratio - Slowness(row, now)));
   row.slowness_at = now;
 }
 
 void LeafTracker::DidFail(Row& row, base::Duration retry_after) {
-  const int doublings = std::min(row.failures_in_a_row, kMostAvoidanceDoublings);
+  const int doublings =
+      std::min(row.failures_in_a_row, kMostAvoidanceDoublings);
   ++row.failures_in_a_row;
   const base::Duration pause =
       std::max(retry_after, kFirstAvoidance * (1 << doublings));
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -40,7 +40,9 @@
 
 class LeafTracker {
  public:
-  LeafTracker(Place place, base::Clock clock, std::shared_ptr<base::Random> random);
+  LeafTracker(Place place,
+              base::Clock clock,
+              std::shared_ptr<base::Random> random);
 
   // Whether the caller of Choose() takes a leaf at all.
   using MayUse = std::function<bool(const blackboard::Upstream&)>;
--- a/src/settings/key.h
+++ b/src/settings/key.h
@@ -61,7 +61,8 @@
   std::vector<std::string> names;
 };
 
-using KeyValue = std::variant<TextValue, IntegerValue, DecimalValue, ChoiceValue>;
+using KeyValue =
+    std::variant<TextValue, IntegerValue, DecimalValue, ChoiceValue>;
 
 struct Key {
   std::string section;
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -20,15 +20,19 @@
 // after the store's return.
 constexpr base::Duration kFirstPause = base::Milliseconds(150);
 constexpr base::Duration kLongestPause = base::Milliseconds(1'000);
+// A daemon that knows nothing yet serves nobody; it asks sooner.
+constexpr base::Duration kLongestFirstPause = base::Milliseconds(300);
 constexpr int kMostDoublings = 4;
 
-base::Duration PauseAfter(int failures, base::Random& random) {
+base::Duration PauseAfter(int failures,
+                          base::Duration longest,
+                          base::Random& random) {
   if (failures == 0) {
     return {};
   }
   const int doublings = std::min(failures - 1, kMostDoublings);
   const base::Duration pause =
-      std::min(kLongestPause, kFirstPause * (1 << doublings));
+      std::min(longest, kFirstPause * (1 << doublings));
   const double by_chance =
       random.Unit() * 0.5 * static_cast<double>(pause.count());
   return pause / 2 + base::Duration(static_cast<std::int64_t>(by_chance));
@@ -128,8 +132,8 @@
     return;
   }
   source_.watch(kEverything, cursor_, settings_.watch_wait,
-                [self = shared_from_this(), began = clock_.Now()](
-                    const base::Result<Changes>& changes) {
+                [self = shared_from_this(),
+                 began = clock_.Now()](const base::Result<Changes>& changes) {
                   self->DidWatch(began, changes);
                 });
 }
@@ -184,9 +188,8 @@
 
 void Follower::HoldRemoval(Event event) {
   if (held_.empty()) {
-    control_.After(hold_until_ - clock_.Now(), [self = shared_from_this()] {
-      self->ReleaseRemovals();
-    });
+    control_.After(hold_until_ - clock_.Now(),
+                   [self = shared_from_this()] { self->ReleaseRemovals(); });
   }
   held_[event.key] = std::move(event);
 }
@@ -233,7 +236,10 @@
 }
 
 void Follower::Again(base::Duration delay, void (Follower::*step)()) {
-  const base::Duration pause = delay + PauseAfter(failures_, *random_);
+  const base::Duration longest =
+      is_complete_ ? kLongestPause : kLongestFirstPause;
+  const base::Duration pause =
+      delay + PauseAfter(failures_, longest, *random_);
   control_.After(pause, [self = shared_from_this(), step] {
     if (!self->is_stopped_) {
       (self.get()->*step)();
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -72,7 +72,8 @@
   void DidList(const base::Result<Page>& page);
   void DidListAll();
   void Watch();
-  void DidWatch(base::MonotonicTime began, const base::Result<Changes>& changes);
+  void DidWatch(base::MonotonicTime began,
+                const base::Result<Changes>& changes);
   void Apply(const std::vector<Event>& events);
   void HoldRemoval(Event event);
   void ReleaseRemovals();
--- a/src/targets/held_targets.cc
+++ b/src/targets/held_targets.cc
@@ -40,9 +40,8 @@
   return OfferOutcome::kApplied;
 }
 
-OfferOutcome HeldTargets::DidReadStore(
-    const std::optional<store::Entry>& entry,
-    std::int64_t revision_when_asked) {
+OfferOutcome HeldTargets::DidReadStore(const std::optional<store::Entry>& entry,
+                                       std::int64_t revision_when_asked) {
   std::int64_t store_revision = 0;
   OfferOutcome outcome = OfferOutcome::kLower;
   if (entry) {
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -309,8 +309,8 @@
 ForwardClient::~ForwardClient() = default;
 
 ForwardPort ForwardClient::port() {
-  return {[impl = impl_](const blackboard::Upstream& upstream,
-                         ForwardCall call, ForwardPort::Callback done) {
+  return {[impl = impl_](const blackboard::Upstream& upstream, ForwardCall call,
+                         ForwardPort::Callback done) {
             return impl->Send(upstream, std::move(call), std::move(done));
           },
           [impl = impl_](const blackboard::Upstream& upstream) {
--- a/tests/admin_api/admin_api_test.cc
+++ b/tests/admin_api/admin_api_test.cc
@@ -37,9 +37,8 @@
     store.read = [this](const std::string&, base::Duration,
                         const store::Store::ReadCallback& callback) {
       runner_.Post([this, callback] {
-        callback(failure
-                     ? base::Result<std::optional<store::Entry>>(*failure)
-                     : entry_);
+        callback(failure ? base::Result<std::optional<store::Entry>>(*failure)
+                         : entry_);
       });
     };
     store.compare_and_swap =
--- a/tests/burn/fake_store.cc
+++ b/tests/burn/fake_store.cc
@@ -83,7 +83,7 @@
 }
 
 store::Store FakeStore::PortFor(const std::string& vm,
-                                   base::TaskRunner runner) {
+                                base::TaskRunner runner) {
   // The call is made now, its answer comes back to the VM later.
   const auto answer = [this, vm, runner](std::int64_t& calls, auto call,
                                          auto callback) {
--- a/tests/daemon/metered_store_test.cc
+++ b/tests/daemon/metered_store_test.cc
@@ -27,8 +27,7 @@
                                  : base::ErrorCode::kUnknownOutcome,
                              base::Step::kWriteStore, "", ""));
   };
-  const store::Store metered =
-      MeterStore(store, registry, base::Clock(time));
+  const store::Store metered = MeterStore(store, registry, base::Clock(time));
 
   std::string read_key;
   metered.read("a/b", {},
--- a/tests/emulator/platform_service_test.cc
+++ b/tests/emulator/platform_service_test.cc
@@ -63,8 +63,7 @@
   store::Store store() {
     if (!client_) {
       client_ = std::make_unique<store::StoreClient>(
-          store::StoreClientSettings{.address = listener_.address()},
-          runner_);
+          store::StoreClientSettings{.address = listener_.address()}, runner_);
     }
     return client_->store();
   }
@@ -149,8 +148,7 @@
   Control("vms",
           R"({"vms":[)" + row("a", "gone") + "," + row("b", "leaving") + "]}");
   Control("vms", R"({"vms":[)" + row("c", "live") + R"(],"lag_ms":100000})");
-  const store::VmListClient client({.address = listener_.address()},
-                                      runner_);
+  const store::VmListClient client({.address = listener_.address()}, runner_);
   const auto vms = Await<std::vector<store::Vm>>(
       [&](const auto& callback) { client.read_vm_list()(kLong, callback); });
   ASSERT_TRUE(vms.is_ok()) << vms.error().ToString();
--- /dev/null
+++ b/tests/failure/opaque_test.cc
@@ -0,0 +1,333 @@
+// The real daemon with the opaque interface, as processes, against stand-ins
+// of the store and the leafs.
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "emulator/hosted/hosted_leaf.h"
+#include "emulator/hosted/hosted_store.h"
+#include "tests/support/http_call.h"
+#include "tests/support/process_group.h"
+
+namespace medlarspread::tests {
+namespace {
+
+using emulator::HostedLeaf;
+using emulator::HostedStore;
+using emulator::LeafMood;
+
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+
+class OpaqueTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    std::string pattern = testing::TempDir() + "/medlarspread.XXXXXX";
+    folder_ = mkdtemp(pattern.data());
+    store_ = std::make_unique<HostedStore>(context_);
+    for (const char* service : {"s1", "s2", "s3"}) {
+      AddLeaf(std::string(service) + "-a", service, "n1");
+      AddLeaf(std::string(service) + "-b", service, "n2");
+    }
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  void TearDown() override {
+    processes_.reset();
+    context_.stop();
+    thread_.join();
+    std::filesystem::remove_all(folder_);
+  }
+
+  void AddLeaf(const std::string& id,
+               const std::string& service,
+               const std::string& zone) {
+    leafs_[id] = std::make_unique<HostedLeaf>(context_, id, service, zone);
+    Announce(id, "ready");
+  }
+
+  void Announce(const std::string& id, const std::string& state) {
+    store_->Put("servers/" + id, leafs_[id]->MakeEntry(state));
+  }
+
+  void Configure(int version, const std::string& extra_route = "") {
+    store_->Put(
+        "op/config",
+        R"({"version":)" + std::to_string(version) +
+            R"(,"routes":[{"name":"all","host":"h","prefix":"/all/",)"
+            R"("kind":"idempotent","timeout_ms":2000,"slo_ms":1500,)"
+            R"("gather":["s1","s2","s3"],"attempts":2,"top_k":2,)"
+            R"("min_coverage":0.6},{"name":"pay","host":"h",)"
+            R"("prefix":"/pay/","kind":"non_idempotent","timeout_ms":2000,)"
+            R"("slo_ms":500,"service":"s1","attempts":2})" +
+            extra_route +
+            R"(],"services":[{"name":"s1","max_conns":40},)"
+            R"({"name":"s2","max_conns":40},{"name":"s3","max_conns":40}]})");
+  }
+
+  struct Daemon {
+    Process* process = nullptr;
+    std::string caller;
+    std::string readiness;
+    std::string metrics;
+  };
+
+  Daemon Start(const std::string& name) {
+    const std::filesystem::path file = folder_ / (name + ".ini");
+    std::ofstream(file) << "[vm]\nname = " << name
+                        << "\nregion = r\nfailure_domain = n1\n"
+                           "regions = n1=r, n2=r\n"
+                           "[callers]\ninterface = opaque\n"
+                           "address = 127.0.0.1:0\n"
+                           "readiness_address = 127.0.0.1:0\n"
+                           "[operators]\naddress = 127.0.0.1:0\n"
+                           "[peers]\naddress = 127.0.0.1:"
+                        << FreePort() << "\n[platform]\naddress = "
+                        << store_->address()
+                        << "\ntimeout_ms = 300\n[stop]\nbound_ms = 6000\n";
+    Daemon daemon;
+    daemon.process =
+        &processes_->Start(DAEMON_PROGRAM, {"serve", file.string()});
+    auto fields = daemon.process->AwaitReady();
+    EXPECT_TRUE(fields.has_value());
+    daemon.caller = (*fields)["caller"];
+    daemon.readiness = (*fields)["readiness"];
+    daemon.metrics = (*fields)["metrics"];
+    return daemon;
+  }
+
+  // Peers are told this address, so the daemon can't leave it to the system.
+  static int FreePort() {
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+  }
+
+  static int StatusOf(const std::string& address, const std::string& path) {
+    return static_cast<int>(AwaitCall({.address = address, .path = path}).status);
+  }
+
+  static bool AwaitReadiness(const Daemon& daemon, int status) {
+    return WaitUntil(
+        [&] { return StatusOf(daemon.readiness, "/ready") == status; });
+  }
+
+  static Call MakeCall(const Daemon& daemon,
+                       const std::string& path,
+                       const std::string& id) {
+    return {.address = daemon.caller,
+            .path = path,
+            .headers = {{"Host", "h"},
+                        {"Medlarspread-Request-Id", id},
+                        {"Medlarspread-Deadline-Ms", "1900"}}};
+  }
+
+  int runs(const std::string& request_id) const {
+    int total = 0;
+    for (const auto& [id, leaf] : leafs_) {
+      total += leaf->RunsOf(request_id);
+    }
+    return total;
+  }
+
+  boost::asio::io_context context_;
+  std::filesystem::path folder_;
+  std::unique_ptr<HostedStore> store_;
+  std::map<std::string, std::unique_ptr<HostedLeaf>> leafs_;
+  std::unique_ptr<ProcessGroup> processes_ = std::make_unique<ProcessGroup>();
+  std::thread thread_;
+};
+
+TEST_F(OpaqueTest, AnswersOnlyOnceItKnowsTheRoutes) {
+  const Daemon daemon = Start("vm1");
+  EXPECT_EQ(StatusOf(daemon.readiness, "/ready"), kUnavailable);
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/all/1", "r0")).status, kUnavailable);
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  const auto answer = AwaitCall(MakeCall(daemon, "/all/1", "r1"));
+  ASSERT_EQ(answer.status, http::kOk) << answer.body;
+  // The two greatest records of three shards.
+  EXPECT_EQ(answer.body, "s3..............s2..............");
+  EXPECT_EQ(runs("r1"), 3);
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/none/1", "r2")).status, kNotFound);
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "r3")).status, http::kOk);
+  EXPECT_EQ(StatusOf(daemon.metrics, "/metrics"), http::kOk);
+}
+
+TEST_F(OpaqueTest, ANewConfigurationIsInForceAndAnOldOneNever) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  Configure(5, R"(,{"name":"new","host":"h","prefix":"/new/",)"
+               R"("kind":"idempotent","timeout_ms":900,"service":"s2",)"
+               R"("attempts":2})");
+  ASSERT_TRUE(WaitUntil([&] {
+    return AwaitCall(MakeCall(daemon, "/new/1", "n")).status == http::kOk;
+  }));
+  Configure(4);
+  store_->Put("other", "x");
+  ASSERT_TRUE(WaitUntil([&] { return store_->calls() > 6; }));
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/new/1", "n2")).status, http::kOk);
+}
+
+TEST_F(OpaqueTest, ADrainingLeafGetsNothingNew) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  ASSERT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "a")).status, http::kOk);
+  Announce("s1-a", "draining");
+  ASSERT_TRUE(WaitUntil([&] {
+    const int before = leafs_["s1-a"]->runs();
+    (void)AwaitCall(MakeCall(daemon, "/pay/1", "b"));
+    return leafs_["s1-a"]->runs() == before;
+  }));
+  const int before = leafs_["s1-a"]->runs();
+  for (int request = 0; request < 20; ++request) {
+    EXPECT_EQ(
+        AwaitCall(MakeCall(daemon, "/pay/1", "c" + std::to_string(request)))
+            .status,
+        http::kOk);
+  }
+  EXPECT_EQ(leafs_["s1-a"]->runs(), before);
+}
+
+TEST_F(OpaqueTest, ANonIdempotentRequestRunsAtMostOnce) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  leafs_["s1-a"]->set_mood(LeafMood::kShed);
+  leafs_["s1-b"]->set_mood(LeafMood::kShed);
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "p1")).status, kUnavailable);
+  EXPECT_EQ(runs("p1"), 0);
+  leafs_["s1-a"]->set_mood(LeafMood::kMute);
+  leafs_["s1-b"]->set_mood(LeafMood::kMute);
+  const auto status = AwaitCall(MakeCall(daemon, "/pay/1", "p2")).status;
+  EXPECT_TRUE(status == kBadGateway || status == 504) << status;
+  EXPECT_LE(runs("p2"), 1);
+}
+
+TEST_F(OpaqueTest, AMutedShardIsAskedElsewhere) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  leafs_["s2-a"]->set_mood(LeafMood::kMute);
+  const auto answer = AwaitCall(MakeCall(daemon, "/all/1", "m"));
+  EXPECT_EQ(answer.status, http::kOk);
+  EXPECT_EQ(answer.body, "s3..............s2..............");
+  EXPECT_EQ(leafs_["s2-b"]->RunsOf("m"), 1);
+}
+
+TEST_F(OpaqueTest, ACallerThatLeavesCancelsItsWork) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  leafs_["s1-a"]->set_mood(LeafMood::kMute);
+  leafs_["s1-b"]->set_mood(LeafMood::kMute);
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(http1::ParseEndpoint(daemon.caller).value());
+  const std::string request =
+      "GET /pay/1 HTTP/1.1\r\nHost: h\r\nMedlarspread-Request-Id: left\r\n"
+      "Medlarspread-Deadline-Ms: 1900\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  ASSERT_TRUE(WaitUntil([&] { return runs("left") == 1; }));
+  socket.close();
+  EXPECT_TRUE(WaitUntil([&] {
+    return leafs_["s1-a"]->cancelled() + leafs_["s1-b"]->cancelled() > 0;
+  }));
+}
+
+TEST_F(OpaqueTest, APlannedStopCutsNothingOff) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  for (const char* id : {"s1-a", "s1-b"}) {
+    leafs_[id]->set_work(base::Milliseconds(700));
+  }
+  auto answer = StartCall(MakeCall(daemon, "/pay/1", "slow"));
+  ASSERT_TRUE(WaitUntil([&] { return runs("slow") == 1; }));
+  daemon.process->Signal(SIGTERM);
+  EXPECT_TRUE(AwaitReadiness(daemon, kUnavailable));
+  const auto result = answer.get();
+  ASSERT_TRUE(result.is_ok()) << result.error().ToString();
+  EXPECT_EQ(result.value().status, http::kOk);
+  // Open connections are still served before the end.
+  for (const char* id : {"s1-a", "s1-b"}) {
+    leafs_[id]->set_work(base::Milliseconds(2));
+  }
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "late")).status, http::kOk);
+  EXPECT_EQ(daemon.process->AwaitExit(), 0);
+}
+
+TEST_F(OpaqueTest, ReadsItsSettingsAgainOnASignal) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  daemon.process->Signal(SIGHUP);
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "h")).status, http::kOk);
+  daemon.process->Signal(SIGTERM);
+  EXPECT_EQ(daemon.process->AwaitExit(), 0);
+}
+
+TEST_F(OpaqueTest, GoesOnWhileTheStoreIsAwayAndLearnsWhatItMissed) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  store_->set_silent(true);
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/all/1", "q")).status, http::kOk);
+  Configure(6, R"(,{"name":"new","host":"h","prefix":"/new/",)"
+               R"("kind":"idempotent","timeout_ms":900,"service":"s2",)"
+               R"("attempts":2})");
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/new/1", "n")).status, kNotFound);
+  store_->set_silent(false);
+  EXPECT_TRUE(WaitUntil([&] {
+    return AwaitCall(MakeCall(daemon, "/new/1", "n")).status == http::kOk;
+  }));
+}
+
+TEST_F(OpaqueTest, ReadsTheStoreAnewWhenItForgotItsHistory) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  store_->ForgetHistory();
+  Configure(6, R"(,{"name":"new","host":"h","prefix":"/new/",)"
+               R"("kind":"idempotent","timeout_ms":900,"service":"s2",)"
+               R"("attempts":2})");
+  EXPECT_TRUE(WaitUntil([&] {
+    return AwaitCall(MakeCall(daemon, "/new/1", "n")).status == http::kOk;
+  }));
+}
+
+TEST_F(OpaqueTest, OneDaemonOfADomainReadsTheStoreForTheOthers) {
+  Configure(3);
+  std::vector<Daemon> daemons;
+  for (const char* name : {"vm1", "vm2", "vm3", "vm4"}) {
+    daemons.push_back(Start(name));
+  }
+  for (const Daemon& daemon : daemons) {
+    ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  }
+  // Each but the reader has turned to the reader.
+  ASSERT_TRUE(WaitUntil([&] { return store_->waiting_watches() == 1; }));
+  const int before = store_->calls();
+  Configure(6, R"(,{"name":"new","host":"h","prefix":"/new/",)"
+               R"("kind":"idempotent","timeout_ms":900,"service":"s2",)"
+               R"("attempts":2})");
+  for (const Daemon& daemon : daemons) {
+    EXPECT_TRUE(WaitUntil([&] {
+      return AwaitCall(MakeCall(daemon, "/new/1", "n")).status == http::kOk;
+    }));
+  }
+  // One reader: a change costs a watch or two, not one a daemon.
+  EXPECT_LE(store_->calls() - before, 4);
+}
+
+}  // namespace
+}  // namespace medlarspread::tests
--- a/tests/http1/caller_listener_test.cc
+++ b/tests/http1/caller_listener_test.cc
@@ -5,9 +5,9 @@
 #include <memory>
 #include <vector>
 
+#include <gtest/gtest.h>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <gtest/gtest.h>
 
 namespace medlarspread::http1 {
 namespace {
@@ -30,8 +30,8 @@
     listener_ = std::make_shared<CallerListener>(context_, std::move(settings),
                                                  base::Clock());
     ASSERT_TRUE(listener_->Open().is_ok());
-    caller_.connect({boost::asio::ip::address_v4::loopback(),
-                     listener_->port()});
+    caller_.connect(
+        {boost::asio::ip::address_v4::loopback(), listener_->port()});
     caller_.non_blocking(true);
   }
 
@@ -55,7 +55,8 @@
     const std::size_t size =
         caller_.read_some(boost::asio::buffer(bytes), error);
     received_.append(bytes, size);
-    is_closed_ = is_closed_ || (error && error != boost::asio::error::would_block);
+    is_closed_ =
+        is_closed_ || (error && error != boost::asio::error::would_block);
   }
 
   void Answer(std::size_t index, const std::string& body) {
@@ -88,8 +89,9 @@
 }
 
 TEST_F(CallerListenerTest, JoinsTheChunksOfABody) {
-  Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  Send(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
   RunUntil([this] { return requests_.size() == 1; });
   EXPECT_EQ(requests_[0].body(), "abcde");
 }
@@ -160,8 +162,9 @@
 }
 
 TEST_F(CallerListenerTest, AnswersARequestThatAsksToContinue) {
-  Send("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
-       "Content-Length: 2\r\n\r\n");
+  Send(
+      "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+      "Content-Length: 2\r\n\r\n");
   RunUntil([this] { return has_received("100 Continue"); });
   Send("ab");
   RunUntil([this] { return requests_.size() == 1; });
--- a/tests/platform/configuration_decoder_test.cc
+++ b/tests/platform/configuration_decoder_test.cc
@@ -39,8 +39,7 @@
                 .weight,
             0.5);
   // Without a latency target the timeout is one.
-  EXPECT_EQ(view.value().routes[2]->targets.latency,
-            base::Milliseconds(3'000));
+  EXPECT_EQ(view.value().routes[2]->targets.latency, base::Milliseconds(3'000));
   EXPECT_EQ(view.value().connections.at("x"), 26);
   EXPECT_EQ(view.value().limits.body_bytes, 262144U);
 }
@@ -82,15 +81,17 @@
 }
 
 TEST(LeafDecoderTest, DrainingGoesBeforeCold) {
-  const auto draining = DecodeLeaf(
-      "i", R"({"service":"x","addr":"a","zone":"z","state":"draining",)"
-           R"("warmup_left_ms":900})",
-      {});
+  const auto draining =
+      DecodeLeaf("i",
+                 R"({"service":"x","addr":"a","zone":"z","state":"draining",)"
+                 R"("warmup_left_ms":900})",
+                 {});
   EXPECT_EQ(draining.value().state, blackboard::UpstreamState::kDraining);
-  const auto cold = DecodeLeaf(
-      "i", R"({"service":"x","addr":"a","zone":"z","state":"ready",)"
-           R"("warmup_left_ms":900})",
-      {5});
+  const auto cold =
+      DecodeLeaf("i",
+                 R"({"service":"x","addr":"a","zone":"z","state":"ready",)"
+                 R"("warmup_left_ms":900})",
+                 {5});
   EXPECT_EQ(cold.value().state, blackboard::UpstreamState::kCold);
 }
 
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -100,13 +100,16 @@
   std::vector<burn::RequestRecord> records_;
   double burst_ = 10.0;
   ForwardService service_{
-      {100, [this] { return ExtraSendLimits{0.1, burst_}; }},
+      {100,
+       [this] {
+         return ExtraSendLimits{0.1, burst_};
+       }},
       clock_,
       base::TaskRunner(scheduler_),
       blackboard_,
-      std::make_shared<routing::LeafTracker>(
-          routing::Place{"n1", "n1"}, clock_,
-          std::make_shared<base::Random>(1)),
+      std::make_shared<routing::LeafTracker>(routing::Place{"n1", "n1"},
+                                             clock_,
+                                             std::make_shared<base::Random>(1)),
       {leafs_.port(),
        [this](const burn::RequestRecord& record) {
          records_.push_back(record);
--- a/tests/query/top_records_test.cc
+++ b/tests/query/top_records_test.cc
@@ -41,8 +41,7 @@
   }
   std::sort(records.begin(), records.end(), std::greater<>());
   std::string expected;
-  for (std::size_t index = 0; index < std::min(most, records.size());
-       ++index) {
+  for (std::size_t index = 0; index < std::min(most, records.size()); ++index) {
     expected += records[index];
   }
   RC_ASSERT(TopRecords(parts, most) == expected);
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -45,8 +45,8 @@
 class NewsSourceTest : public testing::Test {
  protected:
   void SetUp() override {
-    server_ = std::make_shared<NewsServer>(
-        log_, runner_, [this] { return freshness_; });
+    server_ = std::make_shared<NewsServer>(log_, runner_,
+                                           [this] { return freshness_; });
     http1::CallerListener::Settings settings;
     settings.address = "127.0.0.1:0";
     settings.limits = [] { return http1::MessageLimits{}; };
@@ -63,16 +63,16 @@
       ++store_calls_;
       done(store_page_);
     };
-    store_.watch =
-        [this](const std::string&, std::int64_t, base::Duration wait,
-               std::function<void(base::Result<store::Changes>)> done) {
-          ++store_calls_;
-          store_wait_ = wait;
-          store_watch_ = std::move(done);
-        };
-    source_ = std::make_shared<NewsSource>(
-        NewsSourceSettings{"self", "n1", {}}, context_, base::Clock(), runner_,
-        store_, blackboard_, base::Log());
+    store_.watch = [this](
+                       const std::string&, std::int64_t, base::Duration wait,
+                       std::function<void(base::Result<store::Changes>)> done) {
+      ++store_calls_;
+      store_wait_ = wait;
+      store_watch_ = std::move(done);
+    };
+    source_ = std::make_shared<NewsSource>(NewsSourceSettings{"self", "n1", {}},
+                                           context_, base::Clock(), runner_,
+                                           store_, blackboard_, base::Log());
   }
 
   // Makes the other daemon a member of the domain; the rank decides who reads.
@@ -253,8 +253,8 @@
   watch();
   EXPECT_EQ(store_wait_, Milliseconds(5'000));
   const auto lost = std::exchange(store_watch_, nullptr);
-  source_->DidFailToRenew(base::MakeError(
-      ErrorCode::kTimeout, base::Step::kReadStore, "store", ""));
+  source_->DidFailToRenew(base::MakeError(ErrorCode::kTimeout,
+                                          base::Step::kReadStore, "store", ""));
   ASSERT_TRUE(changes.has_value());
   EXPECT_EQ(changes->error().code, ErrorCode::kTimeout);
   EXPECT_FALSE(source_->freshness()->is_direct);
--- a/tests/routing/leaf_tracker_test.cc
+++ b/tests/routing/leaf_tracker_test.cc
@@ -31,13 +31,12 @@
   }
 
   const Upstream* Choose(const std::set<std::string>& excluded = {}) {
-    return tracker_.Choose(leafs_, kClass,
-                           [&excluded](const Upstream& leaf) {
-                             return !excluded.contains(leaf.name);
-                           },
-                           [](const Upstream&) {
-                             return upstream::Readiness::kOpen;
-                           });
+    return tracker_.Choose(
+        leafs_, kClass,
+        [&excluded](const Upstream& leaf) {
+          return !excluded.contains(leaf.name);
+        },
+        [](const Upstream&) { return upstream::Readiness::kOpen; });
   }
 
   // One request that the leaf answers after `milliseconds`.
@@ -154,7 +153,8 @@
   leafs_ = {&far_, &other};
   for (int request = 0; request < 20; ++request) {
     const auto* leaf = tracker_.Choose(
-        leafs_, kClass, [](const Upstream&) { return true; }, [&other](const Upstream& candidate) {
+        leafs_, kClass, [](const Upstream&) { return true; },
+        [&other](const Upstream& candidate) {
           return &candidate == &other ? upstream::Readiness::kOpen
                                       : upstream::Readiness::kMustConnect;
         });
--- a/tests/routing/weighted_turns_test.cc
+++ b/tests/routing/weighted_turns_test.cc
@@ -45,11 +45,9 @@
   EXPECT_EQ(taken, 5);
 }
 
-RC_GTEST_PROP(WeightedTurnsProperty,
-              EveryShareHolds,
-              ()) {
-  const auto weights = *rc::gen::container<std::vector<int>>(
-      4, rc::gen::inRange(1, 20));
+RC_GTEST_PROP(WeightedTurnsProperty, EveryShareHolds, ()) {
+  const auto weights =
+      *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(1, 20));
   WeightedCollections collections;
   double total = 0.0;
   for (std::size_t index = 0; index < weights.size(); ++index) {
--- a/tests/store/follower_test.cc
+++ b/tests/store/follower_test.cc
@@ -63,8 +63,8 @@
   void AnswerList(std::vector<Event> items,
                   std::int64_t revision,
                   bool is_last = true) {
-    std::exchange(list_, nullptr)(
-        Page{std::move(items), is_last, revision, revision});
+    std::exchange(list_,
+                  nullptr)(Page{std::move(items), is_last, revision, revision});
   }
   void AnswerWatch(std::vector<Event> events, std::int64_t cursor) {
     std::exchange(watch_, nullptr)(Changes{std::move(events), cursor});
--- a/tests/targets/targets_controller_test.cc
+++ b/tests/targets/targets_controller_test.cc
@@ -56,8 +56,8 @@
     const auto entry = fleet_.store().Get(kTargetsKey);
     const TargetsRecord base =
         entry ? DecodeRecord(entry->value).value() : TargetsRecord();
-    store::Entry next{kTargetsKey,
-                         EncodeRecord(ApplyChange(base, change, 0)), 0};
+    store::Entry next{kTargetsKey, EncodeRecord(ApplyChange(base, change, 0)),
+                      0};
     fleet_.store().Restore(kTargetsKey, next, false);
   }
 
@@ -307,8 +307,7 @@
 TEST_F(TargetsControllerTest, MalformedRecordIsAnAlarmAndKeptOut) {
   EXPECT_EQ(Accept(MakeChange("c1", "counter", 50)), 1);
   const auto good = fleet_.store().Get(kTargetsKey);
-  fleet_.store().Restore(kTargetsKey, store::Entry{kTargetsKey, "{", 0},
-                         false);
+  fleet_.store().Restore(kTargetsKey, store::Entry{kTargetsKey, "{", 0}, false);
   fleet_.Advance(kSettle);
   EXPECT_EQ(daemon().revision(), 1);
   EXPECT_NE(daemon().controller->alarms().malformed_record, "");
--- a/tests/upstream/draining_bound_test.cc
+++ b/tests/upstream/draining_bound_test.cc
@@ -57,12 +57,12 @@
 
   std::unique_ptr<UpstreamController> MakeController(Daemon& daemon) {
     const store::Vm vm{.name = kLeaf,
-                          .role = store::VmRole::kUpstream,
-                          .address = "10.0.0.1:80",
-                          .region = "south",
-                          .failure_domain = "a",
-                          .is_leaving = false,
-                          .collection = "proofs"};
+                       .role = store::VmRole::kUpstream,
+                       .address = "10.0.0.1:80",
+                       .region = "south",
+                       .failure_domain = "a",
+                       .is_leaving = false,
+                       .collection = "proofs"};
     return std::make_unique<UpstreamController>(
         settings_, base::Clock(time_), random_, runner_,
         [vm](base::Duration, const store::VmListCallback& callback) {
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -95,12 +95,12 @@
 
 TEST_F(ForwardClientTest, APreparedConnectionIsUsed) {
   Open([](int) {
-    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false};
+    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                          false};
   });
   client_->port().prepare(leaf_);
-  RunUntil([this] {
-    return client_->port().readiness(leaf_) == Readiness::kOpen;
-  });
+  RunUntil(
+      [this] { return client_->port().readiness(leaf_) == Readiness::kOpen; });
   std::optional<ForwardReply> reply;
   (void)Send(reply);
   RunUntil([&reply] { return reply.has_value(); });
@@ -129,7 +129,8 @@
 
 TEST_F(ForwardClientTest, ALeafThatIsGoneLosesItsIdleConnections) {
   Open([](int) {
-    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false};
+    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                          false};
   });
   std::optional<ForwardReply> reply;
   (void)Send(reply);
