--- /dev/null
+++ b/src/metrics/latency_histogram.cc
@@ -0,0 +1,48 @@
+// Ranges and their rendering.
+
+#include "src/metrics/latency_histogram.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace medlarspread::metrics {
+
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+std::string ShowNumber(double number) {
+  std::array<char, 32> buffer{};
+  std::snprintf(buffer.data(), buffer.size(), "%.9g", number);
+  return buffer.data();
+}
+
+}  // namespace
+
+void LatencyHistogram::Observe(base::Duration latency) {
+  const double seconds =
+      static_cast<double>(latency.count()) / kMicrosecondsPerSecond;
+  const auto bound = std::lower_bound(kHistogramBounds.begin(),
+                                      kHistogramBounds.end(), seconds);
+  ++counts_.at(static_cast<std::size_t>(bound - kHistogramBounds.begin()));
+  sum_seconds_ += seconds;
+}
+
+std::string LatencyHistogram::Render(const std::string& name,
+                                     const std::string& label) const {
+  std::string text;
+  std::int64_t total = 0;
+  for (std::size_t index = 0; index < counts_.size(); ++index) {
+    total += counts_.at(index);
+    const std::string bound = index < kHistogramBounds.size()
+                                  ? ShowNumber(kHistogramBounds.at(index))
+                                  : "+Inf";
+    text += name + "_bucket{" + label + ",le=\"" + bound + "\"} " +
+            std::to_string(total) + "\n";
+  }
+  text += name + "_sum{" + label + "} " + ShowNumber(sum_seconds_) + "\n";
+  text += name + "_count{" + label + "} " + std::to_string(total) + "\n";
+  return text;
+}
+
+}  // namespace medlarspread::metrics
--- a/src/metrics/registry.cc
+++ b/src/metrics/registry.cc
@@ -106,6 +106,9 @@
       entry = std::make_unique<WindowedDistribution>(clock_);
     }
     found = entry.get();
+    if (distribution == ClassDistribution::kRequestLatency) {
+      request_histograms_[BoundedName(class_name)].Observe(latency);
+    }
   }
   found->Observe(latency);
 }
@@ -144,6 +147,16 @@
 
 void Registry::RenderClassMetrics(std::string& text) {
   const std::lock_guard lock(mutex_);
+  constexpr MetricText kHistogram = {
+      "medlarspread_request_duration_seconds",
+      "Time from a caller's request to its answer, counted in ranges."};
+  if (!request_histograms_.empty()) {
+    text += Header(kHistogram, "histogram");
+  }
+  for (const auto& [class_name, histogram] : request_histograms_) {
+    text += histogram.Render(kHistogram.name,
+                             "class=" + base::JsonString(class_name));
+  }
   for (const ClassCounter counter : AllClassCounters()) {
     const MetricText& metric = TextOf(counter);
     text += Header(metric, "counter");
--- a/src/metrics/registry.h
+++ b/src/metrics/registry.h
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "src/base/clock.h"
+#include "src/metrics/latency_histogram.h"
 #include "src/metrics/metric_names.h"
 #include "src/metrics/windowed_distribution.h"
 
@@ -57,6 +58,8 @@
   std::map<ClassCounterKey, std::int64_t> class_counters_;
   std::map<ClassDistributionKey, std::unique_ptr<WindowedDistribution>>
       class_distributions_;
+  // By class, of ClassDistribution::kRequestLatency.
+  std::map<std::string, LatencyHistogram> request_histograms_;
 };
 
 }  // namespace medlarspread::metrics
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -25,7 +25,7 @@
 constexpr double kSlownessWeight = 0.5;
 // The most that one reply can say: a leaf that paused once is back at its
 // speed, and only a row of slow replies must send requests to another region.
-constexpr double kHighestSlowness = 4.5;
+constexpr double kHighestSlowness = 4.0;
 // A leaf that was slow is tried again about so many microseconds later.
 constexpr double kSlownessForgotten = 4'000'000.0;
 // A leaf works about 1.6 times as long in the seconds after its start.
