Tests: Let the soak check drains and lost answers, and see it fail

Cause: a trial with the guards taken out showed that the soak found neither a repeated non-idempotent request nor a request to a drained leaf: answers were hardly ever lost, and the store and the daemons were never left alone for as long as the bound of a drain holds. Change: a leaf may run a request and answer without a proof; storms of 4 s alternate with 10 s in which only leafs misbehave.

--- a/emulator/hosted/hosted_leaf.cc
+++ b/emulator/hosted/hosted_leaf.cc
@@ -86,9 +86,10 @@
     ++runs_by_request_[request_id];
   }
   base::Timer timer;
-  if (mood_ == LeafMood::kAnswer) {
-    timer = runner_.After(work_, [this, request_id, respond] {
-      respond(MakeAnswer(request_id));
+  if (mood_ != LeafMood::kMute) {
+    const bool has_proof = mood_ != LeafMood::kNoProof;
+    timer = runner_.After(work_, [this, request_id, has_proof, respond] {
+      respond(MakeAnswer(request_id, has_proof));
     });
   }
   return [this, timer]() mutable {
@@ -97,10 +98,13 @@
   };
 }
 
-Response HostedLeaf::MakeAnswer(const std::string& request_id) const {
+Response HostedLeaf::MakeAnswer(const std::string& request_id,
+                                bool has_proof) const {
   Response response(Status::ok, kHttpVersion);
   response.set(kRequestId, request_id);
-  response.set("Medlarspread-Leaf-Stamp", "stamp-" + id_);
+  if (has_proof) {
+    response.set("Medlarspread-Leaf-Stamp", "stamp-" + id_);
+  }
   response.body() = RecordOf(service_);
   response.prepare_payload();
   return response;
--- a/emulator/hosted/hosted_leaf.h
+++ b/emulator/hosted/hosted_leaf.h
@@ -26,6 +26,8 @@
   kShed,
   // Runs it and never answers.
   kMute,
+  // Runs it and answers without a proof.
+  kNoProof,
 };
 
 class HostedLeaf {
@@ -54,7 +56,8 @@
 
  private:
   http1::Abandon Handle(const http1::Request& request, http1::Respond respond);
-  http1::Response MakeAnswer(const std::string& request_id) const;
+  http1::Response MakeAnswer(const std::string& request_id,
+                             bool has_proof) const;
 
   const base::TaskRunner runner_;
   const std::string id_;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -37,7 +37,11 @@
 // drains, from daemons that were undisturbed all the while.
 constexpr base::Duration kDrainBound = base::Milliseconds(3'000);
 // A daemon counts as undisturbed so long after its last fault.
-constexpr base::Duration kCalm = base::Milliseconds(4'000);
+constexpr base::Duration kCalm = base::Milliseconds(3'000);
+// The store and the daemons are disturbed for a while, then left alone for long
+// enough to check the bounds that hold only then.
+constexpr base::Duration kStormy = base::Milliseconds(4'000);
+constexpr base::Duration kQuiet = base::Milliseconds(10'000);
 const std::vector<std::string> kServices = {"s1", "s2", "s3"};
 
 struct Leaf {
@@ -89,6 +93,7 @@
 
   void Tick();
   void InjectFault();
+  bool is_stormy() const;
   void FaultOnLeaf();
   void FaultOnStore();
   void FaultOnDaemon();
@@ -117,6 +122,7 @@
   int revision_ = 0;
   int next_leaf_ = 0;
   int next_request_ = 0;
+  base::MonotonicTime began_;
   base::MonotonicTime end_;
   base::MonotonicTime next_fault_;
   // When anything was last done to the store, to a link, or to a daemon.
@@ -219,7 +225,8 @@
   for (int index = 0; index < options_.daemons; ++index) {
     StartDaemon(static_cast<std::size_t>(index));
   }
-  end_ = now() + options_.length;
+  began_ = now();
+  end_ = began_ + options_.length;
   next_fault_ = now() + kFaultInterval * 3;
   last_disturbance_ = now();
   Tick();
@@ -250,16 +257,17 @@
 
 void World::InjectFault() {
   ++report_.faults;
-  switch (Pick(4)) {
-    case 0:
-      FaultOnStore();
-      return;
-    case 1:
-      FaultOnDaemon();
-      return;
-    default:
-      FaultOnLeaf();
+  const auto kind = Pick(4);
+  if (kind < 2 && is_stormy()) {
+    kind == 0 ? FaultOnStore() : FaultOnDaemon();
+    return;
   }
+  FaultOnLeaf();
+}
+
+bool World::is_stormy() const {
+  const base::Duration since = now() - began_;
+  return since % (kStormy + kQuiet) < kStormy;
 }
 
 void World::FaultOnLeaf() {
@@ -277,7 +285,9 @@
     }
     case 1:
     case 2: {
-      leaf.leaf->set_mood(Pick(2) == 0 ? LeafMood::kShed : LeafMood::kMute);
+      constexpr LeafMood kMoods[] = {LeafMood::kShed, LeafMood::kMute,
+                                     LeafMood::kNoProof};
+      leaf.leaf->set_mood(kMoods[Pick(3)]);
       Later(length, [&leaf] { leaf.leaf->set_mood(LeafMood::kAnswer); });
       return;
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -20,7 +20,7 @@
 struct SoakOptions {
   std::string daemon_program;
   std::uint64_t seed = 1;
-  std::chrono::milliseconds length{8'000};
+  std::chrono::milliseconds length{15'000};
   int daemons = 3;
 };
 
