--- a/src/metrics/latency_histogram.cc
+++ b/src/metrics/latency_histogram.cc
@@ -37,8 +37,12 @@
     const std::string bound = index < kHistogramBounds.size()
                                   ? ShowNumber(kHistogramBounds.at(index))
                                   : "+Inf";
-    text += name + "_bucket{" + label + ",le=\"" + bound + "\"} " +
-            std::to_string(total) + "\n";
+    text += name;
+    text += "_bucket{";
+    text += label;
+    text += ",le=\"" + bound + "\"} ";
+    text += std::to_string(total);
+    text += "\n";
   }
   text += name + "_sum{" + label + "} " + ShowNumber(sum_seconds_) + "\n";
   text += name + "_count{" + label + "} " + std::to_string(total) + "\n";
--- a/src/platform/caller_codec.cc
+++ b/src/platform/caller_codec.cc
@@ -90,8 +90,10 @@
 
 base::Result<IncomingRequest> DecodeRequest(http1::Request request) {
   IncomingRequest incoming;
-  incoming.request_id = std::string(request[kRequestId]);
-  incoming.host = std::string(request[http::field::host]);
+  const auto request_id = request[kRequestId];
+  const auto host = request[http::field::host];
+  incoming.request_id.assign(request_id.data(), request_id.size());
+  incoming.host.assign(host.data(), host.size());
   if (incoming.request_id.empty() || incoming.host.empty()) {
     return base::MakeError(base::ErrorCode::kInvalidArgument,
                            base::Step::kParse, "",
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -238,8 +238,7 @@
 void Follower::Again(base::Duration delay, void (Follower::*step)()) {
   const base::Duration longest =
       is_complete_ ? kLongestPause : kLongestFirstPause;
-  const base::Duration pause =
-      delay + PauseAfter(failures_, longest, *random_);
+  const base::Duration pause = delay + PauseAfter(failures_, longest, *random_);
   control_.After(pause, [self = shared_from_this(), step] {
     if (!self->is_stopped_) {
       (self.get()->*step)();
