--- a/src/base/random.cc
+++ b/src/base/random.cc
@@ -6,6 +6,12 @@
 
 namespace medlarspread::base {
 
+std::uint64_t MakeUnpredictableSeed() {
+  std::random_device device;
+  constexpr int kBitsPerWord = 32;
+  return (static_cast<std::uint64_t>(device()) << kBitsPerWord) | device();
+}
+
 std::uint64_t Random::Below(std::uint64_t bound) {
   assert(bound > 0);
   const std::lock_guard lock(mutex_);
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -11,6 +11,11 @@
 
 namespace medlarspread::base {
 
+// A seed that nobody can predict, so that identifiers of different VMs do not
+// meet. It is not logged: nothing that it decides needs to be replayed on a
+// live VM.
+std::uint64_t MakeUnpredictableSeed();
+
 // Safe to use from any thread.
 class Random {
  public:
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -4,7 +4,6 @@
 
 #include <cstdlib>
 #include <iostream>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -20,16 +19,10 @@
   return value == nullptr ? std::nullopt : std::optional<std::string>(value);
 }
 
-std::uint64_t MakeSeed() {
-  constexpr int kBitsPerDraw = 32;
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << kBitsPerDraw) | device();
-}
-
 }  // namespace
 
 int Main(int argument_count, const char* const* arguments, Serve serve) {
-  base::Random random(MakeSeed());
+  base::Random random(base::MakeUnpredictableSeed());
   const Environment environment{
       .out = std::cout,
       .error = std::cerr,
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -3,7 +3,6 @@
 #include "src/daemon/daemon.h"
 
 #include <chrono>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -26,14 +25,6 @@
 // more are accepted.
 constexpr Duration kCloseNotice = base::Milliseconds(200);
 
-// Unpredictable, so that identifiers of different VMs do not meet. The seed is
-// not logged: nothing that it decides needs to be replayed on a live VM.
-std::uint64_t MakeSeed() {
-  std::random_device device;
-  constexpr int kBitsPerWord = 32;
-  return (static_cast<std::uint64_t>(device()) << kBitsPerWord) | device();
-}
-
 routing::Policy MakePolicy(const settings::RoutingSettings& settings) {
   switch (settings.policy) {
     case settings::RoutingPolicy::kFixedShare:
@@ -70,7 +61,7 @@
     : settings_(std::move(settings)),
       log_(std::move(log)),
       announce_(announce),
-      random_(std::make_shared<base::Random>(MakeSeed())),
+      random_(std::make_shared<base::Random>(base::MakeUnpredictableSeed())),
       incarnation_(clock_.WallMilliseconds()) {}
 
 base::Status Daemon::Start() {
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <random>
 #include <utility>
 
 #include "src/base/json_string.h"
@@ -38,12 +37,6 @@
 // Of the connections of a leaf: the rest is for daemons that have just joined.
 constexpr double kPlannedConnections = 0.9;
 
-std::uint64_t MakeSeed() {
-  std::random_device device;
-  constexpr int kBitsPerWord = 32;
-  return (static_cast<std::uint64_t>(device()) << kBitsPerWord) | device();
-}
-
 http1::MessageLimits ToLimits(const blackboard::CallerLimits& limits) {
   return {limits.header_bytes, limits.body_bytes, limits.header_timeout,
           limits.idle_timeout};
@@ -65,7 +58,7 @@
     : settings_(std::move(settings)),
       log_(std::move(log)),
       announce_(announce),
-      random_(std::make_shared<base::Random>(MakeSeed())),
+      random_(std::make_shared<base::Random>(base::MakeUnpredictableSeed())),
       store_calls_(control_.context(),
                    control_.runner(),
                    {settings_.platform.address, settings_.platform.timeout}),
--- a/src/metrics/latency_histogram.cc
+++ b/src/metrics/latency_histogram.cc
@@ -3,7 +3,8 @@
 #include "src/metrics/latency_histogram.h"
 
 #include <algorithm>
-#include <cstdio>
+
+#include "src/base/json_string.h"
 
 namespace medlarspread::metrics {
 
@@ -11,12 +12,6 @@
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 
-std::string ShowNumber(double number) {
-  std::array<char, 32> buffer{};
-  std::snprintf(buffer.data(), buffer.size(), "%.9g", number);
-  return buffer.data();
-}
-
 }  // namespace
 
 void LatencyHistogram::Observe(base::Duration latency) {
@@ -35,7 +30,7 @@
   for (std::size_t index = 0; index < counts_.size(); ++index) {
     total += counts_.at(index);
     const std::string bound = index < kHistogramBounds.size()
-                                  ? ShowNumber(kHistogramBounds.at(index))
+                                  ? base::JsonNumber(kHistogramBounds.at(index))
                                   : "+Inf";
     text += name;
     text += "_bucket{";
@@ -44,7 +39,7 @@
     text += std::to_string(total);
     text += "\n";
   }
-  text += name + "_sum{" + label + "} " + ShowNumber(sum_seconds_) + "\n";
+  text += name + "_sum{" + label + "} " + base::JsonNumber(sum_seconds_) + "\n";
   text += name + "_count{" + label + "} " + std::to_string(total) + "\n";
   return text;
 }
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -323,10 +323,6 @@
     impl->Call(http::verb::post, "/kv-keep/" + std::to_string(lease), "",
                impl->settings().timeout, to_status(done));
   };
-  source.end_lease = [impl = impl_, to_status](std::int64_t lease, auto done) {
-    impl->Call(http::verb::delete_, "/kv-lease-end/" + std::to_string(lease),
-               "", impl->settings().timeout, to_status(done));
-  };
   source.put = [impl = impl_, to_status](const std::string& key,
                                          const std::string& text,
                                          std::int64_t lease, auto done) {
--- a/src/store/event_source.h
+++ b/src/store/event_source.h
@@ -74,8 +74,6 @@
   // kNotFound: the lease has ended.
   std::function<void(std::int64_t lease, std::function<void(base::Status)>)>
       keep_lease;
-  std::function<void(std::int64_t lease, std::function<void(base::Status)>)>
-      end_lease;
   // Writes a key that lives as long as the lease, whatever it held before.
   std::function<void(std::string key,
                      std::string value,
