Upstream: State the time left when a request really leaves

Before: the new test fails, since the time is stated at once. After: it is stated when the connection is open. Left: a caller's request that a small VM reads 0.65 s after it was sent still counts its deadline from then.

--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -125,6 +125,9 @@
   is_writing_ = true;
   was_sent_ = true;
   const auto request = exchange_->request;
+  if (exchange_->will_write) {
+    exchange_->will_write(*request);
+  }
   http::async_write(socket_, *request,
                     [self = shared_from_this(), request](
                         const boost::system::error_code& error, std::size_t) {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -46,8 +46,12 @@
 using ExchangeResult = std::variant<Response, ExchangeFailure>;
 
 struct Exchange {
-  // The request; it must stay unchanged until the exchange has ended.
-  std::shared_ptr<const Request> request;
+  // The request; it must stay unchanged until the exchange has ended, but for
+  // what `will_write` does.
+  std::shared_ptr<Request> request;
+  // Called once the connection is open, right before the request leaves, for
+  // what depends on the time; may be empty. Opening may take most of a second.
+  std::function<void(Request&)> will_write;
   // Whether an answer belongs to this request and not to an earlier one.
   std::function<bool(const Response&)> is_mine;
   // Called once.
--- a/src/platform/leaf_codec.cc
+++ b/src/platform/leaf_codec.cc
@@ -23,13 +23,17 @@
 
 constexpr int kHttpVersion = 11;
 
+void SetTimeLeft(http1::Request& request, base::Duration time_left) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
+  request.set(kDeadline, std::to_string(milliseconds.count()));
+}
+
 http1::Request Encode(const blackboard::Upstream& leaf,
                       const upstream::ForwardCall& call) {
   http1::Request request = *call.message;
   request.version(kHttpVersion);
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(call.time_left);
-  request.set(kDeadline, std::to_string(milliseconds.count()));
+  SetTimeLeft(request, call.time_left);
   request.set(kExpectedLeaf, leaf.name);
   if (!request.body().empty()) {
     request.content_length(request.body().size());
@@ -105,7 +109,7 @@
 }  // namespace
 
 upstream::ForwardCodec MakeLeafCodec() {
-  return {Encode, IsMine, Decode};
+  return {Encode, SetTimeLeft, IsMine, Decode};
 }
 
 }  // namespace medlarspread::platform
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -2,6 +2,7 @@
 
 #include "src/upstream/forward_client.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -108,7 +109,14 @@
   EndAfter(state, call.time_left + kDeadlineMargin);
   http1::Exchange exchange;
   exchange.request =
-      std::make_shared<const http1::Request>(codec_.encode(upstream, call));
+      std::make_shared<http1::Request>(codec_.encode(upstream, call));
+  // The leaf must not be given the time that opening the connection took.
+  exchange.will_write = [self = shared_from_this(), state,
+                         time_left = call.time_left](http1::Request& request) {
+    const base::Duration waited = self->clock_.Now() - state->sent;
+    self->codec_.set_time_left(request,
+                               std::max(base::Duration{}, time_left - waited));
+  };
   exchange.is_mine = [self = shared_from_this(),
                       call](const http1::Response& response) {
     return self->codec_.is_mine(call, response);
--- a/src/upstream/forward_client.h
+++ b/src/upstream/forward_client.h
@@ -29,6 +29,8 @@
 struct ForwardCodec {
   std::function<http1::Request(const blackboard::Upstream&, const ForwardCall&)>
       encode;
+  // States the time left in an encoded request.
+  std::function<void(http1::Request&, base::Duration)> set_time_left;
   // Whether an answer on the connection belongs to the call.
   std::function<bool(const ForwardCall&, const http1::Response&)> is_mine;
   // Never throws, whatever the answer holds.
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -3,6 +3,8 @@
 #include "src/upstream/forward_client.h"
 
 #include <optional>
+#include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -25,6 +27,9 @@
     codec.encode = [](const blackboard::Upstream&, const ForwardCall& call) {
       return *call.message;
     };
+    codec.set_time_left = [this](http1::Request&, base::Duration left) {
+      stated_.push_back(left);
+    };
     codec.is_mine = [](const ForwardCall&, const http1::Response&) {
       return true;
     };
@@ -62,6 +67,8 @@
   }
 
   boost::asio::io_context context_;
+  // What was stated to the leaf as the time left.
+  std::vector<base::Duration> stated_;
   std::unique_ptr<RawLeaf> raw_;
   blackboard::Upstream leaf_;
   std::unique_ptr<ForwardClient> client_;
@@ -82,6 +89,17 @@
   EXPECT_FALSE(first.has_value());
 }
 
+TEST_F(ForwardClientTest, StatesTheTimeLeftWhenTheRequestLeaves) {
+  Open([](int) { return RawLeaf::Reply{"", false}; });
+  std::optional<ForwardReply> reply;
+  (void)Send(reply, Milliseconds(20'000));
+  // The connection is not open yet.
+  EXPECT_TRUE(stated_.empty());
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  RunUntil([this] { return !stated_.empty(); });
+  EXPECT_LE(stated_.front(), Milliseconds(20'000 - 30));
+}
+
 TEST_F(ForwardClientTest, CancelClosesTheConnectionAndCallsNobody) {
   Open([](int) { return RawLeaf::Reply{"", false}; });
   std::optional<ForwardReply> reply;
