Query: Hand requests to all shards to stronger daemons near the leaves

Cause: on a VM of 0.12 of a core the 36 sends of one query take some 30 ms of processor time, a quarter of the latency target, and each of 64 daemons learns alone, from two or three queries a second, which leaves are slow; the slack of extra sends is cut into 64 parts of 1.3 sends. Ruled out: the leaves (at a fifth of their slots) and the links.

Change: a daemon hands the whole request to an aggregator of its region, one with the processor for it and leaves in its failure domain (routing::ChooseAggregators, the same on every daemon, no election). A refusal is fanned out here at once; a silent peer is probed, then replaced from the budget of extra sends; the revision of the routes goes along. The budget is a bucket that starts nearly empty, is filled by requests and time and shared out by what daemons do (admission::ExtraSendBudget), with a test over a fleet of daemons that the bound of any ten seconds holds through restarts of all.

--- a/src/blackboard/views.h
+++ b/src/blackboard/views.h
@@ -56,6 +56,11 @@
   std::string address;
   std::string region;
   std::string failure_domain;
+  // Where it takes requests that other daemons hand over, "ip:port"; empty if
+  // it takes none.
+  std::string query_address;
+  // Its VM's part of a core, 1 for a whole one.
+  double processor_share = 1.0;
   std::int64_t incarnation = 0;
   MemberState state = MemberState::kLive;
   std::int64_t targets_revision = 0;
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -10,6 +10,7 @@
 #include "src/base/json_string.h"
 #include "src/platform/caller_codec.h"
 #include "src/platform/leaf_codec.h"
+#include "src/platform/peer_codec.h"
 #include "src/settings/load_settings.h"
 
 namespace medlarspread::daemon {
@@ -28,14 +29,20 @@
 // costs one system call.
 constexpr base::Duration kSettingsInterval = base::Milliseconds(3'000);
 constexpr base::Duration kPruneInterval = base::Milliseconds(2'000);
-// Of what all daemons together may send beyond the first sends, this part is
-// planned with. Half of the slack is left for daemons that restart all at once
-// and have forgotten what was sent before; of the share, which grows with the
-// requests themselves, less has to be left.
-constexpr double kPlannedShare = 0.85;
-constexpr double kPlannedSlack = 0.5;
 // Of the connections of a leaf: the rest is for daemons that have just joined.
 constexpr double kPlannedConnections = 0.9;
+// Connections to one peer, each with one request at a time. An entry hands
+// over a few requests a second, each of which takes a tenth of one; probes have
+// a connection of their own.
+constexpr int kPeerConnections = 16;
+// What a request that was handed over has used of its latency target on the
+// way here, and will use on the way back.
+constexpr base::Duration kHandoverTime = base::Milliseconds(4);
+// A peer hands over the headers and the body of a caller, which it has checked.
+constexpr std::size_t kPeerHeaderBytes = 256 << 10;
+constexpr std::size_t kPeerBodyBytes = 64 << 20;
+// Entries that have no requests for a while keep their connections.
+constexpr base::Duration kPeerIdleTimeout = base::Milliseconds(60'000);
 
 http1::MessageLimits ToLimits(const blackboard::CallerLimits& limits) {
   return {limits.header_bytes, limits.body_bytes, limits.header_timeout,
@@ -77,9 +84,18 @@
               [this](const blackboard::Upstream& upstream) {
                 return ConnectionShare(upstream);
               }),
+      peers_(traffic_context_,
+             clock_,
+             traffic_,
+             platform::MakePeerCodec(),
+             [](const blackboard::Upstream&) { return kPeerConnections; }),
       queries_(
           {settings_.callers.max_requests,
-           [this] { return MakeExtraSendLimits(); }},
+           [this] {
+             return admission::ExtraSendBound{
+                 settings_.extra_sends.share,
+                 static_cast<double>(settings_.extra_sends.slack)};
+           }},
           clock_,
           traffic_,
           blackboard_,
@@ -87,17 +103,32 @@
               routing::Place{settings_.vm.region, settings_.vm.failure_domain},
               clock_,
               random_),
-          {leaves_.port(),
-           [this](const burn::RequestRecord& record) { Record(record); }},
+          MakeQueryPorts(),
           log_) {}
 
+query::ForwardService::Ports OpaqueDaemon::MakeQueryPorts() {
+  return {leaves_.port(), peers_.port(),
+          [this](const burn::RequestRecord& record) { Record(record); },
+          [this](int sends) {
+            metrics_.Count(metrics::Counter::kUpstreamSends, sends);
+            metrics_.Count(metrics::Counter::kRequestsFannedOutForPeers);
+          }};
+}
+
 base::Status OpaqueDaemon::Start() {
   callers_ = MakeCallers();
   readiness_ = MakePage(settings_.callers.readiness_address,
                         [this] { return RenderReadiness(); });
   metrics_page_ =
       MakePage(settings_.operators.address, [this] { return RenderMetrics(); });
-  for (const auto& listener : {callers_, readiness_, metrics_page_}) {
+  if (!settings_.peers.query_address.empty()) {
+    peer_listener_ = MakePeers();
+  }
+  for (const auto& listener :
+       {callers_, readiness_, metrics_page_, peer_listener_}) {
+    if (!listener) {
+      continue;
+    }
     if (auto opened = listener->Open(); !opened.is_ok()) {
       return opened;
     }
@@ -171,6 +202,40 @@
                                                  std::move(listener), clock_);
 }
 
+std::shared_ptr<http1::CallerListener> OpaqueDaemon::MakePeers() {
+  http1::CallerListener::Settings listener;
+  listener.address = settings_.peers.query_address;
+  listener.limits = [] {
+    http1::MessageLimits limits;
+    limits.header_bytes = kPeerHeaderBytes;
+    limits.body_bytes = kPeerBodyBytes;
+    limits.idle_timeout = kPeerIdleTimeout;
+    return limits;
+  };
+  listener.handle = [this](http1::Request request,
+                           http1::Respond respond) -> http1::Abandon {
+    auto decoded = platform::DecodeFromPeer(std::move(request));
+    if (!decoded.is_ok()) {
+      log_.DidFail(decoded.error(), "refused an invalid request of a peer");
+      respond(platform::EncodeInvalid(decoded.error()));
+      return [] {};
+    }
+    auto* incoming = std::get_if<query::IncomingRequest>(&decoded.value());
+    if (incoming == nullptr) {
+      respond(platform::EncodeProbeAnswer());
+      return [] {};
+    }
+    incoming->waited += kHandoverTime;
+    return queries_.Submit(
+        std::move(*incoming),
+        [respond = std::move(respond)](query::ForwardedAnswer answer) {
+          respond(platform::EncodeAnswer(std::move(answer)));
+        });
+  };
+  return std::make_shared<http1::CallerListener>(traffic_context_,
+                                                 std::move(listener), clock_);
+}
+
 std::shared_ptr<http1::CallerListener> OpaqueDaemon::MakePage(
     const std::string& address,
     std::function<http1::Response()> render) {
@@ -206,19 +271,11 @@
 }
 
 int OpaqueDaemon::ConnectionShare(const blackboard::Upstream& upstream) const {
-  const auto daemons = blackboard_.membership.Read()->members.size();
-  const double share = kPlannedConnections * upstream.connections /
-                       static_cast<double>(std::max<std::size_t>(1, daemons));
+  const double share = kPlannedConnections * upstream.connections *
+                       queries_.PartOf(upstream.collection);
   return std::max(1, static_cast<int>(share));
 }
 
-query::ExtraSendLimits OpaqueDaemon::MakeExtraSendLimits() const {
-  const auto daemons = blackboard_.membership.Read()->members.size();
-  const double slack = kPlannedSlack * settings_.extra_sends.slack /
-                       static_cast<double>(std::max<std::size_t>(1, daemons));
-  return {kPlannedShare * settings_.extra_sends.share, std::max(1.0, slack)};
-}
-
 void OpaqueDaemon::Record(const burn::RequestRecord& record) {
   using metrics::ClassCounter;
   ClassCounter counter = ClassCounter::kRequestsUnknown;
@@ -291,6 +348,9 @@
                          std::to_string(queries_.in_flight()) +
                          " requests in flight"});
   callers_->StartDraining();
+  if (peer_listener_) {
+    peer_listener_->StartDraining();
+  }
   traffic_.After(kBalancerNotice, [this] { CloseCallers(); });
 }
 
@@ -303,7 +363,9 @@
   callers_->CloseIdle();
   const bool is_over =
       clock_.Now() - stop_began_ > settings_.stop.bound - kEndMargin;
-  if (callers_->connections() > 0 && !is_over) {
+  const bool is_in_work =
+      callers_->connections() > 0 || queries_.in_flight() > 0;
+  if (is_in_work && !is_over) {
     traffic_.After(kEndPoll, [this] { EndWhenDone(); });
     return;
   }
--- a/src/daemon/opaque_daemon.h
+++ b/src/daemon/opaque_daemon.h
@@ -44,13 +44,15 @@
  private:
   void Announce();
   std::shared_ptr<http1::CallerListener> MakeCallers();
+  // For requests that other daemons hand over.
+  std::shared_ptr<http1::CallerListener> MakePeers();
   std::shared_ptr<http1::CallerListener> MakePage(
       const std::string& address,
       std::function<http1::Response()> render);
   http1::Response RenderReadiness() const;
   http1::Response RenderMetrics();
   int ConnectionShare(const blackboard::Upstream& upstream) const;
-  query::ExtraSendLimits MakeExtraSendLimits() const;
+  query::ForwardService::Ports MakeQueryPorts();
   void Record(const burn::RequestRecord& record);
   void PruneConnections();
 
@@ -85,8 +87,11 @@
   platform::StoreCalls store_calls_;
   StoreControllers controllers_;
   upstream::ForwardClient leaves_;
+  upstream::ForwardClient peers_;
   query::ForwardService queries_;
   std::shared_ptr<http1::CallerListener> callers_;
+  // Null if this daemon takes no requests from others.
+  std::shared_ptr<http1::CallerListener> peer_listener_;
   std::shared_ptr<http1::CallerListener> readiness_;
   std::shared_ptr<http1::CallerListener> metrics_page_;
   base::MonotonicTime stop_began_;
--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -34,6 +34,8 @@
   self.name = vm.name;
   self.region = vm.region;
   self.failure_domain = vm.failure_domain;
+  self.query_address = settings.peers.query_address;
+  self.processor_share = vm.processor_share;
   return self;
 }
 
--- a/src/membership/lease_registration.cc
+++ b/src/membership/lease_registration.cc
@@ -2,10 +2,10 @@
 
 #include "src/membership/lease_registration.h"
 
+#include <sstream>
+#include <string_view>
 #include <utility>
 
-#include "src/base/json_string.h"
-
 namespace medlarspread::membership {
 
 namespace {
@@ -13,9 +13,35 @@
 // Each call is paid for; a registration may come seconds late.
 constexpr base::Duration kRetry = base::Milliseconds(2'000);
 
-// The value of a daemon's entry: its failure domain and its address.
+// For a daemon that takes no requests from others.
+constexpr std::string_view kNoAddress = "-";
+
+// The value of a daemon's entry: words with blanks between.
 std::string MakeEntry(const blackboard::Member& member) {
-  return member.failure_domain + " " + member.address;
+  std::ostringstream entry;
+  entry << member.failure_domain << ' ' << member.address << ' '
+        << member.region << ' '
+        << (member.query_address.empty() ? kNoAddress : member.query_address)
+        << ' ' << member.processor_share;
+  return entry.str();
+}
+
+// Words that are missing, as in the entry of another version, leave what the
+// daemon is without them.
+blackboard::Member ParseEntry(const std::string& name,
+                              const std::string& value) {
+  blackboard::Member member;
+  member.name = name;
+  std::istringstream words(value);
+  words >> member.failure_domain >> member.address >> member.region >>
+      member.query_address;
+  if (double share = 0.0; words >> share && share > 0.0) {
+    member.processor_share = share;
+  }
+  if (member.query_address == kNoAddress) {
+    member.query_address.clear();
+  }
+  return member;
 }
 
 }  // namespace
@@ -63,11 +89,7 @@
     view_.members.erase(name);
     return;
   }
-  blackboard::Member& member = view_.members[name];
-  const auto blank = value->find(' ');
-  member.name = name;
-  member.failure_domain = value->substr(0, blank);
-  member.address = blank == std::string::npos ? "" : value->substr(blank + 1);
+  view_.members[name] = ParseEntry(name, *value);
 }
 
 void LeaseRegistration::Publish() {
--- a/src/metrics/metric_names.h
+++ b/src/metrics/metric_names.h
@@ -11,6 +11,7 @@
 // Totals that only grow while the process runs.
 enum class Counter {
   kRequestsInvalid,
+  kRequestsFannedOutForPeers,
   kUpstreamSends,
   kUpstreamAnswers,
   kUpstreamRefusals,
--- a/src/platform/header_names.h
+++ b/src/platform/header_names.h
@@ -19,6 +19,9 @@
 constexpr const char* kShardProofs = "Medlarspread-Part-Stamps";
 // How many shards are missing from an answer.
 constexpr const char* kMissingShards = "Medlarspread-Missing-Parts";
+// Between daemons only: the revision of the routes by which a request was
+// handed over.
+constexpr const char* kRoutesRevision = "Medlarspread-Routes-Revision";
 // Seconds, which may have a fraction.
 constexpr const char* kRetryAfter = "Retry-After";
 
--- /dev/null
+++ b/src/platform/peer_codec.cc
@@ -0,0 +1,116 @@
+// Requests to peers and what their answers mean.
+
+#include "src/platform/peer_codec.h"
+
+#include <charconv>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "src/platform/caller_codec.h"
+#include "src/platform/header_names.h"
+
+namespace medlarspread::platform {
+
+namespace {
+
+namespace http = boost::beast::http;
+using http1::Request;
+using http1::Response;
+using http1::Status;
+using upstream::ForwardReply;
+using upstream::LeafOutcome;
+
+constexpr int kHttpVersion = 11;
+
+template <typename Integer>
+std::optional<Integer> ParseInteger(boost::beast::string_view text) {
+  Integer value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+void SetTimeLeft(Request& request, base::Duration time_left) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
+  request.set(kDeadline, std::to_string(milliseconds.count()));
+}
+
+Request Encode(const blackboard::Upstream& /*peer*/,
+               const upstream::ForwardCall& call) {
+  Request request = *call.message;
+  request.version(kHttpVersion);
+  SetTimeLeft(request, call.time_left);
+  if (call.routes_revision > 0) {
+    request.set(kRoutesRevision, std::to_string(call.routes_revision));
+  }
+  if (!request.body().empty()) {
+    request.content_length(request.body().size());
+  }
+  return request;
+}
+
+// Daemons answer one request at a time on a connection, and nothing late.
+bool IsMine(const upstream::ForwardCall& /*call*/,
+            const Response& /*response*/) {
+  return true;
+}
+
+LeafOutcome OutcomeOf(Status status) {
+  if (http::to_status_class(status) == http::status_class::successful) {
+    return LeafOutcome::kAnswered;
+  }
+  const bool is_refused = status == Status::service_unavailable ||
+                          status == Status::too_many_requests;
+  return is_refused ? LeafOutcome::kShed : LeafOutcome::kFailed;
+}
+
+ForwardReply Decode(const blackboard::Upstream& peer, Response response) {
+  ForwardReply reply;
+  reply.outcome = OutcomeOf(response.result());
+  reply.missing_shards =
+      ParseInteger<int>(response[kMissingShards]).value_or(0);
+  if (reply.outcome != LeafOutcome::kAnswered) {
+    const bool is_timeout = response.result() == Status::gateway_timeout;
+    reply.error = base::MakeError(
+        is_timeout ? base::ErrorCode::kTimeout : base::ErrorCode::kUnavailable,
+        base::Step::kReadUpstream, peer.address,
+        "the aggregator answered with status " +
+            std::to_string(response.result_int()));
+  }
+  reply.message = std::move(response);
+  return reply;
+}
+
+}  // namespace
+
+upstream::ForwardCodec MakePeerCodec() {
+  return {Encode, SetTimeLeft, IsMine, Decode};
+}
+
+base::Result<std::variant<PeerProbe, query::IncomingRequest>> DecodeFromPeer(
+    Request request) {
+  using Decoded = std::variant<PeerProbe, query::IncomingRequest>;
+  const auto revision = ParseInteger<std::int64_t>(request[kRoutesRevision]);
+  if (!revision) {
+    return Decoded(PeerProbe{});
+  }
+  request.erase(kRoutesRevision);
+  auto incoming = DecodeRequest(std::move(request));
+  if (!incoming.is_ok()) {
+    return incoming.error();
+  }
+  incoming.value().handed_by_revision = revision;
+  return Decoded(std::move(incoming.value()));
+}
+
+Response EncodeProbeAnswer() {
+  Response response(Status::no_content, kHttpVersion);
+  return response;
+}
+
+}  // namespace medlarspread::platform
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -64,10 +64,18 @@
       route_(*request_.route),
       done_(std::move(done)),
       arrived_(dependencies_->clock.Now()),
-      target_due_(arrived_ + route_.targets.latency - kTargetMargin),
-      deadline_(arrived_ + std::min(request_.deadline, route_.timeout) -
+      target_due_(arrived_ + route_.targets.latency - request_.waited -
+                  kTargetMargin),
+      deadline_(arrived_ +
+                std::min(request_.deadline, route_.timeout - request_.waited) -
                 kDeadlineMargin),
-      shards_(collections.size()) {
+      first_payment_(request_.is_repeat ? Payment::kFromBudget
+                                        : Payment::kFree),
+      // One leaf is left for what the other daemon may have sent to.
+      most_leaves_(request_.is_repeat ? std::max(1, route_.most_attempts - 1)
+                                      : route_.most_attempts),
+      shards_(collections.size()),
+      may_have_run_(request_.is_repeat) {
   for (std::size_t index = 0; index < collections.size(); ++index) {
     shards_[index].collection = std::move(collections[index]);
   }
@@ -79,7 +87,9 @@
     return;
   }
   for (Shard& shard : shards_) {
-    dependencies_->did_request(shard.collection);
+    if (!request_.is_repeat) {
+      dependencies_->did_request(shard.collection);
+    }
     shard.is_waiting = true;
     SendWaiting(shard, arrived_);
   }
@@ -114,7 +124,7 @@
 }
 
 void FanOutSession::SendWaiting(Shard& shard, MonotonicTime now) {
-  if (TrySend(shard, Payment::kFree)) {
+  if (TrySend(shard, first_payment_)) {
     return;
   }
   const bool has_leaves =
@@ -155,7 +165,7 @@
 bool FanOutSession::MayUse(const Shard& shard,
                            const blackboard::Upstream& leaf) const {
   const bool is_further_leaf = !shard.refused.contains(leaf.name);
-  if (is_further_leaf && shard.leaves >= route_.most_attempts) {
+  if (is_further_leaf && shard.leaves >= most_leaves_) {
     return false;
   }
   return !shard.excluded.contains(leaf.name);
@@ -186,7 +196,7 @@
 }
 
 bool FanOutSession::MaySendElsewhere(const Shard& shard) const {
-  return shard.leaves < route_.most_attempts &&
+  return shard.leaves < most_leaves_ &&
          time_left() >= kReplyMargin + kLeastTimeLeft;
 }
 
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -29,7 +29,6 @@
 #include <string>
 #include <vector>
 
-#include "src/admission/retry_budget.h"
 #include "src/base/clock.h"
 #include "src/base/log.h"
 #include "src/base/task_runner.h"
@@ -85,6 +84,8 @@
 
  private:
   enum class ShardState { kOpen, kAnswered, kFailed };
+  // Whether a send is paid for from the collection's budget.
+  enum class Payment { kFree, kFromBudget };
 
   struct Attempt {
     blackboard::Upstream leaf;
@@ -121,9 +122,6 @@
   };
 
   void SendTo(Shard& shard, const blackboard::Upstream& leaf);
-  // Whether a send is paid for from the collection's budget.
-  enum class Payment { kFree, kFromBudget };
-
   // Sends the shard to a leaf that it was not sent to yet; false if none may
   // take it or the budget is used up.
   bool TrySend(Shard& shard, Payment payment);
@@ -171,13 +169,16 @@
   const base::MonotonicTime arrived_;
   const base::MonotonicTime target_due_;
   const base::MonotonicTime deadline_;
+  const Payment first_payment_;
+  // Leaves that a shard may be sent to.
+  const int most_leaves_;
   std::vector<Shard> shards_;
   int answered_ = 0;
   int settled_ = 0;
   int sends_ = 0;
   int extra_sends_ = 0;
   // A send to a leaf may have run without an answer that can be given.
-  bool may_have_run_ = false;
+  bool may_have_run_;
   bool is_finished_ = false;
   base::Error last_error_;
   base::Timer timer_;
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -2,6 +2,8 @@
 
 #include "src/query/forward_service.h"
 
+#include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "src/base/overloaded.h"
@@ -17,6 +19,10 @@
 constexpr base::Duration kRetryWhenUnknown = base::Milliseconds(300);
 constexpr base::Duration kRetryWhenFull = base::Milliseconds(100);
 
+bool IsToAllShards(const blackboard::WorkRoute& route) {
+  return std::holds_alternative<blackboard::AllShards>(route.destination);
+}
+
 burn::RequestOutcome OutcomeOf(const ForwardedAnswer& answer) {
   return std::visit(
       base::Overloaded{
@@ -28,6 +34,19 @@
       answer);
 }
 
+// Starts a session and returns what gives it up.
+template <typename Session>
+ForwardService::Abandon StartAndAbandon(std::shared_ptr<Session> session,
+                                        std::shared_ptr<int> in_flight) {
+  session->Start();
+  return [session = std::move(session), in_flight = std::move(in_flight),
+          is_left = false]() mutable {
+    if (!std::exchange(is_left, true) && session->Abandon()) {
+      --*in_flight;
+    }
+  };
+}
+
 }  // namespace
 
 ForwardService::ForwardService(Options options,
@@ -42,21 +61,36 @@
       blackboard_(blackboard),
       tracker_(std::move(tracker)),
       ports_(std::move(ports)),
-      log_(std::move(log)) {
-  FanOutDependencies dependencies{clock_,
-                                  std::move(traffic),
-                                  ports_.leaves,
-                                  tracker_,
-                                  [this] { return Index(); },
-                                  [this](const std::string& collection) {
-                                    return BudgetOf(collection).Take();
-                                  },
-                                  [this](const std::string& collection) {
-                                    BudgetOf(collection).DidSucceed();
-                                  },
-                                  log_};
+      log_(std::move(log)),
+      peer_health_(std::make_shared<routing::PeerHealth>(clock_)) {
+  FanOutDependencies dependencies{
+      clock_,
+      traffic,
+      ports_.leaves,
+      tracker_,
+      [this] { return Index(); },
+      [this](const std::string& collection) {
+        return BudgetOf(collection).Take(clock_.Now());
+      },
+      [this](const std::string& collection) {
+        BudgetOf(collection).DidRequest(clock_.Now());
+      },
+      log_};
   dependencies_ =
       std::make_shared<const FanOutDependencies>(std::move(dependencies));
+  HandoverDependencies handover{
+      clock_,
+      std::move(traffic),
+      ports_.peers,
+      peer_health_,
+      [this](ForwardedRequest request, FanOutSession::Done done) {
+        std::vector<std::string> shards = CollectionsOf(*request.route);
+        return std::make_shared<FanOutSession>(
+            dependencies_, std::move(request), std::move(shards),
+            std::move(done));
+      },
+      log_};
+  handover_ = std::make_shared<const HandoverDependencies>(std::move(handover));
 }
 
 ForwardService::Abandon ForwardService::Submit(IncomingRequest request,
@@ -69,6 +103,11 @@
   const std::string_view target(request.message->target().data(),
                                 request.message->target().size());
   auto route = Routes().Find(request.host, target);
+  if (auto refusal = CheckHandover(request, route.get())) {
+    log_.DidFail(refusal->error, "refused", request.request_id);
+    done(std::move(*refusal));
+    return [] {};
+  }
   if (!route) {
     log_.Write({.level = base::LogLevel::kInfo,
                 .step = Step::kAdmit,
@@ -102,6 +141,31 @@
   return std::nullopt;
 }
 
+std::optional<Refused> ForwardService::CheckHandover(
+    const IncomingRequest& request,
+    const blackboard::WorkRoute* route) {
+  if (!request.handed_by_revision) {
+    return std::nullopt;
+  }
+  std::string why;
+  if (*request.handed_by_revision != Routes().view().revision) {
+    why = "handed over by routes of revision " +
+          std::to_string(*request.handed_by_revision);
+  } else if (route == nullptr || !IsToAllShards(*route)) {
+    why = "handed over, but not for all shards";
+  } else if (blackboard_.lifecycle.Read()->state ==
+             blackboard::LifecycleState::kStopping) {
+    why = "this daemon is stopping";
+  } else {
+    return std::nullopt;
+  }
+  Refused refusal;
+  refusal.request_id = request.request_id;
+  refusal.error = base::MakeError(ErrorCode::kUnavailable, Step::kAdmit, "",
+                                  std::move(why));
+  return refusal;
+}
+
 std::vector<std::string> ForwardService::CollectionsOf(
     const blackboard::WorkRoute& route) {
   return std::visit(
@@ -123,27 +187,89 @@
     ForwardedCallback done) {
   ++*in_flight_;
   std::vector<std::string> collections = CollectionsOf(*route);
+  const routing::AggregatorChoice choice =
+      IsToAllShards(*route)
+          ? aggregators_.For(collections, blackboard_.membership.Read(),
+                             Index())
+          : routing::AggregatorChoice{};
+  ShareOut(collections, choice);
+  const blackboard::Member* peer = PeerFor(request, choice);
+  const bool is_for_peer = request.handed_by_revision.has_value();
   ForwardedRequest forwarded;
   forwarded.request_id = std::move(request.request_id);
   forwarded.deadline = request.deadline.value_or(route->timeout);
+  forwarded.waited = request.waited;
   forwarded.routes_revision = Routes().view().revision;
   forwarded.message = std::move(request.message);
   forwarded.route = route;
-  auto session = std::make_shared<FanOutSession>(
-      dependencies_, std::move(forwarded), std::move(collections),
-      [this, route, in_flight = in_flight_, asked = clock_.WallMilliseconds(),
-       done = std::move(done)](ForwardedAnswer answer,
-                               const FanOutSummary& summary) {
+  FanOutSession::Done did_end =
+      [this, route, is_for_peer, in_flight = in_flight_,
+       asked = clock_.WallMilliseconds(), done = std::move(done)](
+          ForwardedAnswer answer, const FanOutSummary& summary) {
         --*in_flight;
-        Record(*route, asked, answer, summary);
+        if (is_for_peer) {
+          ports_.did_fan_out_for_peer(summary.sends);
+        } else {
+          Record(*route, asked, answer, summary);
+        }
         done(std::move(answer));
-      });
-  session->Start();
-  return [session, in_flight = in_flight_, is_left = false]() mutable {
-    if (!std::exchange(is_left, true) && session->Abandon()) {
-      --*in_flight;
+      };
+  if (peer != nullptr) {
+    return StartAndAbandon(
+        std::make_shared<HandoverSession>(handover_, std::move(forwarded),
+                                          *peer, std::move(did_end)),
+        in_flight_);
+  }
+  return StartAndAbandon(std::make_shared<FanOutSession>(
+                             dependencies_, std::move(forwarded),
+                             std::move(collections), std::move(did_end)),
+                         in_flight_);
+}
+
+const blackboard::Member* ForwardService::PeerFor(
+    const IncomingRequest& request,
+    const routing::AggregatorChoice& choice) {
+  if (request.handed_by_revision) {
+    return nullptr;
+  }
+  for (const blackboard::Member& peer : choice.peers) {
+    if (!peer_health_->is_avoided(peer.name)) {
+      return &peer;
     }
-  };
+  }
+  return nullptr;
+}
+
+void ForwardService::ShareOut(const std::vector<std::string>& collections,
+                              const routing::AggregatorChoice& choice) {
+  admission::Senders senders;
+  senders.daemons =
+      static_cast<int>(blackboard_.membership.Read()->members.size());
+  // Without entries everybody sends, and all are alike.
+  senders.aggregators = choice.entries > 0 ? choice.aggregators : 0;
+  senders.is_aggregator = choice.is_aggregator;
+  const double part = admission::PartOf(senders);
+  const admission::ExtraSendLimits limits =
+      admission::PlanExtraSends(options_.extra_sends(), part);
+  for (const std::string& collection : collections) {
+    const auto row = allotments_.find(collection);
+    if (row != allotments_.end()) {
+      row->second.part = part;
+      row->second.extra_sends.set_limits(limits);
+      continue;
+    }
+    allotments_.emplace(collection, Allotment{part, admission::ExtraSendBudget(
+                                                        limits, clock_.Now())});
+  }
+}
+
+double ForwardService::PartOf(const std::string& collection) const {
+  const auto row = allotments_.find(collection);
+  if (row != allotments_.end()) {
+    return row->second.part;
+  }
+  const auto daemons = blackboard_.membership.Read()->members.size();
+  return 1.0 / static_cast<double>(std::max<std::size_t>(1, daemons));
 }
 
 const routing::RouteTable& ForwardService::Routes() {
@@ -164,15 +290,11 @@
   return index_;
 }
 
-admission::RetryBudget& ForwardService::BudgetOf(
+admission::ExtraSendBudget& ForwardService::BudgetOf(
     const std::string& collection) {
-  const auto row = budgets_.find(collection);
-  if (row != budgets_.end()) {
-    return row->second;
-  }
-  const ExtraSendLimits limits = options_.extra_sends();
-  return budgets_.try_emplace(collection, limits.share, limits.burst)
-      .first->second;
+  const auto row = allotments_.find(collection);
+  assert(row != allotments_.end());
+  return row->second.extra_sends;
 }
 
 void ForwardService::Record(const blackboard::WorkRoute& route,
--- a/src/query/forward_service.h
+++ b/src/query/forward_service.h
@@ -12,11 +12,14 @@
 #include <optional>
 #include <string>
 
-#include "src/admission/retry_budget.h"
+#include "src/admission/extra_send_budget.h"
 #include "src/blackboard/blackboard.h"
 #include "src/burn/request_record.h"
 #include "src/query/fan_out_session.h"
 #include "src/query/forwarded_request.h"
+#include "src/query/handover_session.h"
+#include "src/routing/aggregator_table.h"
+#include "src/routing/peer_health.h"
 #include "src/routing/route_table.h"
 #include "src/routing/weighted_turns.h"
 
@@ -28,29 +31,28 @@
   std::string host;
   // Absent if the caller names none: then the route's timeout holds.
   std::optional<base::Duration> deadline;
+  // How long it has waited already before it was read.
+  base::Duration waited{};
+  // Set if another daemon handed it over: the revision of the routes there.
+  std::optional<std::int64_t> handed_by_revision;
   std::shared_ptr<const http1::Request> message;
 };
 
-// The bounds of the sends beyond the first of each request. They hold over all
-// daemons together, so each keeps to its part.
-struct ExtraSendLimits {
-  // Extra sends to a collection as a share of the requests to it.
-  double share = 0.1;
-  // Extra sends of this daemon at once, after a time without any.
-  double burst = 3.0;
-};
-
 class ForwardService {
  public:
   struct Options {
     int most_in_flight = 2000;
-    // Read when a collection is first used.
-    std::function<ExtraSendLimits()> extra_sends;
+    // Of all daemons together, for each collection. Read at each request.
+    std::function<admission::ExtraSendBound()> extra_sends;
   };
 
   struct Ports {
     upstream::ForwardPort leaves;
+    // To the daemons that fan out for others.
+    upstream::ForwardPort peers;
     std::function<void(const burn::RequestRecord&)> record;
+    // A request of another daemon took so many sends; it is recorded there.
+    std::function<void(int sends)> did_fan_out_for_peer;
   };
 
   ForwardService(Options options,
@@ -68,16 +70,34 @@
   Abandon Submit(IncomingRequest request, ForwardedCallback done);
 
   int in_flight() const { return *in_flight_; }
+  // This daemon's part of what the collection's leaves bear from all daemons,
+  // 0 to 1.
+  double PartOf(const std::string& collection) const;
 
  private:
+  // What this daemon may use of a collection.
+  struct Allotment {
+    double part;
+    admission::ExtraSendBudget extra_sends;
+  };
+
   std::optional<Refused> CheckAdmission(const IncomingRequest& request) const;
+  // Whether a request that another daemon handed over may be fanned out here.
+  std::optional<Refused> CheckHandover(const IncomingRequest& request,
+                                       const blackboard::WorkRoute* route);
   std::vector<std::string> CollectionsOf(const blackboard::WorkRoute& route);
   Abandon StartSession(IncomingRequest request,
                        routing::RouteTable::RoutePointer route,
                        ForwardedCallback done);
+  // The peer that should fan the request out; null to do it here.
+  const blackboard::Member* PeerFor(const IncomingRequest& request,
+                                    const routing::AggregatorChoice& choice);
+  // Brings the rows of `collections` up to date with the daemons of now.
+  void ShareOut(const std::vector<std::string>& collections,
+                const routing::AggregatorChoice& choice);
   const routing::RouteTable& Routes();
   std::shared_ptr<const routing::LeafIndex> Index();
-  admission::RetryBudget& BudgetOf(const std::string& collection);
+  admission::ExtraSendBudget& BudgetOf(const std::string& collection);
   void Record(const blackboard::WorkRoute& route,
               std::int64_t asked_wall_ms,
               const ForwardedAnswer& answer,
@@ -89,12 +109,16 @@
   const std::shared_ptr<routing::LeafTracker> tracker_;
   const Ports ports_;
   const base::Log log_;
+  const std::shared_ptr<routing::PeerHealth> peer_health_;
   std::shared_ptr<const FanOutDependencies> dependencies_;
+  std::shared_ptr<const HandoverDependencies> handover_;
   std::shared_ptr<const blackboard::RoutesView> routes_view_;
   std::unique_ptr<routing::RouteTable> routes_;
   std::shared_ptr<const routing::LeafIndex> index_;
   routing::WeightedTurns turns_;
-  std::map<std::string, admission::RetryBudget> budgets_;
+  routing::AggregatorTable aggregators_;
+  // By collection.
+  std::map<std::string, Allotment> allotments_;
   const std::shared_ptr<int> in_flight_ = std::make_shared<int>(0);
 };
 
--- a/src/query/forwarded_request.h
+++ b/src/query/forwarded_request.h
@@ -21,6 +21,12 @@
   std::string request_id;
   // How long the caller waits from now on.
   base::Duration deadline{};
+  // How long it has waited already, here or at the daemon that handed the
+  // request over. The latency target and the route's timeout include it.
+  base::Duration waited{};
+  // Another daemon may have sent it to leaves already, so that every send of
+  // this one is an extra send.
+  bool is_repeat = false;
   std::shared_ptr<const blackboard::WorkRoute> route;
   // The revision of the routes that `route` is from.
   std::int64_t routes_revision = 0;
--- /dev/null
+++ b/src/query/handover_session.cc
@@ -0,0 +1,252 @@
+// The steps of handover_session.h.
+
+#include "src/query/handover_session.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace medlarspread::query {
+
+namespace {
+
+using base::Milliseconds;
+using upstream::ForwardReply;
+using upstream::LeafOutcome;
+
+// The way to the peer and back, so that its answer still reaches the caller.
+constexpr base::Duration kWayThere = Milliseconds(4);
+// A peer is probed after this part of the latency target: by then most answers
+// are there, and a repeat can still be in time.
+constexpr int kProbePercent = 40;
+// A peer of the same region answers a probe within some milliseconds, and
+// within this time also when its processor is busy with other requests.
+constexpr base::Duration kProbeWait = Milliseconds(30);
+// A peer that answered a probe is asked again after this time.
+constexpr base::Duration kProbeInterval = Milliseconds(250);
+// With less time left nothing is begun any more.
+constexpr base::Duration kLeastForRepeat = Milliseconds(20);
+
+blackboard::Upstream AsUpstream(const blackboard::Member& peer) {
+  blackboard::Upstream upstream;
+  upstream.name = peer.name;
+  upstream.address = peer.query_address;
+  upstream.region = peer.region;
+  upstream.failure_domain = peer.failure_domain;
+  return upstream;
+}
+
+std::shared_ptr<const http1::Request> MakeProbe() {
+  return std::make_shared<const http1::Request>(
+      boost::beast::http::verb::options, "*", 11);
+}
+
+}  // namespace
+
+HandoverSession::HandoverSession(
+    std::shared_ptr<const HandoverDependencies> dependencies,
+    ForwardedRequest request,
+    const blackboard::Member& peer,
+    FanOutSession::Done done)
+    : dependencies_(std::move(dependencies)),
+      request_(std::move(request)),
+      peer_(AsUpstream(peer)),
+      done_(std::move(done)),
+      arrived_(dependencies_->clock.Now()) {}
+
+void HandoverSession::Start() {
+  is_peer_running_ = true;
+  call_ = dependencies_->peers.send(
+      peer_,
+      {request_.request_id, request_.message, time_left() - kWayThere,
+       request_.routes_revision},
+      [self = shared_from_this()](ForwardReply reply) {
+        self->DidReply(std::move(reply));
+      });
+  timer_ = dependencies_->runner.After(
+      request_.route->targets.latency * kProbePercent / 100,
+      [self = shared_from_this()] { self->Probe(); });
+}
+
+bool HandoverSession::Abandon() {
+  if (std::exchange(is_finished_, true)) {
+    return false;
+  }
+  timer_.Cancel();
+  if (is_peer_running_) {
+    call_.cancel();
+  }
+  if (is_here_running_) {
+    here_->Abandon();
+  }
+  LogOutcome("the caller left");
+  done_ = nullptr;
+  return true;
+}
+
+void HandoverSession::DidReply(ForwardReply reply) {
+  is_peer_running_ = false;
+  if (is_finished_) {
+    return;
+  }
+  if (reply.outcome != LeafOutcome::kAnswered) {
+    DidFail(reply);
+    return;
+  }
+  dependencies_->health->DidAnswer(peer_.name);
+  const FanOutSummary summary = MakeSummary(shards() - reply.missing_shards);
+  Finish(PassedOn{std::move(reply.message)}, summary);
+}
+
+void HandoverSession::DidFail(const ForwardReply& reply) {
+  dependencies_->log.DidFail(reply.error, "an aggregator failed",
+                             request_.request_id);
+  last_error_ = reply.error;
+  const bool is_peers_word = reply.outcome == LeafOutcome::kFailed;
+  const bool did_not_run = !upstream::MayHaveRun(reply.outcome);
+  // A peer that refuses is alive: it is stopping, or its routes differ for a
+  // moment.
+  if (!is_peers_word && reply.outcome != LeafOutcome::kShed) {
+    (void)dependencies_->health->DidFail(peer_.name);
+  }
+  if (is_here_running_) {
+    return;
+  }
+  // A peer that says it failed has tried all that this daemon could try.
+  if (is_peers_word || here_) {
+    FinishUnknown();
+    return;
+  }
+  FanOutHere(!did_not_run);
+}
+
+void HandoverSession::Probe() {
+  if (is_finished_ || !is_peer_running_) {
+    return;
+  }
+  static const auto message = MakeProbe();
+  probe_ = dependencies_->peers.send(
+      peer_, {request_.request_id, message, kProbeWait, 0},
+      [self = shared_from_this()](const ForwardReply& reply) {
+        if (reply.outcome == LeafOutcome::kAnswered) {
+          self->DidAnswerProbe();
+        }
+      });
+  timer_ = dependencies_->runner.After(
+      kProbeWait, [self = shared_from_this()] { self->DidMissProbe(); });
+}
+
+void HandoverSession::DidAnswerProbe() {
+  if (is_finished_ || here_) {
+    return;
+  }
+  timer_.Cancel();
+  timer_ = dependencies_->runner.After(
+      kProbeInterval, [self = shared_from_this()] { self->Probe(); });
+}
+
+void HandoverSession::DidMissProbe() {
+  if (is_finished_ || here_) {
+    return;
+  }
+  const base::Duration pause = dependencies_->health->DidFail(peer_.name);
+  last_error_ = base::MakeError(base::ErrorCode::kTimeout, base::Step::kForward,
+                                peer_.address, "no answer to a probe");
+  dependencies_->log.DidFail(last_error_,
+                             "aggregator " + peer_.name +
+                                 " is left alone for " +
+                                 std::to_string(pause.count() / 1000) + " ms",
+                             request_.request_id);
+  FanOutHere(true);
+}
+
+void HandoverSession::FanOutHere(bool is_repeat) {
+  assert(!here_);
+  const bool may_repeat = request_.route->most_attempts > 1;
+  const bool is_too_late = time_left() < kLeastForRepeat;
+  if (is_repeat && (!may_repeat || is_too_late)) {
+    if (!is_peer_running_) {
+      FinishUnknown();
+    }
+    return;
+  }
+  ForwardedRequest request = request_;
+  request.deadline -= elapsed();
+  request.waited += elapsed();
+  request.is_repeat = is_repeat;
+  is_here_running_ = true;
+  here_ = dependencies_->fan_out_here(
+      std::move(request),
+      [self = shared_from_this()](ForwardedAnswer answer,
+                                  const FanOutSummary& summary) {
+        self->DidFanOut(std::move(answer), summary);
+      });
+  here_->Start();
+}
+
+void HandoverSession::DidFanOut(ForwardedAnswer answer,
+                                const FanOutSummary& summary) {
+  is_here_running_ = false;
+  if (is_finished_) {
+    return;
+  }
+  // The peer may still answer.
+  if (is_peer_running_ && !std::holds_alternative<Gathered>(answer)) {
+    return;
+  }
+  Finish(std::move(answer), summary);
+}
+
+void HandoverSession::FinishUnknown() {
+  Finish(Unknown{request_.request_id, last_error_}, MakeSummary(0));
+}
+
+FanOutSummary HandoverSession::MakeSummary(int answered) const {
+  FanOutSummary summary;
+  summary.latency = elapsed();
+  summary.shards = shards();
+  summary.answered = answered;
+  return summary;
+}
+
+int HandoverSession::shards() const {
+  const auto& all =
+      std::get<blackboard::AllShards>(request_.route->destination);
+  return static_cast<int>(all.shards.size());
+}
+
+void HandoverSession::Finish(ForwardedAnswer answer,
+                             const FanOutSummary& summary) {
+  assert(!is_finished_);
+  is_finished_ = true;
+  timer_.Cancel();
+  if (is_peer_running_) {
+    call_.cancel();
+  }
+  if (is_here_running_) {
+    here_->Abandon();
+  }
+  LogOutcome(std::holds_alternative<Unknown>(answer)
+                 ? "may have run: " + last_error_.ToString()
+                 : (here_ ? "answered here" : "passed on the peer's answer"));
+  const auto done = std::exchange(done_, nullptr);
+  done(std::move(answer), summary);
+}
+
+void HandoverSession::LogOutcome(const std::string& outcome) const {
+  dependencies_->log.Write(
+      {.level = base::LogLevel::kInfo,
+       .step = base::Step::kForward,
+       .peer = peer_.address,
+       .request_id = request_.request_id,
+       .message = "handed to aggregator " + peer_.name + ": " + outcome +
+                  "; route=" + request_.route->targets.name +
+                  " revision=" + std::to_string(request_.routes_revision) +
+                  " ms=" + std::to_string(elapsed().count() / 1000)});
+}
+
+base::Duration HandoverSession::time_left() const {
+  return std::min(request_.deadline, request_.route->timeout) - elapsed();
+}
+
+}  // namespace medlarspread::query
--- /dev/null
+++ b/src/routing/peer_health.cc
@@ -0,0 +1,35 @@
+// Failures in a row and the pauses that follow from them.
+
+#include "src/routing/peer_health.h"
+
+#include <algorithm>
+
+namespace medlarspread::routing {
+
+namespace {
+
+// A restarted daemon is back within a second or two.
+constexpr base::Duration kFirstPause = base::Milliseconds(1'000);
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+bool PeerHealth::is_avoided(const std::string& peer) const {
+  const auto row = rows_.find(peer);
+  return row != rows_.end() && clock_.Now() < row->second.avoid_until;
+}
+
+void PeerHealth::DidAnswer(const std::string& peer) {
+  rows_.erase(peer);
+}
+
+base::Duration PeerHealth::DidFail(const std::string& peer) {
+  Row& row = rows_[peer];
+  const int doublings = std::min(row.failures_in_a_row, kMostDoublings);
+  ++row.failures_in_a_row;
+  const base::Duration pause = kFirstPause * (1 << doublings);
+  row.avoid_until = clock_.Now() + pause;
+  return pause;
+}
+
+}  // namespace medlarspread::routing
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -31,6 +31,8 @@
   std::string failure_domain;
   // The region of each failure domain, "domain=region" with commas between.
   std::string regions;
+  // Its part of a core, 1 for a whole one.
+  double processor_share = 1.0;
 };
 
 // The listener for callers.
@@ -58,6 +60,8 @@
 // Links to the other daemons.
 struct PeersSettings {
   std::string address;
+  // Where requests that other daemons hand over arrive; empty to take none.
+  std::string query_address;
   // Addresses of peers that may be asked before any is known, with commas
   // between.
   std::string seeds;
--- a/src/settings/key_table.cc
+++ b/src/settings/key_table.cc
@@ -120,6 +120,11 @@
        "The region of each failure domain, as domain=region with commas "
        "between. Used with the opaque interface, where leaves name only their "
        "failure domain."},
+      {"vm", "processor_share",
+       Decimal<kVm, &VmSettings::processor_share>(0.001, 1024.0), false,
+       "The part of a core that this VM has, 1 for a whole one. Daemons on "
+       "small VMs hand requests to all shards to daemons on larger ones. Used "
+       "with the opaque interface."},
   };
 }
 
@@ -178,6 +183,11 @@
       {"peers", "address",
        Text<kPeers, &PeersSettings::address>(TextRule::kListenAddress), true,
        "Where the other daemons connect, as in the platform's list of VMs."},
+      {"peers", "query_address",
+       Text<kPeers, &PeersSettings::query_address>(TextRule::kListenAddress),
+       false,
+       "Where this daemon takes requests to all shards that other daemons hand "
+       "over. Without it, it takes none. Used with the opaque interface."},
       {"peers", "seeds",
        Text<kPeers, &PeersSettings::seeds>(TextRule::kAddresses), false,
        "Peers that may be asked for the routes before any is known and while "
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -23,6 +23,9 @@
   std::shared_ptr<const http1::Request> message;
   // Passed on to the leaf, which stops when it is used up.
   base::Duration time_left{};
+  // The revision of the routes that the request is sent by. Told to daemons
+  // only: both must see the same shards.
+  std::int64_t routes_revision = 0;
 };
 
 struct ForwardReply {
@@ -35,6 +38,8 @@
   base::Duration service_time{};
   // When the leaf asks to come back; zero if it names no time.
   base::Duration retry_after{};
+  // Shards that are missing from the answer of a peer that fanned out.
+  int missing_shards = 0;
   // Set unless answered; carries the step and the leaf's address.
   base::Error error;
 };
--- a/tests/query/fake_leaves.h
+++ b/tests/query/fake_leaves.h
@@ -68,12 +68,12 @@
   // Names of leaves that have no connection free.
   std::set<std::string>& full() { return full_; }
 
- private:
   void End(std::size_t index, upstream::ForwardReply reply) {
     const auto done = std::exchange(sent_[index].done, nullptr);
     done(std::move(reply));
   }
 
+ private:
   std::deque<Sent> sent_;
   std::set<std::string> full_;
   std::vector<std::string> prepared_;
