--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -35,9 +35,6 @@
 // over a few requests a second, each of which takes a tenth of one; probes have
 // a connection of their own.
 constexpr int kPeerConnections = 16;
-// What a request that was handed over has used of its latency target on the
-// way here, and will use on the way back.
-constexpr base::Duration kHandoverTime = base::Milliseconds(4);
 // A peer hands over the headers and the body of a caller, which it has checked.
 constexpr std::size_t kPeerHeaderBytes = 256 << 10;
 constexpr std::size_t kPeerBodyBytes = 64 << 20;
@@ -222,10 +219,11 @@
     }
     auto* incoming = std::get_if<query::IncomingRequest>(&decoded.value());
     if (incoming == nullptr) {
-      respond(platform::EncodeProbeAnswer());
+      const auto& probe = std::get<platform::PeerProbe>(decoded.value());
+      respond(platform::EncodeProbeAnswer(
+          queries_.CheckPart(probe.request_id, probe.most_missing)));
       return [] {};
     }
-    incoming->waited += kHandoverTime;
     return queries_.Submit(
         std::move(*incoming),
         [respond = std::move(respond)](query::ForwardedAnswer answer) {
--- a/src/platform/header_names.h
+++ b/src/platform/header_names.h
@@ -22,6 +22,10 @@
 // Between daemons only: the revision of the routes by which a request was
 // handed over.
 constexpr const char* kRoutesRevision = "Medlarspread-Routes-Revision";
+// Between daemons only: the collections of the part, separated by commas.
+constexpr const char* kPartShards = "Medlarspread-Part-Shards";
+// Between daemons only: how many of them may be missing from now on.
+constexpr const char* kMostMissing = "Medlarspread-Most-Missing";
 // Seconds, which may have a fraction.
 constexpr const char* kRetryAfter = "Retry-After";
 
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "src/platform/caller_codec.h"
 #include "src/platform/header_names.h"
@@ -34,6 +35,31 @@
   return value;
 }
 
+std::string Join(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    text += (text.empty() ? "" : ",") + name;
+  }
+  return text;
+}
+
+// The words between commas and blanks.
+std::vector<std::string> Split(boost::beast::string_view text) {
+  std::vector<std::string> words;
+  std::string word;
+  for (const char character : text) {
+    if (character != ',' && character != ' ') {
+      word += character;
+    } else if (!word.empty()) {
+      words.push_back(std::exchange(word, {}));
+    }
+  }
+  if (!word.empty()) {
+    words.push_back(std::move(word));
+  }
+  return words;
+}
+
 void SetTimeLeft(Request& request, base::Duration time_left) {
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
@@ -45,8 +71,15 @@
   Request request = *call.message;
   request.version(kHttpVersion);
   SetTimeLeft(request, call.time_left);
-  if (call.routes_revision > 0) {
-    request.set(kRoutesRevision, std::to_string(call.routes_revision));
+  const upstream::Handover& terms = call.handover.value();
+  if (terms.routes_revision > 0) {
+    request.set(kRoutesRevision, std::to_string(terms.routes_revision));
+    request.set(kPartShards, Join(terms.shards));
+  } else {
+    request.set(kRequestId, call.request_id);
+  }
+  if (terms.most_missing) {
+    request.set(kMostMissing, std::to_string(*terms.most_missing));
   }
   if (!request.body().empty()) {
     request.content_length(request.body().size());
@@ -72,8 +105,8 @@
 ForwardReply Decode(const blackboard::Upstream& peer, Response response) {
   ForwardReply reply;
   reply.outcome = OutcomeOf(response.result());
-  reply.missing_shards =
-      ParseInteger<int>(response[kMissingShards]).value_or(0);
+  reply.shard_proofs = Split(response[kShardProofs]);
+  reply.missing_shards = ParseInteger<int>(response[kMissingShards]);
   if (reply.outcome != LeafOutcome::kAnswered) {
     const bool is_timeout = response.result() == Status::gateway_timeout;
     reply.error = base::MakeError(
@@ -92,24 +125,29 @@
   return {Encode, SetTimeLeft, IsMine, Decode};
 }
 
-base::Result<std::variant<PeerProbe, query::IncomingRequest>> DecodeFromPeer(
-    Request request) {
-  using Decoded = std::variant<PeerProbe, query::IncomingRequest>;
+base::Result<FromPeer> DecodeFromPeer(Request request) {
   const auto revision = ParseInteger<std::int64_t>(request[kRoutesRevision]);
   if (!revision) {
-    return Decoded(PeerProbe{});
+    const auto id = request[kRequestId];
+    return FromPeer(PeerProbe{std::string(id.data(), id.size()),
+                              ParseInteger<int>(request[kMostMissing])});
   }
+  upstream::Handover terms{*revision, Split(request[kPartShards]), {}};
   request.erase(kRoutesRevision);
+  request.erase(kPartShards);
   auto incoming = DecodeRequest(std::move(request));
   if (!incoming.is_ok()) {
     return incoming.error();
   }
-  incoming.value().handed_by_revision = revision;
-  return Decoded(std::move(incoming.value()));
+  incoming.value().handover = std::move(terms);
+  return FromPeer(std::move(incoming.value()));
 }
 
-Response EncodeProbeAnswer() {
+Response EncodeProbeAnswer(std::optional<int> missing) {
   Response response(Status::no_content, kHttpVersion);
+  if (missing) {
+    response.set(kMissingShards, std::to_string(*missing));
+  }
   return response;
 }
 
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/base/overloaded.h"
+#include "src/query/route_targets.h"
 #include "src/query/top_records.h"
 
 namespace medlarspread::query {
@@ -20,11 +21,6 @@
 using upstream::ForwardReply;
 using upstream::LeafOutcome;
 
-// What the caller's clock shows beyond this daemon's: 3 ms each way, a new
-// connection, and the processor's own delay. The target and the deadline are
-// met at the caller.
-constexpr base::Duration kTargetMargin = Milliseconds(16);
-constexpr base::Duration kDeadlineMargin = Milliseconds(12);
 // A leaf stops at its deadline; its answer must still reach the caller.
 constexpr base::Duration kReplyMargin = Milliseconds(4);
 // How often a shard looks for a leaf with room.
@@ -46,7 +42,6 @@
 constexpr base::Duration kRefusalPause = Milliseconds(8);
 // Sends of one shard, refused ones included.
 constexpr int kMostSends = 5;
-constexpr double kRounding = 1e-9;
 
 bool IsCertainlyNotRun(LeafOutcome outcome) {
   return !upstream::MayHaveRun(outcome);
@@ -64,17 +59,20 @@
       route_(*request_.route),
       done_(std::move(done)),
       arrived_(dependencies_->clock.Now()),
-      target_due_(arrived_ + route_.targets.latency - request_.waited -
-                  kTargetMargin),
-      deadline_(arrived_ +
-                std::min(request_.deadline, route_.timeout - request_.waited) -
-                kDeadlineMargin),
+      deadline_(arrived_ + TimeToDeadline(request_)),
+      target_due_(request_.is_part
+                      ? deadline_
+                      : arrived_ + TimeToTarget(route_, request_.waited)),
       first_payment_(request_.is_repeat ? Payment::kFromBudget
                                         : Payment::kFree),
       // One leaf is left for what the other daemon may have sent to.
       most_leaves_(request_.is_repeat ? std::max(1, route_.most_attempts - 1)
                                       : route_.most_attempts),
       shards_(collections.size()),
+      least_answers_(
+          request_.is_part || !is_gather()
+              ? static_cast<int>(collections.size())
+              : LeastAnswers(route_, static_cast<int>(collections.size()))),
       may_have_run_(request_.is_repeat) {
   for (std::size_t index = 0; index < collections.size(); ++index) {
     shards_[index].collection = std::move(collections[index]);
@@ -349,20 +347,31 @@
   }
 }
 
+void FanOutSession::Relax(int most_missing) {
+  if (is_finished_) {
+    return;
+  }
+  const int total = static_cast<int>(shards_.size());
+  least_answers_ = std::max(0, total - most_missing);
+  target_due_ = dependencies_->clock.Now();
+  ConcludeIfDue();
+}
+
 void FanOutSession::ConcludeIfDue() {
   const MonotonicTime now = dependencies_->clock.Now();
   const int total = static_cast<int>(shards_.size());
   const int failed = settled_ - answered_;
-  if (!has_coverage(total - failed)) {
+  if (!request_.is_part && total - failed < least_answers_) {
     ConcludeFailed();
     return;
   }
-  if (settled_ == total || (now >= target_due_ && has_coverage(answered_))) {
+  const bool is_enough = answered_ >= least_answers_;
+  if (settled_ == total || (now >= target_due_ && is_enough)) {
     Conclude();
     return;
   }
   if (now >= deadline_) {
-    if (has_coverage(answered_)) {
+    if (answered_ > 0 && (is_enough || request_.is_part)) {
       Conclude();
       return;
     }
@@ -373,6 +382,10 @@
 }
 
 void FanOutSession::Conclude() {
+  if (answered_ == 0) {
+    ConcludeFailed();
+    return;
+  }
   if (!is_gather()) {
     Finish(PassedOn{std::move(shards_.front().reply.message)});
     return;
@@ -508,13 +521,6 @@
                   " extra=" + std::to_string(extra_sends_) + missing});
 }
 
-bool FanOutSession::has_coverage(int answered) const {
-  const double least = is_gather() ? route_.targets.coverage : 1.0;
-  return answered > 0 &&
-         static_cast<double>(answered) >=
-             least * static_cast<double>(shards_.size()) - kRounding;
-}
-
 bool FanOutSession::is_gather() const {
   return std::holds_alternative<blackboard::AllShards>(route_.destination);
 }
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -13,7 +13,8 @@
 //      certainly did not run.
 //   4. The answer goes out when every shard has settled; at the class's
 //      latency target if the coverage target is met by then; after that as
-//      soon as it is met; and at the deadline in any case.
+//      soon as it is met; and at the deadline in any case. A part of a request
+//      (GatherSession) waits for all its shards until it is told otherwise.
 //
 // Invariants: the caller is answered once; "refused" only if nothing was sent
 // that may have run; all shards of an answer are of the route's one revision.
@@ -78,6 +79,14 @@
                 Done done);
 
   void Start();
+  // Reports how many shards are missing now.
+  void Check(const std::function<void(int missing)>& report) const {
+    report(missing());
+  }
+  // Answer as soon as no more than so many shards are missing.
+  void Relax(int most_missing);
+  // Shards without an answer; never grows.
+  int missing() const { return static_cast<int>(shards_.size()) - answered_; }
   // The caller has left: everything is cancelled, and nobody is answered.
   // False if the session had answered already.
   bool Abandon();
@@ -155,7 +164,6 @@
   void Finish(ForwardedAnswer answer);
   void LogAnswer(const ForwardedAnswer& answer) const;
 
-  bool has_coverage(int answered) const;
   bool is_gather() const;
   int running(const Shard& shard) const;
   base::Duration time_left() const {
@@ -167,12 +175,14 @@
   const blackboard::WorkRoute& route_;
   Done done_;
   const base::MonotonicTime arrived_;
-  const base::MonotonicTime target_due_;
   const base::MonotonicTime deadline_;
+  // From then on an answer with `least_answers_` goes out.
+  base::MonotonicTime target_due_;
   const Payment first_payment_;
   // Leaves that a shard may be sent to.
   const int most_leaves_;
   std::vector<Shard> shards_;
+  int least_answers_;
   int answered_ = 0;
   int settled_ = 0;
   int sends_ = 0;
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -23,6 +23,20 @@
   return std::holds_alternative<blackboard::AllShards>(route.destination);
 }
 
+bool AreShardsOf(const blackboard::WorkRoute& route,
+                 const upstream::Handover& handover) {
+  if (!IsToAllShards(route) || handover.shards.empty()) {
+    return false;
+  }
+  const auto& shards =
+      std::get<blackboard::AllShards>(route.destination).shards;
+  return std::all_of(handover.shards.begin(), handover.shards.end(),
+                     [&](const std::string& shard) {
+                       return std::find(shards.begin(), shards.end(), shard) !=
+                              shards.end();
+                     });
+}
+
 burn::RequestOutcome OutcomeOf(const ForwardedAnswer& answer) {
   return std::visit(
       base::Overloaded{
@@ -34,6 +48,16 @@
       answer);
 }
 
+template <typename Session>
+GatherPart AsGatherPart(std::shared_ptr<Session> session) {
+  return {[session] { session->Start(); },
+          [session](GatherPart::Report report) {
+            session->Check(std::move(report));
+          },
+          [session](int most_missing) { session->Relax(most_missing); },
+          [session] { (void)session->Abandon(); }};
+}
+
 // Starts a session and returns what gives it up.
 template <typename Session>
 ForwardService::Abandon StartAndAbandon(std::shared_ptr<Session> session,
@@ -58,6 +82,7 @@
                                base::Log log)
     : options_(std::move(options)),
       clock_(std::move(clock)),
+      traffic_(std::move(traffic)),
       blackboard_(blackboard),
       tracker_(std::move(tracker)),
       ports_(std::move(ports)),
@@ -65,7 +90,7 @@
       peer_health_(std::make_shared<routing::PeerHealth>(clock_)) {
   FanOutDependencies dependencies{
       clock_,
-      traffic,
+      traffic_,
       ports_.leaves,
       tracker_,
       [this] { return Index(); },
@@ -80,14 +105,13 @@
       std::make_shared<const FanOutDependencies>(std::move(dependencies));
   HandoverDependencies handover{
       clock_,
-      std::move(traffic),
+      traffic_,
       ports_.peers,
       peer_health_,
-      [this](ForwardedRequest request, FanOutSession::Done done) {
-        std::vector<std::string> shards = CollectionsOf(*request.route);
-        return std::make_shared<FanOutSession>(
-            dependencies_, std::move(request), std::move(shards),
-            std::move(done));
+      [this](ForwardedRequest request, std::vector<std::string> shards,
+             FanOutSession::Done done) {
+        return FanOutHere(std::move(request), std::move(shards),
+                          std::move(done));
       },
       log_};
   handover_ = std::make_shared<const HandoverDependencies>(std::move(handover));
@@ -144,15 +168,15 @@
 std::optional<Refused> ForwardService::CheckHandover(
     const IncomingRequest& request,
     const blackboard::WorkRoute* route) {
-  if (!request.handed_by_revision) {
+  if (!request.handover) {
     return std::nullopt;
   }
   std::string why;
-  if (*request.handed_by_revision != Routes().view().revision) {
+  if (request.handover->routes_revision != Routes().view().revision) {
     why = "handed over by routes of revision " +
-          std::to_string(*request.handed_by_revision);
-  } else if (route == nullptr || !IsToAllShards(*route)) {
-    why = "handed over, but not for all shards";
+          std::to_string(request.handover->routes_revision);
+  } else if (route == nullptr || !AreShardsOf(*route, *request.handover)) {
+    why = "handed over for other shards than the route's";
   } else if (blackboard_.lifecycle.Read()->state ==
              blackboard::LifecycleState::kStopping) {
     why = "this daemon is stopping";
@@ -193,8 +217,7 @@
                              Index())
           : routing::AggregatorChoice{};
   ShareOut(collections, choice);
-  const blackboard::Member* peer = PeerFor(request, choice);
-  const bool is_for_peer = request.handed_by_revision.has_value();
+  const bool is_for_peer = request.handover.has_value();
   ForwardedRequest forwarded;
   forwarded.request_id = std::move(request.request_id);
   forwarded.deadline = request.deadline.value_or(route->timeout);
@@ -203,55 +226,110 @@
   forwarded.message = std::move(request.message);
   forwarded.route = route;
   FanOutSession::Done did_end =
-      [this, route, is_for_peer, in_flight = in_flight_,
-       asked = clock_.WallMilliseconds(), done = std::move(done)](
-          ForwardedAnswer answer, const FanOutSummary& summary) {
+      [this, route, is_for_peer, id = forwarded.request_id,
+       in_flight = in_flight_, asked = clock_.WallMilliseconds(),
+       done = std::move(done)](ForwardedAnswer answer,
+                               const FanOutSummary& summary) {
         --*in_flight;
         if (is_for_peer) {
+          parts_for_peers_.erase(id);
           ports_.did_fan_out_for_peer(summary.sends);
         } else {
           Record(*route, asked, answer, summary);
         }
         done(std::move(answer));
       };
-  if (peer != nullptr) {
-    return StartAndAbandon(
-        std::make_shared<HandoverSession>(handover_, std::move(forwarded),
-                                          *peer, std::move(did_end)),
-        in_flight_);
+  const bool is_handed_on =
+      !is_for_peer && std::any_of(choice.parts.begin(), choice.parts.end(),
+                                  [](const routing::AggregatorPart& part) {
+                                    return !part.peers.empty();
+                                  });
+  if (is_handed_on) {
+    return StartGather(std::move(forwarded), choice.parts, std::move(did_end));
+  }
+  if (is_for_peer) {
+    forwarded.is_part = true;
+    collections = std::move(request.handover->shards);
+  }
+  const std::string id = forwarded.request_id;
+  auto session = FanOutHere(std::move(forwarded), std::move(collections),
+                            std::move(did_end));
+  if (!is_for_peer) {
+    return StartAndAbandon(std::move(session), in_flight_);
   }
-  return StartAndAbandon(std::make_shared<FanOutSession>(
-                             dependencies_, std::move(forwarded),
-                             std::move(collections), std::move(did_end)),
-                         in_flight_);
+  parts_for_peers_[id] = session;
+  return [this, id,
+          abandon = StartAndAbandon(std::move(session), in_flight_)]() mutable {
+    parts_for_peers_.erase(id);
+    abandon();
+  };
 }
 
-const blackboard::Member* ForwardService::PeerFor(
-    const IncomingRequest& request,
-    const routing::AggregatorChoice& choice) {
-  if (request.handed_by_revision) {
-    return nullptr;
+ForwardService::Abandon ForwardService::StartGather(
+    ForwardedRequest request,
+    const std::vector<routing::AggregatorPart>& parts,
+    FanOutSession::Done done) {
+  auto session = std::make_shared<GatherSession>(
+      GatherSession::Dependencies{clock_, traffic_, log_}, request,
+      std::move(done));
+  request.is_part = true;
+  for (const routing::AggregatorPart& part : parts) {
+    session->Add(part.shards.size(), [&](FanOutSession::Done did_end) {
+      return MakePart(request, part, std::move(did_end));
+    });
   }
-  for (const blackboard::Member& peer : choice.peers) {
-    if (!peer_health_->is_avoided(peer.name)) {
-      return &peer;
-    }
+  return StartAndAbandon(std::move(session), in_flight_);
+}
+
+GatherPart ForwardService::MakePart(const ForwardedRequest& request,
+                                    const routing::AggregatorPart& part,
+                                    FanOutSession::Done done) {
+  const auto peer =
+      std::find_if(part.peers.begin(), part.peers.end(),
+                   [this](const blackboard::Member& member) {
+                     return !peer_health_->is_avoided(member.name);
+                   });
+  if (peer == part.peers.end()) {
+    return AsGatherPart(FanOutHere(request, part.shards, std::move(done)));
+  }
+  return AsGatherPart(std::make_shared<HandoverSession>(
+      handover_, request, part.shards, *peer, std::move(done)));
+}
+
+std::shared_ptr<FanOutSession> ForwardService::FanOutHere(
+    ForwardedRequest request,
+    std::vector<std::string> shards,
+    FanOutSession::Done done) {
+  return std::make_shared<FanOutSession>(dependencies_, std::move(request),
+                                         std::move(shards), std::move(done));
+}
+
+std::optional<int> ForwardService::CheckPart(const std::string& request_id,
+                                             std::optional<int> most_missing) {
+  const auto row = parts_for_peers_.find(request_id);
+  const auto session =
+      row == parts_for_peers_.end() ? nullptr : row->second.lock();
+  if (!session) {
+    return std::nullopt;
+  }
+  const int missing = session->missing();
+  if (most_missing) {
+    session->Relax(*most_missing);
   }
-  return nullptr;
+  return missing;
 }
 
 void ForwardService::ShareOut(const std::vector<std::string>& collections,
                               const routing::AggregatorChoice& choice) {
-  admission::Senders senders;
-  senders.daemons =
+  admission::Senders everybody;
+  everybody.daemons =
       static_cast<int>(blackboard_.membership.Read()->members.size());
-  // Without entries everybody sends, and all are alike.
-  senders.aggregators = choice.entries > 0 ? choice.aggregators : 0;
-  senders.is_aggregator = choice.is_aggregator;
-  const double part = admission::PartOf(senders);
-  const admission::ExtraSendLimits limits =
-      admission::PlanExtraSends(options_.extra_sends(), part);
   for (const std::string& collection : collections) {
+    const auto senders = choice.senders.find(collection);
+    const double part = admission::PartOf(
+        senders == choice.senders.end() ? everybody : senders->second);
+    const admission::ExtraSendLimits limits =
+        admission::PlanExtraSends(options_.extra_sends(), part);
     const auto row = allotments_.find(collection);
     if (row != allotments_.end()) {
       row->second.part = part;
--- a/src/query/forward_service.h
+++ b/src/query/forward_service.h
@@ -17,6 +17,7 @@
 #include "src/burn/request_record.h"
 #include "src/query/fan_out_session.h"
 #include "src/query/forwarded_request.h"
+#include "src/query/gather_session.h"
 #include "src/query/handover_session.h"
 #include "src/routing/aggregator_table.h"
 #include "src/routing/peer_health.h"
@@ -33,8 +34,8 @@
   std::optional<base::Duration> deadline;
   // How long it has waited already before it was read.
   base::Duration waited{};
-  // Set if another daemon handed it over: the revision of the routes there.
-  std::optional<std::int64_t> handed_by_revision;
+  // Set if another daemon handed a part of it over.
+  std::optional<upstream::Handover> handover;
   std::shared_ptr<const http1::Request> message;
 };
 
@@ -69,6 +70,12 @@
   // the work up.
   Abandon Submit(IncomingRequest request, ForwardedCallback done);
 
+  // How many shards are missing from a part that another daemon handed over;
+  // absent if it is not in work. If `most_missing` is set, it is answered as
+  // soon as no more than that are missing.
+  std::optional<int> CheckPart(const std::string& request_id,
+                               std::optional<int> most_missing);
+
   int in_flight() const { return *in_flight_; }
   // This daemon's part of what the collection's leaves bear from all daemons,
   // 0 to 1.
@@ -89,9 +96,16 @@
   Abandon StartSession(IncomingRequest request,
                        routing::RouteTable::RoutePointer route,
                        ForwardedCallback done);
-  // The peer that should fan the request out; null to do it here.
-  const blackboard::Member* PeerFor(const IncomingRequest& request,
-                                    const routing::AggregatorChoice& choice);
+  Abandon StartGather(ForwardedRequest request,
+                      const std::vector<routing::AggregatorPart>& parts,
+                      FanOutSession::Done done);
+  // The work on a part, at the first peer that is not avoided or here.
+  GatherPart MakePart(const ForwardedRequest& request,
+                      const routing::AggregatorPart& part,
+                      FanOutSession::Done done);
+  std::shared_ptr<FanOutSession> FanOutHere(ForwardedRequest request,
+                                            std::vector<std::string> shards,
+                                            FanOutSession::Done done);
   // Brings the rows of `collections` up to date with the daemons of now.
   void ShareOut(const std::vector<std::string>& collections,
                 const routing::AggregatorChoice& choice);
@@ -105,6 +119,7 @@
 
   const Options options_;
   const base::Clock clock_;
+  const base::TaskRunner traffic_;
   const blackboard::Blackboard& blackboard_;
   const std::shared_ptr<routing::LeafTracker> tracker_;
   const Ports ports_;
@@ -117,6 +132,8 @@
   std::shared_ptr<const routing::LeafIndex> index_;
   routing::WeightedTurns turns_;
   routing::AggregatorTable aggregators_;
+  // Parts in work for other daemons, by the request's identifier.
+  std::map<std::string, std::weak_ptr<FanOutSession>> parts_for_peers_;
   // By collection.
   std::map<std::string, Allotment> allotments_;
   const std::shared_ptr<int> in_flight_ = std::make_shared<int>(0);
--- a/src/query/forwarded_request.h
+++ b/src/query/forwarded_request.h
@@ -27,6 +27,9 @@
   // Another daemon may have sent it to leaves already, so that every send of
   // this one is an extra send.
   bool is_repeat = false;
+  // The shards are a part of the request's; another session merges the parts
+  // and knows how many shards may be missing.
+  bool is_part = false;
   std::shared_ptr<const blackboard::WorkRoute> route;
   // The revision of the routes that `route` is from.
   std::int64_t routes_revision = 0;
--- a/src/query/handover_session.cc
+++ b/src/query/handover_session.cc
@@ -46,20 +46,22 @@
 HandoverSession::HandoverSession(
     std::shared_ptr<const HandoverDependencies> dependencies,
     ForwardedRequest request,
+    std::vector<std::string> shards,
     const blackboard::Member& peer,
     FanOutSession::Done done)
     : dependencies_(std::move(dependencies)),
       request_(std::move(request)),
+      shards_(std::move(shards)),
       peer_(AsUpstream(peer)),
       done_(std::move(done)),
       arrived_(dependencies_->clock.Now()) {}
 
 void HandoverSession::Start() {
   is_peer_running_ = true;
+  const upstream::Handover terms{request_.routes_revision, shards_, {}};
   call_ = dependencies_->peers.send(
       peer_,
-      {request_.request_id, request_.message, time_left() - kWayThere,
-       request_.routes_revision},
+      {request_.request_id, request_.message, time_left() - kWayThere, terms},
       [self = shared_from_this()](ForwardReply reply) {
         self->DidReply(std::move(reply));
       });
@@ -80,6 +82,7 @@
     here_->Abandon();
   }
   LogOutcome("the caller left");
+  report_ = nullptr;
   done_ = nullptr;
   return true;
 }
@@ -94,8 +97,12 @@
     return;
   }
   dependencies_->health->DidAnswer(peer_.name);
-  const FanOutSummary summary = MakeSummary(shards() - reply.missing_shards);
-  Finish(PassedOn{std::move(reply.message)}, summary);
+  const int answered = static_cast<int>(reply.shard_proofs.size());
+  Gathered gathered;
+  gathered.records = std::move(reply.message.body());
+  gathered.proofs = std::move(reply.shard_proofs);
+  gathered.missing = shard_count() - answered;
+  Finish(std::move(gathered), MakeSummary(answered));
 }
 
 void HandoverSession::DidFail(const ForwardReply& reply) {
@@ -120,23 +127,48 @@
   FanOutHere(!did_not_run);
 }
 
+void HandoverSession::Check(std::function<void(int missing)> report) {
+  report_ = std::move(report);
+  if (is_here_running_) {
+    report_(here_->missing());
+  }
+  Probe();
+}
+
+void HandoverSession::Relax(int most_missing) {
+  most_missing_ = most_missing;
+  if (is_here_running_) {
+    here_->Relax(most_missing);
+  }
+  Probe();
+}
+
 void HandoverSession::Probe() {
   if (is_finished_ || !is_peer_running_) {
     return;
   }
   static const auto message = MakeProbe();
+  timer_.Cancel();
   probe_ = dependencies_->peers.send(
-      peer_, {request_.request_id, message, kProbeWait, 0},
+      peer_,
+      {request_.request_id, message, kProbeWait,
+       upstream::Handover{0, {}, most_missing_}},
       [self = shared_from_this()](const ForwardReply& reply) {
         if (reply.outcome == LeafOutcome::kAnswered) {
-          self->DidAnswerProbe();
+          self->DidAnswerProbe(reply.missing_shards);
         }
       });
   timer_ = dependencies_->runner.After(
       kProbeWait, [self = shared_from_this()] { self->DidMissProbe(); });
 }
 
-void HandoverSession::DidAnswerProbe() {
+void HandoverSession::DidAnswerProbe(std::optional<int> missing) {
+  if (is_finished_) {
+    return;
+  }
+  if (missing && report_) {
+    report_(*missing);
+  }
   if (is_finished_ || here_) {
     return;
   }
@@ -176,12 +208,15 @@
   request.is_repeat = is_repeat;
   is_here_running_ = true;
   here_ = dependencies_->fan_out_here(
-      std::move(request),
+      std::move(request), shards_,
       [self = shared_from_this()](ForwardedAnswer answer,
                                   const FanOutSummary& summary) {
         self->DidFanOut(std::move(answer), summary);
       });
   here_->Start();
+  if (most_missing_ && is_here_running_) {
+    here_->Relax(*most_missing_);
+  }
 }
 
 void HandoverSession::DidFanOut(ForwardedAnswer answer,
@@ -204,17 +239,11 @@
 FanOutSummary HandoverSession::MakeSummary(int answered) const {
   FanOutSummary summary;
   summary.latency = elapsed();
-  summary.shards = shards();
+  summary.shards = shard_count();
   summary.answered = answered;
   return summary;
 }
 
-int HandoverSession::shards() const {
-  const auto& all =
-      std::get<blackboard::AllShards>(request_.route->destination);
-  return static_cast<int>(all.shards.size());
-}
-
 void HandoverSession::Finish(ForwardedAnswer answer,
                              const FanOutSummary& summary) {
   assert(!is_finished_);
@@ -228,7 +257,8 @@
   }
   LogOutcome(std::holds_alternative<Unknown>(answer)
                  ? "may have run: " + last_error_.ToString()
-                 : (here_ ? "answered here" : "passed on the peer's answer"));
+                 : (here_ ? "ended here" : "answered by the peer"));
+  report_ = nullptr;
   const auto done = std::exchange(done_, nullptr);
   done(std::move(answer), summary);
 }
@@ -239,7 +269,8 @@
        .step = base::Step::kForward,
        .peer = peer_.address,
        .request_id = request_.request_id,
-       .message = "handed to aggregator " + peer_.name + ": " + outcome +
+       .message = "handed " + std::to_string(shard_count()) +
+                  " shards to aggregator " + peer_.name + ": " + outcome +
                   "; route=" + request_.route->targets.name +
                   " revision=" + std::to_string(request_.routes_revision) +
                   " ms=" + std::to_string(elapsed().count() / 1000)});
--- a/src/query/handover_session.h
+++ b/src/query/handover_session.h
@@ -1,19 +1,19 @@
-// One request to all shards that this daemon hands to an aggregator, from its
-// arrival to its one answer.
+// A part of a request to all shards that this daemon hands to an aggregator,
+// from its start to its one end.
 //
 // Steps:
-//   1. The whole request is sent to the peer, which fans it out and answers as
-//      it would answer a caller.
-//   2. A peer that refused it or was not reached has sent nothing: the request
-//      is fanned out here, as if it had just arrived.
+//   1. The request and the names of the part's shards are sent to the peer,
+//      which fans it out and answers with the part's merged records.
+//   2. A peer that refused it or was not reached has sent nothing: the part is
+//      fanned out here, as if the request had just arrived.
 //   3. A peer that is silent for a while is probed on a connection of its own.
 //      If it answers the probe it is at work on the shards, and the session
-//      waits on. If not, or if its connection breaks, the request is fanned out
+//      waits on. If not, or if its connection breaks, the part is fanned out
 //      here as a repeat: each send of it is paid for from the budget of extra
 //      sends. The first answer counts.
 //
-// Invariants: the caller is answered once; the request runs at both daemons
-// only where it is idempotent, which requests to all shards are.
+// Invariants: it ends once; a part runs at both daemons only where the request
+// is idempotent, which requests to all shards are.
 //
 // Runs on the traffic thread; keeps itself alive until the last call ended.
 
@@ -22,7 +22,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "src/base/clock.h"
 #include "src/base/log.h"
@@ -40,8 +42,9 @@
   // Sends to peers; a peer stands in the place of a leaf.
   upstream::ForwardPort peers;
   std::shared_ptr<routing::PeerHealth> health;
-  // Makes a session that fans the request out here; not started yet.
+  // Makes a session that fans the shards out here; not started yet.
   std::function<std::shared_ptr<FanOutSession>(ForwardedRequest,
+                                               std::vector<std::string>,
                                                FanOutSession::Done)>
       fan_out_here;
   base::Log log;
@@ -51,10 +54,15 @@
  public:
   HandoverSession(std::shared_ptr<const HandoverDependencies> dependencies,
                   ForwardedRequest request,
+                  std::vector<std::string> shards,
                   const blackboard::Member& peer,
                   FanOutSession::Done done);
 
   void Start();
+  // Reports how many shards are missing now, if the peer can be asked.
+  void Check(std::function<void(int missing)> report);
+  // Answer as soon as no more than so many shards are missing.
+  void Relax(int most_missing);
   // The caller has left: everything is cancelled, and nobody is answered.
   // False if the session had answered already.
   bool Abandon();
@@ -64,7 +72,7 @@
   void DidFail(const upstream::ForwardReply& reply);
   // The peer has been silent: asks whether it lives.
   void Probe();
-  void DidAnswerProbe();
+  void DidAnswerProbe(std::optional<int> missing);
   void DidMissProbe();
   // Fans the request out here; at most once.
   void FanOutHere(bool is_repeat);
@@ -75,7 +83,7 @@
   FanOutSummary MakeSummary(int answered) const;
   void LogOutcome(const std::string& outcome) const;
 
-  int shards() const;
+  int shard_count() const { return static_cast<int>(shards_.size()); }
 
   // What is left of the caller's deadline and of the route's timeout.
   base::Duration time_left() const;
@@ -85,6 +93,7 @@
 
   const std::shared_ptr<const HandoverDependencies> dependencies_;
   const ForwardedRequest request_;
+  const std::vector<std::string> shards_;
   const blackboard::Upstream peer_;
   FanOutSession::Done done_;
   const base::MonotonicTime arrived_;
@@ -95,7 +104,12 @@
   bool is_here_running_ = false;
   bool is_peer_running_ = false;
   bool is_finished_ = false;
+  // Set once Check() was called.
+  std::function<void(int missing)> report_;
+  // Set once Relax() was called.
+  std::optional<int> most_missing_;
   base::Error last_error_;
+  // When the peer is probed, or its answer to a probe is missed.
   base::Timer timer_;
 };
 
--- a/src/routing/aggregator_choice.cc
+++ b/src/routing/aggregator_choice.cc
@@ -1,9 +1,9 @@
-// Near domains, then the strongest daemons in them.
+// Domains with leaves, the strongest daemons in them, and the parts that
+// follow.
 
 #include "src/routing/aggregator_choice.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 
 #include "src/base/rendezvous.h"
@@ -16,63 +16,189 @@
 using blackboard::MembershipView;
 using blackboard::UpstreamState;
 
-// A failure domain is near if it holds a leaf of this part of the shards: then
-// most sends stay inside it.
-constexpr double kNearPart = 0.5;
+// A failure domain has aggregators if it holds leaves of this part of the
+// shards: handing over fewer costs more than it saves.
+constexpr double kLeastPart = 0.2;
 // A daemon with this part of the strongest one's processor share still counts
 // as strong: the work is shared by as many daemons as can bear it.
 constexpr double kStrongPart = 0.5;
 
-std::set<std::string> NearDomains(const LeafIndex& leaves,
-                                  const std::vector<std::string>& shards) {
-  std::map<std::string, std::size_t> shards_in;
+// The failure domains that hold a leaf of each shard.
+using DomainsOfShards = std::map<std::string, std::set<std::string>>;
+// The aggregators of each failure domain, by name.
+using Aggregators = std::map<std::string, std::vector<std::string>>;
+
+DomainsOfShards FindDomains(const LeafIndex& leaves,
+                            const std::vector<std::string>& shards) {
+  DomainsOfShards found;
   for (const std::string& shard : shards) {
-    std::set<std::string> domains;
+    std::set<std::string>& domains = found[shard];
     for (const blackboard::Upstream* leaf : leaves.LeavesOf(shard)) {
       if (leaf->state != UpstreamState::kDraining &&
           leaf->state != UpstreamState::kUnreachable) {
         domains.insert(leaf->failure_domain);
       }
     }
+  }
+  return found;
+}
+
+std::set<std::string> DomainsWithEnough(const DomainsOfShards& domains_of) {
+  std::map<std::string, std::size_t> shards_in;
+  for (const auto& [shard, domains] : domains_of) {
     for (const std::string& domain : domains) {
       ++shards_in[domain];
     }
   }
-  std::set<std::string> near;
+  std::set<std::string> enough;
   for (const auto& [domain, count] : shards_in) {
     if (static_cast<double>(count) >=
-        kNearPart * static_cast<double>(shards.size())) {
-      near.insert(domain);
+        kLeastPart * static_cast<double>(domains_of.size())) {
+      enough.insert(domain);
     }
   }
-  return near;
-}
-
-bool CanAggregate(const Member& member, const std::set<std::string>& near) {
-  return !member.query_address.empty() && near.contains(member.failure_domain);
+  return enough;
 }
 
-// The aggregators of each region, by name.
-std::map<std::string, std::vector<std::string>> FindAll(
-    const MembershipView& membership,
-    const std::set<std::string>& near) {
+Aggregators FindAggregators(const MembershipView& membership,
+                            const std::set<std::string>& domains) {
   std::map<std::string, double> strongest;
+  const auto can_aggregate = [&](const Member& member) {
+    return !member.query_address.empty() &&
+           domains.contains(member.failure_domain);
+  };
   for (const auto& [name, member] : membership.members) {
-    if (CanAggregate(member, near)) {
-      double& best = strongest[member.region];
+    if (can_aggregate(member)) {
+      double& best = strongest[member.failure_domain];
       best = std::max(best, member.processor_share);
     }
   }
-  std::map<std::string, std::vector<std::string>> found;
+  Aggregators found;
   for (const auto& [name, member] : membership.members) {
-    if (CanAggregate(member, near) &&
-        member.processor_share >= kStrongPart * strongest[member.region]) {
-      found[member.region].push_back(name);
+    if (can_aggregate(member) &&
+        member.processor_share >=
+            kStrongPart * strongest[member.failure_domain]) {
+      found[member.failure_domain].push_back(name);
     }
   }
   return found;
 }
 
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// The domain of `self`'s region whose aggregators take the shard: its own if
+// that has a leaf. Empty if none in the region has.
+std::string DomainFor(const std::set<std::string>& domains,
+                      const Aggregators& aggregators,
+                      const MembershipView& membership,
+                      const Member& self) {
+  std::string chosen;
+  for (const std::string& domain : domains) {
+    const auto row = aggregators.find(domain);
+    const bool is_in_region =
+        row != aggregators.end() &&
+        membership.members.at(row->second.front()).region == self.region;
+    if (is_in_region && (chosen.empty() || domain == self.failure_domain)) {
+      chosen = domain;
+    }
+  }
+  return chosen;
+}
+
+std::map<std::string, std::vector<std::string>> GroupByDomain(
+    const std::vector<std::string>& shards,
+    const DomainsOfShards& domains_of,
+    const Aggregators& aggregators,
+    const MembershipView& membership,
+    const Member& self) {
+  std::map<std::string, std::vector<std::string>> groups;
+  std::vector<std::string> homeless;
+  for (const std::string& shard : shards) {
+    const std::string domain =
+        DomainFor(domains_of.at(shard), aggregators, membership, self);
+    (domain.empty() ? homeless : groups[domain]).push_back(shard);
+  }
+  if (groups.empty()) {
+    groups[self.failure_domain] = std::move(homeless);
+    return groups;
+  }
+  const auto largest = std::max_element(
+      groups.begin(), groups.end(), [](const auto& left, const auto& right) {
+        return left.second.size() < right.second.size();
+      });
+  largest->second.insert(largest->second.end(), homeless.begin(),
+                         homeless.end());
+  return groups;
+}
+
+std::vector<Member> PeersFor(const std::string& domain,
+                             const Aggregators& aggregators,
+                             const MembershipView& membership) {
+  std::vector<Member> peers;
+  const auto row = aggregators.find(domain);
+  if (row == aggregators.end() || Contains(row->second, membership.self)) {
+    return peers;
+  }
+  for (const std::string& name :
+       base::RankByRendezvous(membership.self, row->second)) {
+    if (peers.size() < kMostAggregatorsUsed) {
+      peers.push_back(membership.members.at(name));
+    }
+  }
+  return peers;
+}
+
+// Whether some daemons hand their requests over, so that aggregators send for
+// others.
+bool HasEntries(const MembershipView& membership,
+                const Aggregators& aggregators) {
+  return std::any_of(
+      membership.members.begin(), membership.members.end(),
+      [&](const auto& row) {
+        const auto own = aggregators.find(row.second.failure_domain);
+        return own == aggregators.end() || !Contains(own->second, row.first);
+      });
+}
+
+// The failure domains whose aggregators send to the shard: in each region those
+// that hold a leaf of it, or any if none does.
+std::set<std::string> DomainsThatSend(const std::set<std::string>& domains,
+                                      const Aggregators& aggregators,
+                                      const MembershipView& membership) {
+  std::map<std::string, std::set<std::string>> with_leaf;
+  std::map<std::string, std::set<std::string>> all;
+  for (const auto& [domain, names] : aggregators) {
+    const std::string& region = membership.members.at(names.front()).region;
+    all[region].insert(domain);
+    if (domains.contains(domain)) {
+      with_leaf[region].insert(domain);
+    }
+  }
+  std::set<std::string> senders;
+  for (const auto& [region, everywhere] : all) {
+    const auto near = with_leaf.find(region);
+    const auto& chosen = near == with_leaf.end() ? everywhere : near->second;
+    senders.insert(chosen.begin(), chosen.end());
+  }
+  return senders;
+}
+
+admission::Senders SendersOf(const std::set<std::string>& domains,
+                             const Aggregators& aggregators,
+                             const MembershipView& membership) {
+  admission::Senders senders;
+  senders.daemons = static_cast<int>(membership.members.size());
+  for (const std::string& domain :
+       DomainsThatSend(domains, aggregators, membership)) {
+    const auto& names = aggregators.at(domain);
+    senders.aggregators += static_cast<int>(names.size());
+    senders.is_aggregator |= Contains(names, membership.self);
+  }
+  return senders;
+}
+
 }  // namespace
 
 AggregatorChoice ChooseAggregators(const MembershipView& membership,
@@ -81,28 +207,22 @@
   AggregatorChoice choice;
   const auto self = membership.members.find(membership.self);
   if (self == membership.members.end()) {
+    choice.parts.push_back({shards, {}});
     return choice;
   }
-  auto all = FindAll(membership, NearDomains(leaves, shards));
-  for (const auto& [name, member] : membership.members) {
-    const auto region = all.find(member.region);
-    if (region == all.end()) {
-      continue;
-    }
-    const bool is_aggregator =
-        std::binary_search(region->second.begin(), region->second.end(), name);
-    ++(is_aggregator ? choice.aggregators : choice.entries);
-    choice.is_aggregator |= is_aggregator && name == membership.self;
+  const DomainsOfShards domains_of = FindDomains(leaves, shards);
+  const Aggregators aggregators =
+      FindAggregators(membership, DomainsWithEnough(domains_of));
+  for (auto& [domain, group] : GroupByDomain(shards, domains_of, aggregators,
+                                             membership, self->second)) {
+    choice.parts.push_back(
+        {std::move(group), PeersFor(domain, aggregators, membership)});
   }
-  const auto region = all.find(self->second.region);
-  if (choice.is_aggregator || region == all.end()) {
+  if (!HasEntries(membership, aggregators)) {
     return choice;
   }
-  for (const std::string& name :
-       base::RankByRendezvous(membership.self, region->second)) {
-    if (choice.peers.size() < kMostAggregatorsUsed) {
-      choice.peers.push_back(membership.members.at(name));
-    }
+  for (const auto& [shard, domains] : domains_of) {
+    choice.senders[shard] = SendersOf(domains, aggregators, membership);
   }
   return choice;
 }
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -7,7 +7,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "src/base/clock.h"
 #include "src/base/error.h"
@@ -17,15 +19,26 @@
 
 namespace medlarspread::upstream {
 
+// What a daemon is told of a part that another one hands to it.
+struct Handover {
+  // The revision of the routes that the shards were taken from: both must see
+  // the same. Zero in a probe, which asks only whether the daemon lives.
+  std::int64_t routes_revision = 0;
+  // The collections of the part.
+  std::vector<std::string> shards;
+  // Set once the part should be answered as soon as no more than so many of its
+  // shards are missing.
+  std::optional<int> most_missing;
+};
+
 struct ForwardCall {
   std::string request_id;
   // What the caller sent, without the fields that concern its connection.
   std::shared_ptr<const http1::Request> message;
   // Passed on to the leaf, which stops when it is used up.
   base::Duration time_left{};
-  // The revision of the routes that the request is sent by. Told to daemons
-  // only: both must see the same shards.
-  std::int64_t routes_revision = 0;
+  // Set if it goes to a daemon and not to a leaf.
+  std::optional<Handover> handover = {};
 };
 
 struct ForwardReply {
@@ -38,8 +51,11 @@
   base::Duration service_time{};
   // When the leaf asks to come back; zero if it names no time.
   base::Duration retry_after{};
-  // Shards that are missing from the answer of a peer that fanned out.
-  int missing_shards = 0;
+  // A peer's answer to a probe: how many shards of the part are missing now;
+  // absent if it has no such part in work.
+  std::optional<int> missing_shards = {};
+  // The proofs of the shards that are in a peer's answer.
+  std::vector<std::string> shard_proofs;
   // Set unless answered; carries the step and the leaf's address.
   base::Error error;
 };
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -406,58 +406,168 @@
   EXPECT_EQ(taken["shard0"], 2);
 }
 
-// A daemon on a small VM beside an aggregator on a large one.
+// A daemon on a small VM beside an aggregator on a large one. The shards'
+// leaves are in its own failure domain and in one beside it, in two halves.
 class HandoverTest : public ForwardServiceTest {
  protected:
-  HandoverTest() { WriteMembers(); }
+  HandoverTest() { WriteMembers({"small", "large"}); }
 
-  void WriteMembers() {
+  void WriteMembers(const std::vector<std::string>& names) {
     blackboard::MembershipView view;
     view.self = "small";
-    view.members["small"] = MakeMember("small", 0.1);
-    view.members["large"] = MakeMember("large", 1.0);
+    for (const std::string& name : names) {
+      blackboard::Member& member = view.members[name];
+      member.name = name;
+      member.region = "n";
+      member.failure_domain = name == "beside" ? "n2" : "n1";
+      member.query_address = "10.0.0.1:1";
+      member.processor_share = name == "small" ? 0.1 : 1.0;
+    }
     blackboard_.membership.Write(view);
   }
 
-  static blackboard::Member MakeMember(const std::string& name, double share) {
-    blackboard::Member member;
-    member.name = name;
-    member.region = "n1";
-    member.failure_domain = "n1";
-    member.query_address = "10.0.0.1:1";
-    member.processor_share = share;
-    return member;
+  // Moves the leaves of the second half of the shards to the other domain.
+  void SplitShards() {
+    for (const char* shard : {"shard2", "shard3"}) {
+      leaves_view_.upstreams[std::string(shard) + "-n1"].failure_domain = "n2";
+    }
+    blackboard_.upstreams.Write(leaves_view_);
+    WriteMembers({"small", "large", "beside"});
   }
 
-  void AnswerPeer(std::size_t index, int missing = 0) {
+  // The peer's answer to call `index` with so many shards in.
+  void AnswerPeer(std::size_t index, int shards, char record = 'a') {
     upstream::ForwardReply reply;
     reply.outcome = LeafOutcome::kAnswered;
     reply.message.result(http1::Status::ok);
-    reply.message.body() = "from the aggregator";
+    reply.message.body() = Record(record);
+    for (int shard = 0; shard < shards; ++shard) {
+      reply.shard_proofs.push_back("proof-" + std::to_string(index) + "-" +
+                                   std::to_string(shard));
+    }
+    peers_.End(index, std::move(reply));
+  }
+
+  void AnswerProbe(std::size_t index, int missing) {
+    upstream::ForwardReply reply;
+    reply.outcome = LeafOutcome::kAnswered;
     reply.missing_shards = missing;
     peers_.End(index, std::move(reply));
   }
 
+  // The leaf answers the sends from `first` on.
+  void AnswerLeaves(std::size_t first) {
+    for (std::size_t send = first; send < first + kShards; ++send) {
+      leaves_.Answer(send, Record('a'));
+    }
+  }
+
   // The target is 100 ms: a silent peer is probed at 40 ms, and given up 30 ms
-  // after that.
+  // after that; parts are asked what they have at 78 ms.
   static constexpr int kUntilProbe = 41;
   static constexpr int kUntilProbeIsMissed = 31;
+  static constexpr int kUntilChecked = 79;
+  static constexpr int kBetweenChecks = 20;
 };
 
-TEST_F(HandoverTest, HandsARequestToAllShardsOverAndPassesTheAnswerOn) {
+TEST_F(HandoverTest, HandsAllShardsOverAndAnswersWithTheirRecords) {
   Submit();
   EXPECT_TRUE(leaves_.sent().empty());
   ASSERT_EQ(peers_.sent().size(), 1U);
   EXPECT_EQ(peers_.sent()[0].leaf.name, "large");
-  EXPECT_EQ(peers_.sent()[0].call.request_id, "id-1");
-  EXPECT_EQ(peers_.sent()[0].call.routes_revision, revision_);
-  EXPECT_LT(peers_.sent()[0].call.time_left, Milliseconds(800));
-  AnswerPeer(0, 1);
-  const auto* passed = AnswerAs<PassedOn>();
-  ASSERT_NE(passed, nullptr);
-  EXPECT_EQ(passed->message.body(), "from the aggregator");
+  const upstream::ForwardCall& call = peers_.sent()[0].call;
+  EXPECT_EQ(call.request_id, "id-1");
+  EXPECT_EQ(call.handover->routes_revision, revision_);
+  EXPECT_EQ(call.handover->shards.size(), 4U);
+  EXPECT_LT(call.time_left, Milliseconds(800));
+  AnswerPeer(0, 4);
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->records, Record('a'));
+  EXPECT_EQ(gathered->missing, 0);
   ASSERT_EQ(records_.size(), 1U);
-  EXPECT_DOUBLE_EQ(records_[0].coverage, 0.75);
+  EXPECT_DOUBLE_EQ(records_[0].coverage, 1.0);
+  EXPECT_EQ(service_.in_flight(), 0);
+}
+
+TEST_F(HandoverTest, MergesThePartsOfTwoDomains) {
+  SplitShards();
+  Submit();
+  ASSERT_EQ(peers_.sent().size(), 2U);
+  EXPECT_EQ(peers_.sent()[0].leaf.name, "large");
+  EXPECT_EQ(peers_.sent()[1].leaf.name, "beside");
+  EXPECT_EQ(peers_.sent()[1].call.handover->shards,
+            (std::vector<std::string>{"shard2", "shard3"}));
+  AnswerPeer(1, 2, 'y');
+  EXPECT_FALSE(answer_.has_value());
+  AnswerPeer(0, 2, 'z');
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->records, Record('z') + Record('y'));
+  EXPECT_EQ(gathered->proofs.size(), 4U);
+  EXPECT_EQ(gathered->missing, 0);
+}
+
+TEST_F(HandoverTest, AtTheTargetItAnswersIfAllThatIsMissingIsNotTooMuch) {
+  SplitShards();
+  Submit();
+  Advance(kUntilProbe);
+  ASSERT_EQ(peers_.sent().size(), 4U);
+  AnswerProbe(2, 1);
+  AnswerProbe(3, 1);
+  Advance(kUntilChecked - kUntilProbe);
+  ASSERT_EQ(peers_.sent().size(), 6U);
+  // One of four shards may be missing, and two are.
+  AnswerProbe(4, 1);
+  AnswerProbe(5, 1);
+  EXPECT_EQ(peers_.sent().size(), 6U);
+  Advance(kBetweenChecks);
+  ASSERT_EQ(peers_.sent().size(), 8U);
+  AnswerProbe(6, 1);
+  EXPECT_EQ(peers_.sent().size(), 8U);
+  AnswerProbe(7, 0);
+  // Both parts are told to answer with what they have.
+  ASSERT_EQ(peers_.sent().size(), 10U);
+  EXPECT_EQ(peers_.sent()[8].call.handover->most_missing, 1);
+  EXPECT_EQ(peers_.sent()[9].call.handover->most_missing, 0);
+  AnswerPeer(0, 1);
+  AnswerPeer(1, 2);
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->missing, 1);
+  EXPECT_EQ(gathered->proofs.size(), 3U);
+}
+
+TEST_F(HandoverTest, APartThatEndsAfterTheTargetMayBeEnough) {
+  SplitShards();
+  Submit();
+  Advance(kUntilChecked);
+  ASSERT_EQ(peers_.sent().size(), 6U);
+  AnswerProbe(4, 1);
+  AnswerProbe(5, 1);
+  AnswerPeer(1, 2);
+  ASSERT_EQ(peers_.sent().size(), 7U);
+  EXPECT_EQ(peers_.sent()[6].leaf.name, "large");
+  EXPECT_EQ(peers_.sent()[6].call.handover->most_missing, 1);
+}
+
+TEST_F(HandoverTest, TooFewShardsAreNoAnswer) {
+  SplitShards();
+  Submit();
+  AnswerPeer(0, 1);
+  EXPECT_FALSE(answer_.has_value());
+  AnswerPeer(1, 1);
+  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+}
+
+TEST_F(HandoverTest, AtTheDeadlineItSaysThatTheRequestMayHaveRun) {
+  SplitShards();
+  Submit();
+  AnswerPeer(0, 2);
+  constexpr int kUntilDeadline = 789;
+  Advance(kUntilDeadline);
+  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+  EXPECT_TRUE(peers_.sent()[1].is_cancelled);
   EXPECT_EQ(service_.in_flight(), 0);
 }
 
@@ -468,32 +578,48 @@
   EXPECT_EQ(leaves_.sent().size(), 1U);
 }
 
-TEST_F(HandoverTest, ARefusedRequestIsFannedOutHereAsIfItHadJustArrived) {
+TEST_F(HandoverTest, ARefusedPartIsFannedOutHereAsIfItHadJustArrived) {
   extra_sends_ = {0.0, 0.0};
   Submit();
   peers_.Fail(0, LeafOutcome::kShed);
   ASSERT_EQ(leaves_.sent().size(), 4U);
-  for (std::size_t shard = 0; shard < kShards; ++shard) {
-    leaves_.Answer(shard, Record('a'));
-  }
+  AnswerLeaves(0);
   EXPECT_NE(AnswerAs<Gathered>(), nullptr);
   // A peer that refuses is asked again.
   Submit();
   EXPECT_EQ(peers_.sent().size(), 2U);
 }
 
+TEST_F(HandoverTest, RefusedEverywhereIsRefused) {
+  Submit();
+  peers_.Fail(0, LeafOutcome::kShed);
+  for (const auto& sent : leaves_.sent()) {
+    leaves_.full().insert(sent.leaf.collection + "-s1");
+    leaves_.full().insert(sent.leaf.collection + "-w1");
+  }
+  for (int round = 0; round < 5; ++round) {
+    const std::size_t sends = leaves_.sent().size();
+    for (std::size_t send = 0; send < sends && !answer_; ++send) {
+      if (leaves_.sent()[send].done) {
+        leaves_.Fail(send, LeafOutcome::kShed);
+      }
+    }
+    Advance(10);
+  }
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
 TEST_F(HandoverTest, ABrokenConnectionIsRepeatedHereFromTheBudget) {
   Submit();
   peers_.Fail(0, LeafOutcome::kLost);
   ASSERT_EQ(leaves_.sent().size(), 4U);
-  for (std::size_t shard = 0; shard < kShards; ++shard) {
-    leaves_.Answer(shard, Record('a'));
-  }
+  AnswerLeaves(0);
   EXPECT_NE(AnswerAs<Gathered>(), nullptr);
   // The peer is left alone for a while.
   Submit();
   EXPECT_EQ(peers_.sent().size(), 1U);
   EXPECT_EQ(leaves_.sent().size(), 8U);
+  AnswerLeaves(4);
   Advance(1'000);
   Submit();
   EXPECT_EQ(peers_.sent().size(), 2U);
@@ -512,12 +638,13 @@
   Submit();
   Advance(kUntilProbe);
   ASSERT_EQ(peers_.sent().size(), 2U);
-  EXPECT_EQ(peers_.sent()[1].call.routes_revision, 0);
-  AnswerPeer(1);
+  EXPECT_EQ(peers_.sent()[1].call.handover->routes_revision, 0);
+  EXPECT_FALSE(peers_.sent()[1].call.handover->most_missing.has_value());
+  AnswerPeer(1, 0);
   Advance(kUntilProbeIsMissed);
   EXPECT_TRUE(leaves_.sent().empty());
-  AnswerPeer(0);
-  EXPECT_NE(AnswerAs<PassedOn>(), nullptr);
+  AnswerPeer(0, 4);
+  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
 }
 
 TEST_F(HandoverTest, ASilentPeerIsReplacedAndTheFirstAnswerCounts) {
@@ -525,9 +652,7 @@
   Advance(kUntilProbe);
   Advance(kUntilProbeIsMissed);
   ASSERT_EQ(leaves_.sent().size(), 4U);
-  for (std::size_t shard = 0; shard < kShards; ++shard) {
-    leaves_.Answer(shard, Record('a'));
-  }
+  AnswerLeaves(0);
   EXPECT_NE(AnswerAs<Gathered>(), nullptr);
   EXPECT_TRUE(peers_.sent()[0].is_cancelled);
   // The next request goes nowhere near it.
@@ -535,13 +660,28 @@
   EXPECT_EQ(leaves_.sent().size(), 8U);
 }
 
+TEST_F(HandoverTest, ARepeatIsRelaxedToo) {
+  Submit();
+  Advance(kUntilProbe);
+  Advance(kUntilProbeIsMissed);
+  ASSERT_EQ(leaves_.sent().size(), 4U);
+  for (std::size_t send = 0; send < 3; ++send) {
+    leaves_.Answer(send, Record('a'));
+  }
+  EXPECT_FALSE(answer_.has_value());
+  Advance(kUntilChecked - kUntilProbe - kUntilProbeIsMissed);
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->missing, 1);
+}
+
 TEST_F(HandoverTest, APeerThatAnswersAfterAllCancelsTheRepeat) {
   Submit();
   Advance(kUntilProbe);
   Advance(kUntilProbeIsMissed);
   ASSERT_EQ(leaves_.sent().size(), 4U);
-  AnswerPeer(0);
-  EXPECT_NE(AnswerAs<PassedOn>(), nullptr);
+  AnswerPeer(0, 4);
+  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
   for (const auto& sent : leaves_.sent()) {
     EXPECT_TRUE(sent.is_cancelled);
   }
@@ -563,32 +703,82 @@
 
 class TakeoverTest : public ForwardServiceTest {
  protected:
-  void SubmitFromPeer(std::int64_t revision) {
+  ForwardService::Abandon SubmitFromPeer(std::int64_t revision,
+                                         std::vector<std::string> shards = {
+                                             "shard0", "shard2"}) {
     IncomingRequest request;
     request.request_id = "id-2";
     request.host = "h.example";
     request.deadline = Milliseconds(800);
-    request.handed_by_revision = revision;
+    request.handover = upstream::Handover{revision, std::move(shards), {}};
     request.message = std::make_shared<const http1::Request>(
         boost::beast::http::verb::get, "/a/1", 11);
     answer_.reset();
-    (void)service_.Submit(std::move(request), [this](ForwardedAnswer answer) {
+    return service_.Submit(std::move(request), [this](ForwardedAnswer answer) {
       answer_ = std::move(answer);
     });
   }
 };
 
-TEST_F(TakeoverTest, FansARequestOfAPeerOutAndLeavesTheRecordToIt) {
+TEST_F(TakeoverTest, FansAPartOutAndLeavesTheRecordToItsOwner) {
   SubmitFromPeer(revision_);
-  ASSERT_EQ(leaves_.sent().size(), 4U);
-  for (std::size_t shard = 0; shard < kShards; ++shard) {
-    leaves_.Answer(shard, Record('a'));
-  }
-  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
+  ASSERT_EQ(leaves_.sent().size(), 2U);
+  EXPECT_EQ(leaves_.sent()[0].leaf.collection, "shard0");
+  EXPECT_EQ(leaves_.sent()[1].leaf.collection, "shard2");
+  leaves_.Answer(0, Record('a'));
+  leaves_.Answer(1, Record('b'));
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->missing, 0);
   EXPECT_TRUE(records_.empty());
   EXPECT_EQ(fanned_out_for_peers_, 1);
 }
 
+TEST_F(TakeoverTest, APartWaitsForAllItsShardsUntilItIsRelaxed) {
+  SubmitFromPeer(revision_);
+  leaves_.Answer(0, Record('a'));
+  Advance(150);
+  EXPECT_FALSE(answer_.has_value());
+  EXPECT_FALSE(service_.CheckPart("another", 1).has_value());
+  EXPECT_EQ(service_.CheckPart("id-2", std::nullopt), 1);
+  EXPECT_EQ(service_.CheckPart("id-2", 0), 1);
+  EXPECT_FALSE(answer_.has_value());
+  EXPECT_EQ(service_.CheckPart("id-2", 1), 1);
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->missing, 1);
+}
+
+TEST_F(TakeoverTest, ARelaxedPartAnswersAsSoonAsItHasEnough) {
+  SubmitFromPeer(revision_);
+  EXPECT_EQ(service_.CheckPart("id-2", 1), 2);
+  EXPECT_FALSE(answer_.has_value());
+  leaves_.Answer(1, Record('b'));
+  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
+}
+
+TEST_F(TakeoverTest, AtTheDeadlineAPartAnswersWithWhatIsIn) {
+  SubmitFromPeer(revision_);
+  leaves_.Answer(0, Record('a'));
+  constexpr int kUntilDeadline = 789;
+  Advance(kUntilDeadline);
+  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
+}
+
+TEST_F(TakeoverTest, APeerThatLeavesCancelsItsPart) {
+  const auto abandon = SubmitFromPeer(revision_);
+  abandon();
+  EXPECT_TRUE(leaves_.sent()[0].is_cancelled);
+  EXPECT_EQ(service_.in_flight(), 0);
+  EXPECT_FALSE(service_.CheckPart("id-2", 2).has_value());
+}
+
+TEST_F(TakeoverTest, RefusesShardsThatAreNotTheRoutes) {
+  SubmitFromPeer(revision_, {"shard0", "single"});
+  EXPECT_TRUE(leaves_.sent().empty());
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
 TEST_F(TakeoverTest, RefusesWhatWasFoundByOtherRoutes) {
   SubmitFromPeer(revision_ + 1);
   EXPECT_TRUE(leaves_.sent().empty());
--- a/tests/routing/aggregator_choice_test.cc
+++ b/tests/routing/aggregator_choice_test.cc
@@ -18,7 +18,7 @@
  protected:
   AggregatorChoiceTest() {
     for (const char* domain : {"n1", "s1"}) {
-      for (const std::string& shard : kShards) {
+      for (const std::string& shard : shards_) {
         AddLeaf(shard, domain);
       }
     }
@@ -47,10 +47,14 @@
   AggregatorChoice ChooseFor(const std::string& self) {
     membership_.self = self;
     const LeafIndex index(std::make_shared<const UpstreamsView>(upstreams_));
-    return ChooseAggregators(membership_, index, kShards);
+    return ChooseAggregators(membership_, index, shards_);
   }
 
-  const std::vector<std::string> kShards{"a", "b", "c", "d"};
+  static std::string FirstPeer(const AggregatorPart& part) {
+    return part.peers.empty() ? "" : part.peers.front().name;
+  }
+
+  std::vector<std::string> shards_{"a", "b", "c", "d"};
   MembershipView membership_;
   UpstreamsView upstreams_;
 };
@@ -59,10 +63,11 @@
   AddDaemon("x", "n1", 0.25);
   AddDaemon("y", "n1", 0.25);
   const AggregatorChoice choice = ChooseFor("x");
-  EXPECT_TRUE(choice.peers.empty());
-  EXPECT_TRUE(choice.is_aggregator);
-  EXPECT_EQ(choice.aggregators, 2);
-  EXPECT_EQ(choice.entries, 0);
+  ASSERT_EQ(choice.parts.size(), 1U);
+  EXPECT_EQ(choice.parts[0].shards, shards_);
+  EXPECT_TRUE(choice.parts[0].peers.empty());
+  // All are alike.
+  EXPECT_TRUE(choice.senders.empty());
 }
 
 TEST_F(AggregatorChoiceTest, ADaemonFarFromTheLeavesHandsOverInItsRegion) {
@@ -70,24 +75,78 @@
   AddDaemon("far", "n2", 0.25);
   AddDaemon("other", "s1", 0.25);
   const AggregatorChoice choice = ChooseFor("far");
-  ASSERT_EQ(choice.peers.size(), 1U);
-  EXPECT_EQ(choice.peers[0].name, "near");
-  EXPECT_FALSE(choice.is_aggregator);
-  EXPECT_EQ(choice.aggregators, 2);
-  EXPECT_EQ(choice.entries, 1);
+  ASSERT_EQ(choice.parts.size(), 1U);
+  EXPECT_EQ(choice.parts[0].shards, shards_);
+  EXPECT_EQ(FirstPeer(choice.parts[0]), "near");
+  EXPECT_EQ(choice.senders.at("a").aggregators, 2);
+  EXPECT_EQ(choice.senders.at("a").daemons, 3);
+  EXPECT_FALSE(choice.senders.at("a").is_aggregator);
 }
 
 TEST_F(AggregatorChoiceTest, ASmallDaemonHandsOverToALargeOne) {
   AddDaemon("large", "n1", 0.5);
   AddDaemon("small", "n1", 0.12);
-  EXPECT_EQ(ChooseFor("small").peers[0].name, "large");
-  EXPECT_TRUE(ChooseFor("large").peers.empty());
+  EXPECT_EQ(FirstPeer(ChooseFor("small").parts[0]), "large");
+  EXPECT_TRUE(ChooseFor("large").parts[0].peers.empty());
+  EXPECT_TRUE(ChooseFor("large").senders.at("a").is_aggregator);
+}
+
+TEST_F(AggregatorChoiceTest, SplitsTheShardsByTheDomainsOfTheirLeaves) {
+  upstreams_.upstreams.clear();
+  AddLeaf("a", "n1");
+  AddLeaf("b", "n2");
+  AddLeaf("c", "n1");
+  AddLeaf("d", "n2");
+  AddDaemon("large1", "n1", 0.5);
+  AddDaemon("large2", "n2", 0.5);
+  AddDaemon("small", "n1", 0.12);
+  const AggregatorChoice choice = ChooseFor("small");
+  ASSERT_EQ(choice.parts.size(), 2U);
+  EXPECT_EQ(choice.parts[0].shards, (std::vector<std::string>{"a", "c"}));
+  EXPECT_EQ(FirstPeer(choice.parts[0]), "large1");
+  EXPECT_EQ(choice.parts[1].shards, (std::vector<std::string>{"b", "d"}));
+  EXPECT_EQ(FirstPeer(choice.parts[1]), "large2");
+  // An aggregator keeps its own part and hands the other over.
+  const AggregatorChoice own = ChooseFor("large1");
+  EXPECT_TRUE(own.parts[0].peers.empty());
+  EXPECT_EQ(FirstPeer(own.parts[1]), "large2");
+  EXPECT_TRUE(own.senders.at("a").is_aggregator);
+  EXPECT_FALSE(own.senders.at("b").is_aggregator);
+  EXPECT_EQ(own.senders.at("b").aggregators, 1);
+}
+
+TEST_F(AggregatorChoiceTest, AShardWithoutALeafInTheRegionJoinsTheLargestPart) {
+  upstreams_.upstreams.erase("dn1");
+  AddDaemon("large", "n1", 0.5);
+  AddDaemon("small", "n1", 0.12);
+  const AggregatorChoice choice = ChooseFor("small");
+  ASSERT_EQ(choice.parts.size(), 1U);
+  EXPECT_EQ(choice.parts[0].shards.size(), 4U);
 }
 
-TEST_F(AggregatorChoiceTest, ALargeDaemonFarFromTheLeavesHandsOverToo) {
-  AddDaemon("large", "n2", 0.5);
+TEST_F(AggregatorChoiceTest, WhoeverSendsToAShardHasAShareOfIt) {
+  // Region n has lost its leaf of the shard.
+  upstreams_.upstreams.erase("dn1");
+  AddDaemon("large", "n1", 0.5);
   AddDaemon("small", "n1", 0.12);
-  EXPECT_EQ(ChooseFor("large").peers[0].name, "small");
+  AddDaemon("other", "s1", 0.5);
+  const admission::Senders senders = ChooseFor("large").senders.at("d");
+  EXPECT_TRUE(senders.is_aggregator);
+  EXPECT_EQ(senders.aggregators, 2);
+}
+
+TEST_F(AggregatorChoiceTest, ADomainWithFewLeavesGetsNoPart) {
+  upstreams_.upstreams.clear();
+  shards_ = {"a", "b", "c", "d", "e", "f"};
+  for (const char* shard : {"a", "b", "c", "d", "e"}) {
+    AddLeaf(shard, "n1");
+  }
+  AddLeaf("f", "n2");
+  AddDaemon("large1", "n1", 0.5);
+  AddDaemon("large2", "n2", 0.5);
+  const AggregatorChoice choice = ChooseFor("large2");
+  ASSERT_EQ(choice.parts.size(), 1U);
+  EXPECT_EQ(FirstPeer(choice.parts[0]), "large1");
 }
 
 TEST_F(AggregatorChoiceTest, UsesThreePeersAtMostAndSpreadsOverAll) {
@@ -100,8 +159,8 @@
   }
   for (int index = 0; index < 40; ++index) {
     const AggregatorChoice choice = ChooseFor("small" + std::to_string(index));
-    ASSERT_EQ(choice.peers.size(), kMostAggregatorsUsed);
-    first.insert(choice.peers[0].name);
+    ASSERT_EQ(choice.parts[0].peers.size(), kMostAggregatorsUsed);
+    first.insert(FirstPeer(choice.parts[0]));
   }
   EXPECT_GE(first.size(), 6U);
 }
@@ -114,15 +173,22 @@
   }
   AddDaemon("x", "n1", 0.5);
   AddDaemon("y", "n2", 0.12);
-  EXPECT_TRUE(ChooseFor("y").peers.empty());
-  EXPECT_EQ(ChooseFor("y").entries, 0);
+  const AggregatorChoice choice = ChooseFor("y");
+  ASSERT_EQ(choice.parts.size(), 1U);
+  EXPECT_TRUE(choice.parts[0].peers.empty());
 }
 
 TEST_F(AggregatorChoiceTest, ADaemonThatTakesNoRequestsIsNoAggregator) {
   AddDaemon("large", "n1", 0.5);
   membership_.members["large"].query_address.clear();
   AddDaemon("small", "n1", 0.12);
-  EXPECT_TRUE(ChooseFor("small").peers.empty());
+  EXPECT_TRUE(ChooseFor("small").parts[0].peers.empty());
+}
+
+TEST_F(AggregatorChoiceTest, BeforeAnyMemberIsKnownEverythingIsDoneHere) {
+  const AggregatorChoice choice = ChooseFor("x");
+  ASSERT_EQ(choice.parts.size(), 1U);
+  EXPECT_EQ(choice.parts[0].shards, shards_);
 }
 
 }  // namespace
