HTTP1, Platform: One timed exchange, one message that is passed on

Cause: NewsSource::Ask and StoreCalls::Call wrote the same exchange with a timer, and the codecs of leaves and peers the same encoding of a forwarded request. Nothing else changes: an error of a peer's exchange now always carries the step of the peer link.

--- a/src/platform/leaf_codec.cc
+++ b/src/platform/leaf_codec.cc
@@ -2,11 +2,11 @@
 
 #include "src/platform/leaf_codec.h"
 
-#include <chrono>
 #include <cstdlib>
 #include <string>
 #include <utility>
 
+#include "src/platform/forwarded_message.h"
 #include "src/platform/header_names.h"
 
 namespace medlarspread::platform {
@@ -21,23 +21,10 @@
 using upstream::ForwardReply;
 using upstream::LeafOutcome;
 
-constexpr int kHttpVersion = 11;
-
-void SetTimeLeft(http1::Request& request, base::Duration time_left) {
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
-  request.set(kDeadline, std::to_string(milliseconds.count()));
-}
-
 http1::Request Encode(const blackboard::Upstream& leaf,
                       const upstream::ForwardCall& call) {
-  http1::Request request = *call.message;
-  request.version(kHttpVersion);
-  SetTimeLeft(request, call.time_left);
+  http1::Request request = MakeForwardedMessage(call);
   request.set(kExpectedLeaf, leaf.name);
-  if (!request.body().empty()) {
-    request.content_length(request.body().size());
-  }
   return request;
 }
 
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -3,12 +3,12 @@
 #include "src/platform/peer_codec.h"
 
 #include <charconv>
-#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "src/platform/caller_codec.h"
+#include "src/platform/forwarded_message.h"
 #include "src/platform/header_names.h"
 
 namespace medlarspread::platform {
@@ -60,17 +60,9 @@
   return words;
 }
 
-void SetTimeLeft(Request& request, base::Duration time_left) {
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
-  request.set(kDeadline, std::to_string(milliseconds.count()));
-}
-
 Request Encode(const blackboard::Upstream& /*peer*/,
                const upstream::ForwardCall& call) {
-  Request request = *call.message;
-  request.version(kHttpVersion);
-  SetTimeLeft(request, call.time_left);
+  Request request = MakeForwardedMessage(call);
   const upstream::Handover& terms = call.handover.value();
   if (terms.routes_revision > 0) {
     request.set(kRoutesRevision, std::to_string(terms.routes_revision));
@@ -81,9 +73,6 @@
   if (terms.most_missing) {
     request.set(kMostMissing, std::to_string(*terms.most_missing));
   }
-  if (!request.body().empty()) {
-    request.content_length(request.body().size());
-  }
   return request;
 }
 
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -10,9 +10,9 @@
 #include <cpprest/base_uri.h>
 #include <cpprest/json.h>
 
-#include "src/base/overloaded.h"
 #include "src/http1/caller_listener.h"
 #include "src/http1/client_connection.h"
+#include "src/http1/timed_exchange.h"
 #include "src/store/json_fields.h"
 
 namespace medlarspread::platform {
@@ -173,44 +173,20 @@
     request->body() = body;
     request->prepare_payload();
   }
-  const auto connection = Connect();
-  if (!connection) {
-    control_.Post([done = std::move(done), address = settings_.address] {
-      done(base::MakeError(ErrorCode::kInvalidArgument, Step::kReadStore,
-                           address, "not ip:port"));
-    });
-    return;
-  }
-  auto timer = std::make_shared<base::Timer>();
-  auto finish = std::make_shared<JsonCallback>(std::move(done));
-  const auto end = [timer, finish](Result<std::shared_ptr<value>> result) {
-    timer->Cancel();
-    if (auto callback = std::exchange(*finish, nullptr)) {
-      callback(std::move(result));
-    }
-  };
-  *timer =
-      control_.After(timeout, [connection, end, address = settings_.address] {
-        connection->Abort();
-        end(base::MakeError(ErrorCode::kTimeout, Step::kReadStore, address,
-                            "no answer in time"));
-      });
-  http1::Exchange exchange;
+  http1::TimedExchange exchange;
   exchange.request = std::move(request);
-  exchange.is_mine = [](const Response&) { return true; };
+  exchange.timeout = timeout;
+  exchange.step = Step::kReadStore;
+  exchange.peer = settings_.address;
   exchange.done = [self = shared_from_this(),
-                   end](const http1::ExchangeResult& result) {
-    std::visit(base::Overloaded{[&](const Response& response) {
-                                  end(self->Decode(response));
-                                },
-                                [&](const http1::ExchangeFailure& failure) {
-                                  Error error = failure.error;
-                                  error.step = Step::kReadStore;
-                                  end(std::move(error));
-                                }},
-               result);
+                   done = std::move(done)](Result<Response> response) {
+    if (!response.is_ok()) {
+      done(response.error());
+      return;
+    }
+    done(self->Decode(response.value()));
   };
-  connection->Start(std::move(exchange));
+  http1::Start(Connect(), control_, std::move(exchange));
 }
 
 Result<std::shared_ptr<value>> StoreCalls::Impl::Decode(
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -6,9 +6,9 @@
 #include <set>
 #include <utility>
 
-#include "src/base/overloaded.h"
 #include "src/base/rendezvous.h"
 #include "src/http1/caller_listener.h"
+#include "src/http1/timed_exchange.h"
 
 namespace medlarspread::relay {
 
@@ -342,54 +342,33 @@
 void NewsSource::Ask(const std::string& peer,
                      const std::string& target,
                      std::function<void(base::Result<News>)> done) {
-  const auto connection = ConnectionTo(peer);
-  if (!connection) {
-    control_.Post([done = std::move(done), peer] {
-      done(base::MakeError(ErrorCode::kInvalidArgument, Step::kPeerLink, peer,
-                           "not ip:port"));
-    });
-    return;
-  }
   auto request = std::make_shared<http1::Request>(boost::beast::http::verb::get,
                                                   target, kHttpVersion);
   request->set(boost::beast::http::field::host, peer);
-  auto timer = std::make_shared<base::Timer>();
-  auto finish = std::make_shared<std::function<void(base::Result<News>)>>(
-      std::move(done));
-  const auto end = [timer, finish](base::Result<News> news) {
-    timer->Cancel();
-    if (auto callback = std::exchange(*finish, nullptr)) {
-      callback(std::move(news));
-    }
-  };
-  const base::Duration timeout =
-      target == kNewsTarget ? kListTimeout : kNewsWait + kPeerMargin;
-  *timer = control_.After(timeout, [connection, end, peer] {
-    connection->Abort();
-    end(base::MakeError(ErrorCode::kTimeout, Step::kPeerLink, peer,
-                        "no answer in time"));
-  });
-  http1::Exchange exchange;
+  http1::TimedExchange exchange;
   exchange.request = std::move(request);
-  exchange.is_mine = [](const http1::Response&) { return true; };
-  exchange.done = [end, peer](const http1::ExchangeResult& result) {
-    std::visit(
-        base::Overloaded{
-            [&](const http1::Response& response) {
-              if (response.result() == http1::Status::ok) {
-                end(DecodeNews(response.body(), peer));
-                return;
-              }
-              const bool is_gone = response.result() == http1::Status::gone;
-              end(base::MakeError(
-                  is_gone ? ErrorCode::kExpired : ErrorCode::kUnavailable,
-                  Step::kPeerLink, peer,
-                  "status " + std::to_string(response.result_int())));
-            },
-            [&](const http1::ExchangeFailure& failure) { end(failure.error); }},
-        result);
+  exchange.timeout =
+      target == kNewsTarget ? kListTimeout : kNewsWait + kPeerMargin;
+  exchange.step = Step::kPeerLink;
+  exchange.peer = peer;
+  exchange.done = [done = std::move(done),
+                   peer](const base::Result<http1::Response>& response) {
+    if (!response.is_ok()) {
+      done(response.error());
+      return;
+    }
+    const http1::Status status = response.value().result();
+    if (status == http1::Status::ok) {
+      done(DecodeNews(response.value().body(), peer));
+      return;
+    }
+    const bool is_gone = status == http1::Status::gone;
+    done(base::MakeError(
+        is_gone ? ErrorCode::kExpired : ErrorCode::kUnavailable,
+        Step::kPeerLink, peer,
+        "status " + std::to_string(response.value().result_int())));
   };
-  connection->Start(std::move(exchange));
+  http1::Start(ConnectionTo(peer), control_, std::move(exchange));
 }
 
 std::shared_ptr<http1::ClientConnection> NewsSource::ConnectionTo(
