--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -109,11 +109,13 @@
       }
     }
   }
-  dependencies_->log.Write({.level = base::LogLevel::kInfo,
-                            .step = Step::kForward,
-                            .request_id = request_.request_id,
-                            .message = "the caller left; cancelled " +
-                                       std::to_string(sends_) + " sends"});
+  dependencies_->log.Write(
+      {.level = base::LogLevel::kInfo,
+       .step = Step::kForward,
+       .request_id = request_.request_id,
+       .message = std::string(request_.is_part ? "no longer needed"
+                                               : "the caller left") +
+                  "; cancelled " + std::to_string(sends_) + " sends"});
   done_ = nullptr;
   return true;
 }
--- a/src/query/handover_session.cc
+++ b/src/query/handover_session.cc
@@ -86,7 +86,7 @@
   if (is_here_running_) {
     here_->Abandon();
   }
-  LogOutcome("the caller left");
+  LogOutcome("no longer needed");
   report_ = nullptr;
   done_ = nullptr;
   return true;
