Query: Count the shards of an open part as missing at the deadline

Cause, found by reading: GatherSession::Conclude passed over a part that had not ended, so an answer at the deadline said too few shards are missing wherever the least coverage lets the other parts be enough. The new test failed first, and then hung: a part that was told to answer and reported the same count was told again without a pause; it is told once a count now.

--- a/src/query/gather_session.cc
+++ b/src/query/gather_session.cc
@@ -56,12 +56,9 @@
       std::max(base::Duration{},
                TimeToTarget(*request_.route, request_.waited) - kCheckTime),
       [self = shared_from_this()] { self->Check(); });
-  deadline_timer_ = dependencies_.runner.After(TimeToDeadline(request_),
-                                               [self = shared_from_this()] {
-                                                 if (!self->is_finished_) {
-                                                   self->Conclude();
-                                                 }
-                                               });
+  deadline_timer_ = dependencies_.runner.After(
+      TimeToDeadline(request_),
+      [self = shared_from_this()] { self->DidReachDeadline(); });
   for (const Part& part : parts_) {
     if (!is_finished_) {
       part.work.start();
@@ -69,6 +66,15 @@
   }
 }
 
+void GatherSession::DidReachDeadline() {
+  if (is_finished_) {
+    return;
+  }
+  last_error_ = base::MakeError(ErrorCode::kTimeout, Step::kMerge, "",
+                                "no answer before the deadline");
+  Conclude();
+}
+
 void GatherSession::Check() {
   if (is_finished_) {
     return;
@@ -145,10 +151,12 @@
   if (missing() > most_missing()) {
     return;
   }
-  for (const Part& part : parts_) {
-    if (!is_finished_ && !part.result) {
-      part.work.relax(part.missing);
+  for (Part& part : parts_) {
+    if (is_finished_ || part.result || part.told == part.missing) {
+      continue;
     }
+    part.told = part.missing;
+    part.work.relax(part.missing);
   }
 }
 
@@ -158,6 +166,7 @@
   for (Part& part : parts_) {
     if (!part.result) {
       part.work.abandon();
+      gathered.missing += part.shards;
       may_have_run_ = true;
       continue;
     }
--- a/src/query/gather_session.h
+++ b/src/query/gather_session.h
@@ -80,6 +80,8 @@
     int shards = 0;
     // As last reported; an upper bound, since it never grows.
     int missing = 0;
+    // How many it was told that it may miss, last.
+    std::optional<int> told;
     // Set once it has ended; empty records and all shards missing if it failed.
     std::optional<Gathered> result;
   };
@@ -87,6 +89,7 @@
   // Asks the open parts, once and then at intervals.
   void Check();
   void DidReport(std::size_t index, int missing);
+  void DidReachDeadline();
   void DidEnd(std::size_t index, ForwardedAnswer answer);
   // Tells the open parts to answer if what is missing keeps to the target.
   void RelaxIfEnough();
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -49,7 +49,7 @@
     auto route = std::make_shared<blackboard::WorkRoute>();
     route->targets.name = "lookup";
     route->targets.latency = Milliseconds(100);
-    route->targets.coverage = 0.75;
+    route->targets.coverage = coverage_;
     route->host = "h.example";
     route->prefix = "/a/";
     route->destination = std::move(destination);
@@ -86,6 +86,7 @@
     return std::string(1, first) + std::string(15, '.');
   }
 
+  double coverage_ = 0.75;
   static constexpr int kShards = 4;
   static constexpr int kMostInFlight = 500;
 
@@ -554,6 +555,21 @@
     peers_.End(index, std::move(reply));
   }
 
+  // Answers all probes and relaxations of part `part` as a peer does that waits
+  // for its shards and hears nothing else.
+  void KeepAliveUntilDeadline(std::size_t part) {
+    constexpr int kUntilDeadline = 789;
+    constexpr int kStep = 10;
+    for (int passed = 0; passed < kUntilDeadline && !answer_; passed += kStep) {
+      Advance(kStep);
+      for (std::size_t send = part + 1; send < peers_.sent().size(); ++send) {
+        if (peers_.sent()[send].done) {
+          AnswerProbe(send, 2);
+        }
+      }
+    }
+  }
+
   // The leaf answers the sends from `first` on.
   void AnswerLeaves(std::size_t first) {
     for (std::size_t send = first; send < first + kShards; ++send) {
@@ -665,13 +681,27 @@
   SplitShards();
   Submit();
   AnswerPeer(0, 2);
-  constexpr int kUntilDeadline = 789;
-  Advance(kUntilDeadline);
-  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+  KeepAliveUntilDeadline(1);
+  const auto* unknown = AnswerAs<Unknown>();
+  ASSERT_NE(unknown, nullptr);
+  EXPECT_EQ(unknown->error.code, base::ErrorCode::kTimeout);
   EXPECT_TRUE(peers_.sent()[1].is_cancelled);
   EXPECT_EQ(service_.in_flight(), 0);
 }
 
+TEST_F(HandoverTest, AtTheDeadlineAnOpenPartCountsAsMissing) {
+  coverage_ = 0.5;
+  SetAttempts(2);
+  SplitShards();
+  Submit();
+  AnswerPeer(0, 2);
+  KeepAliveUntilDeadline(1);
+  const auto* gathered = AnswerAs<Gathered>();
+  ASSERT_NE(gathered, nullptr);
+  EXPECT_EQ(gathered->proofs.size(), 2U);
+  EXPECT_EQ(gathered->missing, 2);
+}
+
 TEST_F(HandoverTest, ARequestToOneCollectionIsNotHandedOver) {
   SetRoute(OneCollection{"single"}, false);
   Submit();
