Emulator: Play fleets of daemons in virtual time

What: `medlarspread_emulator fleet` and `tests/fleet` drive the production ForwardService with its sessions, tracker, budgets and gate on a manual clock; leaves (slots, queue, pauses, speeds, slow, resetting, refusing, silent), links, connections with the caps of leaves, loss of power and callers with one retry are modelled. Checked while it runs: refused means not run, at most once, extra sends within the bound in any window. Nine patterns, and deployments drawn from a seed (60 in the tests).

Not modelled: processor time, kill with closed connections, the store.

--- /dev/null
+++ b/emulator/fleet/fleet_plan.h
@@ -0,0 +1,120 @@
+// What a virtual fleet consists of and what befalls it, as plain data.
+
+#ifndef MEDLARSPREAD_EMULATOR_FLEET_FLEET_PLAN_H_
+#define MEDLARSPREAD_EMULATOR_FLEET_FLEET_PLAN_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/admission/extra_send_budget.h"
+#include "src/base/clock.h"
+#include "src/base/name_table.h"
+
+namespace medlarspread::emulator {
+
+// One-way delays.
+struct LinkDelays {
+  base::Duration in_domain = base::Milliseconds(0);
+  base::Duration between_regions = base::Milliseconds(20);
+  base::Duration to_callers = base::Milliseconds(1);
+};
+
+// The leaves of one kind: each collection has one in each region.
+struct LeafPlan {
+  int slots = 3;
+  // Requests that wait for a slot; more are refused.
+  int queue = 18;
+  // Connections from all daemons together.
+  int connections = 31;
+  // Beside the way there and back.
+  base::Duration connect_time = base::Milliseconds(6);
+  // After this time a leaf notices that the daemon at the other end of an idle
+  // connection is gone.
+  base::Duration idle_timeout = base::Milliseconds(5'000);
+  // Every leaf stands still for a moment now and then, each at its own time.
+  base::Duration pause = base::Milliseconds(250);
+  base::Duration pause_interval = base::Milliseconds(6'000);
+};
+
+// One class of work.
+struct ClassPlan {
+  std::string name;
+  // 1 for requests to one collection; otherwise the first so many collections
+  // are its shards.
+  int shards = 1;
+  double coverage = 1.0;
+  bool is_idempotent = true;
+  int most_attempts = 3;
+  // Over all daemons.
+  double requests_per_second = 100.0;
+  // At a leaf.
+  base::Duration mean_work = base::Milliseconds(15);
+  // Standard deviation of the logarithm of the work.
+  double work_spread = 0.35;
+  base::Duration target = base::Milliseconds(200);
+  base::Duration deadline = base::Milliseconds(1'200);
+};
+
+enum class TroubleKind {
+  // Leaves work `strength` times as long.
+  kSlow,
+  // Leaves run a request and break its connection with this probability.
+  kResets,
+  // Leaves answer nothing.
+  kDark,
+  // Leaves refuse with this probability, as if they were full.
+  kSheds,
+  // All daemons lose power and are back at the end; leaves keep the
+  // connections of the dead ones until they notice.
+  kPowerLoss,
+  // Callers send `strength` times as many requests.
+  kBurst,
+};
+
+inline constexpr base::NameTable<TroubleKind, 6> kTroubleKindNames{{{
+    {TroubleKind::kSlow, "slow"},
+    {TroubleKind::kResets, "resets"},
+    {TroubleKind::kDark, "dark"},
+    {TroubleKind::kSheds, "sheds"},
+    {TroubleKind::kPowerLoss, "power_loss"},
+    {TroubleKind::kBurst, "burst"},
+}}};
+
+struct Trouble {
+  TroubleKind kind = TroubleKind::kSlow;
+  base::Duration begin{};
+  base::Duration end{};
+  double strength = 1.0;
+  // Of the leaves; which ones is drawn from the seed.
+  double share = 1.0;
+  // Only leaves of this collection; all if it is empty.
+  std::string collection;
+};
+
+struct FleetPlan {
+  int regions = 3;
+  int daemons_per_region = 3;
+  LinkDelays links;
+  LeafPlan leaves;
+  // Each region's leaf of a collection takes so many times the work.
+  std::vector<double> speeds = {1.0};
+  int collections = 10;
+  std::vector<ClassPlan> classes;
+  std::vector<Trouble> troubles;
+  admission::ExtraSendBound extra_sends{0.2, 56.0, base::Milliseconds(10'000)};
+  // The bound that the run is checked against, if it is another one.
+  std::optional<admission::ExtraSendBound> checked_extra_sends;
+  // How many times an even share of the callers the first daemon gets.
+  double first_daemon_load = 1.0;
+  base::Duration length = base::Milliseconds(24'000);
+  std::uint64_t seed = 1;
+};
+
+// The name of collection `index`.
+std::string CollectionName(int index);
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_FLEET_FLEET_PLAN_H_
--- /dev/null
+++ b/emulator/fleet/patterns.cc
@@ -0,0 +1,210 @@
+// The plans behind the patterns. Their deployment is of the size of a small
+// user: ten shards with a leaf in each of three regions, 150 requests a second
+// of 15 ms at each shard, which the leaves bear four times over.
+
+#include "emulator/fleet/patterns.h"
+
+#include <algorithm>
+
+#include "src/base/random.h"
+
+namespace medlarspread::emulator {
+
+namespace {
+
+using base::Milliseconds;
+
+FleetPlan SmallFleet(std::uint64_t seed) {
+  FleetPlan plan;
+  plan.seed = seed;
+  plan.speeds = {0.8, 1.0, 1.3};
+  ClassPlan sweep;
+  sweep.name = "sweep";
+  sweep.shards = 10;
+  sweep.coverage = 0.89;
+  sweep.requests_per_second = 120.0;
+  ClassPlan lookup = sweep;
+  lookup.name = "lookup";
+  lookup.coverage = 0.75;
+  lookup.requests_per_second = 40.0;
+  lookup.mean_work = Milliseconds(5);
+  lookup.target = Milliseconds(150);
+  lookup.deadline = Milliseconds(800);
+  plan.classes = {sweep, lookup};
+  return plan;
+}
+
+FleetPlan Calm(std::uint64_t seed) {
+  return SmallFleet(seed);
+}
+
+// A tenth of the leaves becomes ten times as slow: a few shards keep one leaf
+// at its speed, in another region.
+FleetPlan SlowLeaves(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.troubles = {{TroubleKind::kSlow, Milliseconds(12'000),
+                    Milliseconds(20'000), 10.0, 0.15, ""}};
+  return plan;
+}
+
+// All leaves of one shard become ten times as slow: they can answer a third of
+// what is asked, and nobody can go elsewhere.
+FleetPlan SlowShard(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.troubles = {{TroubleKind::kSlow, Milliseconds(12'000),
+                    Milliseconds(20'000), 10.0, 1.0, CollectionName(0)}};
+  return plan;
+}
+
+// Half of the leaves lose four answers in ten for some seconds: three extra
+// sends for ten requests at each shard, more than the share of the budget.
+FleetPlan Resets(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.troubles = {{TroubleKind::kResets, Milliseconds(16'000),
+                    Milliseconds(20'000), 0.4, 0.5, ""}};
+  return plan;
+}
+
+// The same of requests to one collection that may run once only: what is lost
+// is lost, so the choice of the leaf decides.
+FleetPlan ResetsOfSingle(std::uint64_t seed) {
+  FleetPlan plan;
+  plan.seed = seed;
+  plan.collections = 1;
+  plan.daemons_per_region = 1;
+  plan.leaves.pause = {};
+  ClassPlan fetch;
+  fetch.name = "fetch";
+  fetch.is_idempotent = false;
+  fetch.most_attempts = 2;
+  fetch.requests_per_second = 30.0;
+  fetch.mean_work = Milliseconds(60);
+  fetch.target = Milliseconds(600);
+  fetch.deadline = Milliseconds(3'000);
+  plan.classes = {fetch};
+  plan.troubles = {{TroubleKind::kResets, Milliseconds(12'000),
+                    Milliseconds(18'000), 0.4, 0.34, ""}};
+  return plan;
+}
+
+// All daemons lose power for a second. Leaves keep the connections of the dead
+// ones for five more, and callers come with one retry each.
+FleetPlan PowerLoss(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.troubles = {{TroubleKind::kPowerLoss, Milliseconds(14'000),
+                    Milliseconds(15'000), 1.0, 1.0, ""}};
+  return plan;
+}
+
+// One leaf of a shard is silent: its connections hang.
+FleetPlan DarkLeaf(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.troubles = {{TroubleKind::kDark, Milliseconds(12'000),
+                    Milliseconds(18'000), 1.0, 0.1, ""}};
+  return plan;
+}
+
+// A third of the leaves refuses half of what it is asked.
+FleetPlan Sheds(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.troubles = {{TroubleKind::kSheds, Milliseconds(12'000),
+                    Milliseconds(18'000), 0.5, 0.34, ""}};
+  return plan;
+}
+
+// Four times the callers, and one daemon that gets five times its share.
+FleetPlan Burst(std::uint64_t seed) {
+  FleetPlan plan = SmallFleet(seed);
+  plan.first_daemon_load = 5.0;
+  plan.troubles = {{TroubleKind::kBurst, Milliseconds(12'000),
+                    Milliseconds(16'000), 4.0, 1.0, ""}};
+  return plan;
+}
+
+// A whole number from `low` to `high`, drawn so that each doubling is as likely
+// as the next.
+int DrawBetween(base::Random& random, int low, int high) {
+  int value = low;
+  while (value < high && random.Below(3) != 0) {
+    value = std::min(
+        high,
+        value + 1 +
+            static_cast<int>(random.Below(static_cast<std::uint64_t>(value))));
+  }
+  return value;
+}
+
+}  // namespace
+
+const std::vector<Pattern>& Patterns() {
+  static const std::vector<Pattern> patterns = {
+      {"calm", "nothing happens", Calm, 2, 20},
+      {"slow_leaves", "a seventh of the leaves is ten times as slow",
+       SlowLeaves, 12, 20},
+      {"slow_shard", "all leaves of one shard are ten times as slow", SlowShard,
+       12, 20},
+      {"resets", "half of the leaves loses four answers in ten", Resets, 16,
+       20},
+      {"resets_single", "a third of the leaves resets, and nothing may repeat",
+       ResetsOfSingle, 12, 18},
+      {"power_loss", "all daemons lose power for a second", PowerLoss, 15, 21},
+      {"dark_leaf", "a tenth of the leaves is silent", DarkLeaf, 12, 18},
+      {"sheds", "a third of the leaves refuses half", Sheds, 12, 18},
+      {"burst", "four times the callers, unevenly spread", Burst, 12, 16},
+  };
+  return patterns;
+}
+
+const Pattern* FindPattern(std::string_view name) {
+  for (const Pattern& pattern : Patterns()) {
+    if (pattern.name == name) {
+      return &pattern;
+    }
+  }
+  return nullptr;
+}
+
+FleetPlan DrawPlan(std::uint64_t seed) {
+  base::Random random(seed);
+  FleetPlan plan;
+  plan.seed = seed;
+  plan.regions = 2 + static_cast<int>(random.Below(3));
+  plan.daemons_per_region = 1 + static_cast<int>(random.Below(3));
+  plan.links.between_regions = Milliseconds(DrawBetween(random, 1, 60));
+  plan.leaves.slots = DrawBetween(random, 2, 8);
+  plan.leaves.queue = 6 * plan.leaves.slots;
+  plan.leaves.connections = 8 * plan.leaves.slots * plan.daemons_per_region;
+  plan.leaves.connect_time = Milliseconds(DrawBetween(random, 1, 12));
+  plan.leaves.pause = Milliseconds(DrawBetween(random, 20, 300));
+  plan.leaves.pause_interval = 25 * plan.leaves.pause;
+  for (int region = 0; region < plan.regions; ++region) {
+    plan.speeds.push_back(0.7 + random.Unit());
+  }
+  ClassPlan work;
+  work.name = "work";
+  work.shards = DrawBetween(random, 2, 60);
+  work.coverage = 0.8;
+  work.mean_work = Milliseconds(DrawBetween(random, 2, 100));
+  // A caller waits for some times the work and for the way to another region.
+  work.target =
+      8 * work.mean_work + 3 * plan.links.between_regions + Milliseconds(20);
+  work.deadline = 6 * work.target;
+  plan.collections = work.shards;
+  // A quarter of what the leaves bear, and not more than a run can play.
+  const double capacity = plan.regions * plan.leaves.slots * 1000.0 /
+                          base::ToMilliseconds(work.mean_work);
+  work.requests_per_second = std::min(0.25 * capacity, 1'500.0 / work.shards);
+  plan.classes = {work};
+  plan.length = Milliseconds(14'000);
+  constexpr TroubleKind kKinds[] = {TroubleKind::kSlow, TroubleKind::kResets,
+                                    TroubleKind::kSheds, TroubleKind::kDark};
+  const TroubleKind kind = kKinds[random.Below(4)];
+  const double strength = kind == TroubleKind::kSlow
+                              ? 3.0 + 8.0 * random.Unit()
+                              : 0.1 + 0.4 * random.Unit();
+  plan.troubles = {{kind, Milliseconds(6'000), Milliseconds(11'000), strength,
+                    0.05 + 0.3 * random.Unit(), ""}};
+  return plan;
+}
+
+}  // namespace medlarspread::emulator
--- /dev/null
+++ b/emulator/fleet/virtual_daemon.h
@@ -0,0 +1,106 @@
+// One daemon of a virtual fleet: the production code that serves opaque
+// requests, over links and leaves in virtual time.
+//
+// What stands in for upstream::ForwardClient here is the link: the way there
+// and back, the connections that this daemon may have to a leaf, and how long a
+// reply is waited for.
+
+#ifndef MEDLARSPREAD_EMULATOR_FLEET_VIRTUAL_DAEMON_H_
+#define MEDLARSPREAD_EMULATOR_FLEET_VIRTUAL_DAEMON_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulator/fleet/fleet_plan.h"
+#include "emulator/fleet/virtual_leaf.h"
+#include "src/blackboard/blackboard.h"
+#include "src/query/forward_service.h"
+
+namespace medlarspread::emulator {
+
+// What all daemons of a fleet share.
+struct FleetWorld {
+  const FleetPlan& plan;
+  base::Clock clock;
+  base::TaskRunner runner;
+  std::shared_ptr<base::Random> random;
+  // By name.
+  std::map<std::string, std::shared_ptr<VirtualLeaf>> leaves;
+  // The work that a request takes at a leaf, drawn anew each time.
+  std::function<base::Duration(const std::string& request_id)> draw_work;
+  // A send reached a leaf / a leaf began to work on it.
+  std::function<void(const std::string& request_id, const std::string& leaf)>
+      did_arrive;
+  std::function<void(const std::string& request_id)> did_run;
+};
+
+class VirtualDaemon {
+ public:
+  // `world` must outlive it.
+  VirtualDaemon(FleetWorld& world,
+                std::string name,
+                std::string region,
+                const blackboard::MembershipView& members,
+                const blackboard::UpstreamsView& leaves,
+                const blackboard::RoutesView& routes);
+
+  VirtualDaemon(const VirtualDaemon&) = delete;
+  VirtualDaemon& operator=(const VirtualDaemon&) = delete;
+
+  void Submit(query::IncomingRequest request, query::ForwardedCallback done);
+  // Power is lost: nothing leaves or arrives any more. Its sessions live on
+  // unheard until their deadlines.
+  void Kill();
+
+  const std::string& region() const { return region_; }
+
+ private:
+  // The connections to one leaf.
+  struct Link {
+    // All of them; the rest of `open` is in use or being opened.
+    int open = 0;
+    int free = 0;
+  };
+
+  // One request on its way.
+  struct Call {
+    std::shared_ptr<VirtualLeaf> leaf;
+    base::MonotonicTime sent;
+    upstream::ForwardPort::Callback done;
+    std::uint64_t job = 0;
+    bool has_reached_leaf = false;
+    bool is_finished = false;
+    base::Timer timer;
+  };
+
+  upstream::ForwardPort MakePort();
+  upstream::SentCall Send(const blackboard::Upstream& upstream,
+                          upstream::ForwardCall call,
+                          upstream::ForwardPort::Callback done);
+  void Arrive(const std::shared_ptr<Call>& call,
+              const std::string& request_id,
+              base::MonotonicTime deadline);
+  void Finish(const std::shared_ptr<Call>& call, upstream::LeafOutcome outcome);
+  // The connection is closed, and the leaf hears of it.
+  void Abort(const std::shared_ptr<Call>& call);
+  void EndAfter(const std::shared_ptr<Call>& call, base::Duration delay);
+  upstream::Readiness ReadinessOf(const blackboard::Upstream& upstream);
+  int ConnectionShare(const blackboard::Upstream& upstream) const;
+  base::Duration DelayTo(const blackboard::Upstream& upstream) const;
+  // Opens one if there is a place; false if the leaf resets it.
+  bool Open(const blackboard::Upstream& upstream);
+
+  FleetWorld& world_;
+  const std::string region_;
+  bool is_dead_ = false;
+  blackboard::Blackboard blackboard_;
+  std::map<std::string, Link> links_;
+  query::ForwardService service_;
+};
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_FLEET_VIRTUAL_DAEMON_H_
--- /dev/null
+++ b/emulator/fleet/virtual_fleet.cc
@@ -0,0 +1,458 @@
+// The steps of virtual_fleet.h.
+
+#include "emulator/fleet/virtual_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <utility>
+
+#include "src/base/overloaded.h"
+
+namespace medlarspread::emulator {
+
+namespace {
+
+// Callers honour a time to come back up to this part of the time they have
+// left.
+constexpr int kLongestPauseShare = 3;
+// Parts of the window in which extra sends are counted.
+constexpr std::int64_t kWindowParts = 20;
+constexpr std::size_t kMostViolations = 20;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+// Added to the plan's seed.
+constexpr std::uint64_t kArrivalsStream = 1'000'000'007;
+constexpr std::uint64_t kTroubleStream = 2'000'000'011;
+
+std::string RegionName(int index) {
+  return "r" + std::to_string(index);
+}
+
+std::string PrefixOf(const ClassPlan& plan) {
+  return "/" + plan.name + "/";
+}
+
+}  // namespace
+
+std::string CollectionName(int index) {
+  return "c" + std::to_string(index);
+}
+
+double CallerCounts::share_in_time() const {
+  return asked == 0 ? 1.0 : static_cast<double>(in_time) / asked;
+}
+
+double CallerCounts::mean_credit() const {
+  return asked == 0 ? 1.0 : credit / asked;
+}
+
+CallerCounts& CallerCounts::operator+=(const CallerCounts& other) {
+  asked += other.asked;
+  in_time += other.in_time;
+  late += other.late;
+  refused += other.refused;
+  failed += other.failed;
+  missing += other.missing;
+  credit += other.credit;
+  latencies.insert(latencies.end(), other.latencies.begin(),
+                   other.latencies.end());
+  return *this;
+}
+
+CallerCounts FleetReport::Sum(int first,
+                              int last,
+                              const std::string& name) const {
+  CallerCounts sum;
+  for (const auto& [class_name, seconds] : classes) {
+    if (!name.empty() && class_name != name) {
+      continue;
+    }
+    for (int second = std::max(0, first);
+         second < std::min<int>(last, static_cast<int>(seconds.size()));
+         ++second) {
+      sum += seconds[static_cast<std::size_t>(second)];
+    }
+  }
+  return sum;
+}
+
+VirtualFleet::VirtualFleet(FleetPlan plan)
+    : plan_(std::move(plan)),
+      arrivals_random_(plan_.seed + kArrivalsStream),
+      trouble_random_(plan_.seed + kTroubleStream),
+      random_(std::make_shared<base::Random>(plan_.seed)),
+      world_{plan_, clock_, runner_, random_, {}, {}, {}, {}} {
+  world_.draw_work = [this](const std::string& request_id) {
+    const ClassPlan& plan =
+        plan_.classes[static_cast<std::size_t>(class_of_.at(request_id))];
+    // Two uniform numbers make one that is normally distributed.
+    constexpr double kTwoPi = 6.283185307179586;
+    const double normal = std::sqrt(-2.0 * std::log(1.0 - random_->Unit())) *
+                          std::cos(kTwoPi * random_->Unit());
+    const double factor = std::exp(plan.work_spread * normal -
+                                   plan.work_spread * plan.work_spread / 2.0);
+    return base::Duration(static_cast<std::int64_t>(
+        factor * static_cast<double>(plan.mean_work.count())));
+  };
+  world_.did_arrive = [this](const std::string& id, const std::string& leaf) {
+    CountArrival(id, leaf);
+  };
+  world_.did_run = [this](const std::string& id) {
+    const auto& plan =
+        plan_.classes[static_cast<std::size_t>(class_of_.at(id))];
+    if (++runs_[id] > 1 && !plan.is_idempotent) {
+      Violate(id + " is not idempotent and ran twice");
+    }
+  };
+  MakeLeaves();
+  MakeRoutes();
+  MakeDaemons();
+}
+
+VirtualFleet::~VirtualFleet() = default;
+
+void VirtualFleet::MakeLeaves() {
+  for (int collection = 0; collection < plan_.collections; ++collection) {
+    for (int region = 0; region < plan_.regions; ++region) {
+      blackboard::Upstream leaf;
+      leaf.collection = CollectionName(collection);
+      leaf.region = RegionName(region);
+      leaf.failure_domain = leaf.region;
+      leaf.name = leaf.collection + "-" + leaf.region;
+      leaf.slots = plan_.leaves.slots;
+      leaf.connections = plan_.leaves.connections;
+      leaves_.upstreams[leaf.name] = leaf;
+      // Which region has the fast one differs from shard to shard.
+      const auto speed = static_cast<std::size_t>(collection + region);
+      world_.leaves[leaf.name] = std::make_shared<VirtualLeaf>(
+          leaf, plan_.leaves, plan_.speeds[speed % plan_.speeds.size()], clock_,
+          runner_, random_);
+    }
+  }
+}
+
+void VirtualFleet::MakeRoutes() {
+  routes_.revision = 1;
+  for (const ClassPlan& plan : plan_.classes) {
+    auto route = std::make_shared<blackboard::WorkRoute>();
+    route->targets.name = plan.name;
+    route->targets.latency = plan.target;
+    route->targets.coverage = plan.coverage;
+    route->host = "fleet";
+    route->prefix = PrefixOf(plan);
+    route->is_idempotent = plan.is_idempotent;
+    route->most_attempts = plan.most_attempts;
+    route->timeout = plan.deadline;
+    if (plan.shards == 1) {
+      route->destination = blackboard::OneCollection{CollectionName(0)};
+    } else {
+      blackboard::AllShards all;
+      all.most_records = 1;
+      for (int shard = 0; shard < plan.shards; ++shard) {
+        all.shards.push_back(CollectionName(shard));
+      }
+      route->destination = std::move(all);
+    }
+    routes_.routes.push_back(std::move(route));
+    report_.classes[plan.name].resize(
+        static_cast<std::size_t>(plan_.length / base::Milliseconds(1'000) + 1));
+  }
+}
+
+void VirtualFleet::MakeDaemons() {
+  for (int region = 0; region < plan_.regions; ++region) {
+    for (int index = 0; index < plan_.daemons_per_region; ++index) {
+      blackboard::Member member;
+      member.name = RegionName(region) + "-d" + std::to_string(index);
+      member.region = RegionName(region);
+      member.failure_domain = member.region;
+      members_.members[member.name] = member;
+    }
+  }
+  for (const auto& [name, member] : members_.members) {
+    daemons_.push_back(std::make_unique<VirtualDaemon>(
+        world_, name, member.region, members_, leaves_, routes_));
+  }
+}
+
+FleetReport VirtualFleet::Run() {
+  ScheduleTroubles();
+  for (int index = 0; index < static_cast<int>(plan_.classes.size()); ++index) {
+    ScheduleCaller(index);
+  }
+  scheduler_->Advance(plan_.length);
+  base::Duration longest{};
+  for (const ClassPlan& plan : plan_.classes) {
+    longest = std::max(longest, plan.deadline);
+  }
+  // Retries of the last requests end, too.
+  scheduler_->Advance(3 * longest);
+  CheckExtraSends();
+  for (const auto& [name, leaf] : world_.leaves) {
+    report_.connection_resets += leaf->resets();
+  }
+  return report_;
+}
+
+void VirtualFleet::ScheduleTroubles() {
+  for (const Trouble& trouble : plan_.troubles) {
+    (void)runner_.After(trouble.begin, [this, &trouble] { Begin(trouble); });
+    (void)runner_.After(trouble.end, [this, &trouble] { End(trouble); });
+  }
+}
+
+std::vector<std::shared_ptr<VirtualLeaf>> VirtualFleet::Draw(
+    const Trouble& trouble) {
+  std::vector<std::shared_ptr<VirtualLeaf>> leaves;
+  for (const auto& [name, leaf] : world_.leaves) {
+    if (trouble.collection.empty() ||
+        leaf->upstream().collection == trouble.collection) {
+      leaves.push_back(leaf);
+    }
+  }
+  const auto count = static_cast<std::size_t>(
+      std::lround(trouble.share * static_cast<double>(leaves.size())));
+  while (leaves.size() > count) {
+    leaves.erase(leaves.begin() + static_cast<std::ptrdiff_t>(
+                                      trouble_random_.Below(leaves.size())));
+  }
+  return leaves;
+}
+
+void VirtualFleet::Begin(const Trouble& trouble) {
+  if (trouble.kind == TroubleKind::kBurst) {
+    burst_ = trouble.strength;
+    return;
+  }
+  if (trouble.kind == TroubleKind::kPowerLoss) {
+    for (auto& daemon : daemons_) {
+      daemon->Kill();
+      dead_.push_back(std::move(daemon));
+    }
+    return;
+  }
+  drawn_[&trouble] = Draw(trouble);
+  for (const auto& leaf : drawn_[&trouble]) {
+    VirtualLeaf::Faults& faults = leaf->faults();
+    switch (trouble.kind) {
+      case TroubleKind::kSlow:
+        faults.slowness = trouble.strength;
+        break;
+      case TroubleKind::kResets:
+        faults.reset_probability = trouble.strength;
+        break;
+      case TroubleKind::kSheds:
+        faults.shed_probability = trouble.strength;
+        break;
+      case TroubleKind::kDark:
+        faults.is_dark = true;
+        break;
+      case TroubleKind::kPowerLoss:
+      case TroubleKind::kBurst:
+        break;
+    }
+  }
+}
+
+void VirtualFleet::End(const Trouble& trouble) {
+  if (trouble.kind == TroubleKind::kBurst) {
+    burst_ = 1.0;
+    return;
+  }
+  if (trouble.kind == TroubleKind::kPowerLoss) {
+    auto member = members_.members.begin();
+    for (auto& daemon : daemons_) {
+      daemon = std::make_unique<VirtualDaemon>(world_, member->first,
+                                               member->second.region, members_,
+                                               leaves_, routes_);
+      ++member;
+    }
+    return;
+  }
+  for (const auto& leaf : drawn_[&trouble]) {
+    leaf->faults() = {};
+  }
+}
+
+void VirtualFleet::ScheduleCaller(int class_index) {
+  const ClassPlan& plan = plan_.classes[static_cast<std::size_t>(class_index)];
+  const double gap = -std::log(1.0 - arrivals_random_.Unit()) /
+                     (plan.requests_per_second * burst_);
+  const base::Duration delay(
+      static_cast<std::int64_t>(gap * kMicrosecondsPerSecond));
+  (void)runner_.After(delay, [this, class_index] {
+    if (clock_.Now() - start() >= plan_.length) {
+      return;
+    }
+    auto errand = std::make_shared<Errand>();
+    errand->class_index = class_index;
+    errand->began = clock_.Now();
+    errand->second =
+        static_cast<int>((clock_.Now() - start()) / base::Milliseconds(1'000));
+    ++CountsOf(*errand).asked;
+    Try(errand);
+    ScheduleCaller(class_index);
+  });
+}
+
+VirtualDaemon* VirtualFleet::PickDaemon() {
+  const double others = static_cast<double>(daemons_.size()) - 1.0;
+  const double place = random_->Unit() * (plan_.first_daemon_load + others);
+  const auto index =
+      place < plan_.first_daemon_load
+          ? std::size_t{0}
+          : 1 + static_cast<std::size_t>(place - plan_.first_daemon_load);
+  return daemons_[std::min(index, daemons_.size() - 1)].get();
+}
+
+void VirtualFleet::Try(const std::shared_ptr<Errand>& errand) {
+  const ClassPlan& plan =
+      plan_.classes[static_cast<std::size_t>(errand->class_index)];
+  const base::Duration left = errand->began + plan.deadline - clock_.Now();
+  VirtualDaemon* daemon = PickDaemon();
+  ++errand->tries;
+  if (daemon == nullptr) {
+    // Nobody answers: the caller notices after a third of its time.
+    (void)runner_.After(left / kLongestPauseShare,
+                        [this, errand] { Retry(errand, {}); });
+    return;
+  }
+  query::IncomingRequest request;
+  request.request_id = "q" + std::to_string(++requests_);
+  request.host = "fleet";
+  request.deadline = left;
+  request.message = std::make_shared<const http1::Request>(
+      boost::beast::http::verb::get, PrefixOf(plan), 11);
+  class_of_[request.request_id] = errand->class_index;
+  const std::string id = request.request_id;
+  // A daemon that loses power answers nothing; the caller's connection hangs.
+  (void)runner_.After(
+      plan_.links.to_callers,
+      [this, daemon, errand, id, request = std::move(request)]() mutable {
+        daemon->Submit(std::move(request), [this, errand,
+                                            id](query::ForwardedAnswer answer) {
+          (void)runner_.After(plan_.links.to_callers,
+                              [this, errand, id, answer = std::move(answer)] {
+                                DidAnswer(errand, id, answer);
+                              });
+        });
+      });
+}
+
+void VirtualFleet::DidAnswer(const std::shared_ptr<Errand>& errand,
+                             const std::string& request_id,
+                             const query::ForwardedAnswer& answer) {
+  const ClassPlan& plan =
+      plan_.classes[static_cast<std::size_t>(errand->class_index)];
+  int missing = 0;
+  if (const auto* refused = std::get_if<query::Refused>(&answer)) {
+    if (runs_[request_id] > 0) {
+      Violate(request_id + " was refused as not run, and ran");
+    }
+    Retry(errand, refused->retry_after);
+    return;
+  }
+  if (std::holds_alternative<query::Unknown>(answer)) {
+    if (plan.is_idempotent) {
+      Retry(errand, {});
+    } else {
+      ++CountsOf(*errand).failed;
+    }
+    return;
+  }
+  if (const auto* passed = std::get_if<query::PassedOn>(&answer)) {
+    if (passed->message.result() != http1::Status::ok) {
+      ++CountsOf(*errand).failed;
+      return;
+    }
+  }
+  if (const auto* gathered = std::get_if<query::Gathered>(&answer)) {
+    missing = gathered->missing;
+  }
+  const base::Duration latency = clock_.Now() - errand->began;
+  CallerCounts& counts = CountsOf(*errand);
+  counts.latencies.push_back(latency);
+  if (latency > plan.target) {
+    ++counts.late;
+    return;
+  }
+  const double share = 1.0 - static_cast<double>(missing) / plan.shards;
+  ++counts.in_time;
+  counts.missing += missing;
+  counts.credit += share * share;
+}
+
+void VirtualFleet::Retry(const std::shared_ptr<Errand>& errand,
+                         base::Duration pause) {
+  const ClassPlan& plan =
+      plan_.classes[static_cast<std::size_t>(errand->class_index)];
+  const base::Duration left = errand->began + plan.deadline - clock_.Now();
+  constexpr int kMostTries = 2;
+  if (errand->tries >= kMostTries || left <= base::Duration{}) {
+    CallerCounts& counts = CountsOf(*errand);
+    ++(pause > base::Duration{} ? counts.refused : counts.failed);
+    return;
+  }
+  (void)runner_.After(std::min(pause, left / kLongestPauseShare),
+                      [this, errand] { Try(errand); });
+}
+
+CallerCounts& VirtualFleet::CountsOf(const Errand& errand) {
+  const std::string& name =
+      plan_.classes[static_cast<std::size_t>(errand.class_index)].name;
+  return report_.classes[name][static_cast<std::size_t>(errand.second)];
+}
+
+void VirtualFleet::CountArrival(const std::string& request_id,
+                                const std::string& leaf) {
+  const std::string& collection = world_.leaves.at(leaf)->upstream().collection;
+  const std::int64_t part = (clock_.Now() - start()).count() /
+                            (plan_.extra_sends.window.count() / kWindowParts);
+  Arrivals& arrivals = arrivals_[collection][part];
+  ++report_.sends;
+  // Leaves count the requests that callers sent, whether they arrived or not;
+  // here every request that reached a leaf counts, which is stricter.
+  if (++sent_to_[request_id][collection] == 1) {
+    ++arrivals.requests;
+  } else {
+    ++arrivals.extra;
+    ++report_.extra_sends;
+  }
+}
+
+void VirtualFleet::CheckExtraSends() {
+  const auto sum = [](const std::map<std::int64_t, Arrivals>& parts,
+                      std::int64_t first) {
+    Arrivals all;
+    for (auto row = parts.lower_bound(first);
+         row != parts.end() && row->first < first + kWindowParts; ++row) {
+      all.requests += row->second.requests;
+      all.extra += row->second.extra;
+    }
+    return all;
+  };
+  for (const auto& [collection, parts] : arrivals_) {
+    for (const auto& [first, ignored] : parts) {
+      const int requests =
+          std::max({sum(parts, first).requests,
+                    sum(parts, first - kWindowParts / 2).requests,
+                    sum(parts, first - kWindowParts).requests});
+      const admission::ExtraSendBound checked =
+          plan_.checked_extra_sends.value_or(plan_.extra_sends);
+      const double bound = checked.share * requests + checked.slack;
+      if (sum(parts, first).extra > bound) {
+        Violate(collection + " got more extra sends in a window than " +
+                std::to_string(bound));
+      }
+    }
+  }
+}
+
+void VirtualFleet::Violate(const std::string& what) {
+  if (report_.violations.size() < kMostViolations) {
+    report_.violations.push_back(what);
+  }
+}
+
+}  // namespace medlarspread::emulator
--- /dev/null
+++ b/emulator/fleet/virtual_leaf.h
@@ -0,0 +1,88 @@
+// A leaf in virtual time: slots, a queue, pauses, and whatever is wrong with
+// it.
+
+#ifndef MEDLARSPREAD_EMULATOR_FLEET_VIRTUAL_LEAF_H_
+#define MEDLARSPREAD_EMULATOR_FLEET_VIRTUAL_LEAF_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "emulator/fleet/fleet_plan.h"
+#include "src/base/clock.h"
+#include "src/base/random.h"
+#include "src/base/task_runner.h"
+#include "src/blackboard/views.h"
+#include "src/upstream/leaf_port.h"
+
+namespace medlarspread::emulator {
+
+class VirtualLeaf : public std::enable_shared_from_this<VirtualLeaf> {
+ public:
+  // What is wrong with a leaf at the moment.
+  struct Faults {
+    double slowness = 1.0;
+    double reset_probability = 0.0;
+    double shed_probability = 0.0;
+    bool is_dark = false;
+  };
+
+  struct Job {
+    base::Duration work{};
+    base::MonotonicTime deadline;
+    // Called once, unless the leaf is dark or the job was dropped.
+    std::function<void(upstream::LeafOutcome)> done;
+    // Called when a slot takes the job.
+    std::function<void()> will_run;
+  };
+
+  VirtualLeaf(blackboard::Upstream upstream,
+              const LeafPlan& plan,
+              double speed,
+              base::Clock clock,
+              base::TaskRunner runner,
+              std::shared_ptr<base::Random> random);
+
+  // The job's number, for Drop().
+  std::uint64_t Take(Job job);
+  // The connection of the job was closed: the work on it ends.
+  void Drop(std::uint64_t number);
+
+  // False if all connections are taken: the new one is reset.
+  bool Connect();
+  void Disconnect() { --connections_; }
+
+  Faults& faults() { return faults_; }
+  const blackboard::Upstream& upstream() const { return upstream_; }
+  int resets() const { return resets_; }
+
+ private:
+  void StartNext();
+  void Run(std::uint64_t number, Job job);
+  void End(std::uint64_t number, upstream::LeafOutcome outcome);
+  // When work that starts now is done, pauses included.
+  base::MonotonicTime EndOf(base::Duration work) const;
+
+  const blackboard::Upstream upstream_;
+  const LeafPlan plan_;
+  const double speed_;
+  const base::Clock clock_;
+  const base::TaskRunner runner_;
+  const std::shared_ptr<base::Random> random_;
+  // When its pauses begin, after a multiple of the interval.
+  const base::Duration pause_phase_;
+  Faults faults_;
+  std::deque<std::pair<std::uint64_t, Job>> queue_;
+  // Invariant: no more than the slots.
+  std::map<std::uint64_t, Job> running_;
+  std::uint64_t numbers_ = 0;
+  int connections_ = 0;
+  // Connections beyond the cap.
+  int resets_ = 0;
+};
+
+}  // namespace medlarspread::emulator
+
+#endif  // MEDLARSPREAD_EMULATOR_FLEET_VIRTUAL_LEAF_H_
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <string_view>
 
+#include "emulator/fleet/fleet_command.h"
 #include "emulator/hosted/hosted_command.h"
 #include "emulator/leaf/leaf_command.h"
 #include "emulator/load/load_command.h"
@@ -23,7 +24,7 @@
 constexpr std::array kCommands{
     Command{"platform", RunPlatform}, Command{"leaf", RunLeaf},
     Command{"leaves", RunLeaves}, Command{"load", RunLoad},
-    Command{"hosted", RunHosted}};
+    Command{"hosted", RunHosted}, Command{"fleet", RunFleet}};
 constexpr int kUsageError = 2;
 
 int Usage() {
--- /dev/null
+++ b/tests/fleet/load_patterns_test.cc
@@ -0,0 +1,58 @@
+// The heaviest loads, played in virtual time on several seeds: what callers
+// must be served at the least. The bars stand below what was measured by about
+// the spread of the seeds; what a bar defends is written beside it.
+
+#include <gtest/gtest.h>
+
+#include "emulator/fleet/patterns.h"
+#include "emulator/fleet/virtual_fleet.h"
+
+namespace medlarspread::emulator {
+namespace {
+
+constexpr std::uint64_t kSeeds = 8;
+
+// The seconds that the pattern is about, over all seeds.
+CallerCounts Play(const char* name) {
+  const Pattern* pattern = FindPattern(name);
+  CallerCounts all;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const FleetReport report = VirtualFleet(pattern->make(seed)).Run();
+    EXPECT_EQ(report.violations, std::vector<std::string>{})
+        << name << ", seed " << seed;
+    all += report.Sum(pattern->first_second, pattern->last_second);
+  }
+  return all;
+}
+
+// Pauses of the leaves alone cost callers nothing: second sends go round them.
+TEST(LoadPatternsTest, PausesCostNothing) {
+  EXPECT_GT(Play("calm").mean_credit(), 0.997);
+}
+
+TEST(LoadPatternsTest, SlowLeavesAreGoneRound) {
+  EXPECT_GT(Play("slow_leaves").mean_credit(), 0.975);
+}
+
+TEST(LoadPatternsTest, SilentLeavesAreGoneRound) {
+  EXPECT_GT(Play("dark_leaf").mean_credit(), 0.98);
+}
+
+TEST(LoadPatternsTest, RefusingLeavesAreGoneRound) {
+  EXPECT_GT(Play("sheds").mean_credit(), 0.92);
+}
+
+// Deployments that nobody has tuned anything for: no invariant breaks.
+class DrawnFleetTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(DrawnFleetTest, KeepsItsPromises) {
+  const FleetReport report = VirtualFleet(DrawPlan(GetParam())).Run();
+  EXPECT_EQ(report.violations, std::vector<std::string>{});
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         DrawnFleetTest,
+                         testing::Range<std::uint64_t>(1, 61));
+
+}  // namespace
+}  // namespace medlarspread::emulator
