Query: Log for each shard left out what kept it from one more send

The log named the shards without an answer and not the reason, so that what binds could only be guessed. Each has its sends and the obstacle now: no leaf, no room, budget or attempts used up, too late. No change in what is sent.

--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -140,10 +140,12 @@
   const auto index = dependencies_->index();
   const blackboard::Upstream* leaf = NextLeaf(shard);
   if (leaf == nullptr) {
+    shard.obstacle = WhyNoLeaf(shard);
     return false;
   }
   if (payment == Payment::kFromBudget) {
     if (!dependencies_->take_extra_send(shard.collection)) {
+      shard.obstacle = SendObstacle::kBudgetUsedUp;
       return false;
     }
     ++extra_sends_;
@@ -152,6 +154,28 @@
   return true;
 }
 
+bool FanOutSession::TrySendElsewhere(Shard& shard, Payment payment) {
+  if (shard.leaves >= most_leaves_) {
+    shard.obstacle = SendObstacle::kAttemptsUsedUp;
+    return false;
+  }
+  if (time_left() < kReplyMargin + kLeastTimeLeft) {
+    shard.obstacle = SendObstacle::kTooLate;
+    return false;
+  }
+  return TrySend(shard, payment);
+}
+
+SendObstacle FanOutSession::WhyNoLeaf(const Shard& shard) const {
+  const auto& leaves = dependencies_->index()->LeavesOf(shard.collection);
+  const bool is_one_full =
+      std::any_of(leaves.begin(), leaves.end(), [&](const auto* leaf) {
+        return MayUse(shard, *leaf) && dependencies_->leaves.readiness(*leaf) ==
+                                           upstream::Readiness::kFull;
+      });
+  return is_one_full ? SendObstacle::kNoRoom : SendObstacle::kNoLeaf;
+}
+
 const blackboard::Upstream* FanOutSession::NextLeaf(const Shard& shard) const {
   return dependencies_->tracker->Choose(
       dependencies_->index()->LeavesOf(shard.collection), route_.targets.name,
@@ -272,7 +296,7 @@
   }
   const bool may_repeat = route_.is_idempotent || did_not_run;
   const Payment payment = never_left ? Payment::kFree : Payment::kFromBudget;
-  if (may_repeat && MaySendElsewhere(shard) && TrySend(shard, payment)) {
+  if (may_repeat && TrySendElsewhere(shard, payment)) {
     return;
   }
   if (may_repeat && PlanRepeat(shard)) {
@@ -330,8 +354,8 @@
     }
     latest.was_overdue = true;
     dependencies_->tracker->DidStall(latest.leaf);
-    if (route_.is_idempotent && MaySendElsewhere(shard)) {
-      (void)TrySend(shard, Payment::kFromBudget);
+    if (route_.is_idempotent) {
+      (void)TrySendElsewhere(shard, Payment::kFromBudget);
     }
   }
 }
@@ -482,12 +506,6 @@
 }
 
 void FanOutSession::LogAnswer(const ForwardedAnswer& answer) const {
-  std::string missing;
-  for (const Shard& shard : shards_) {
-    if (shard.state != ShardState::kAnswered) {
-      missing += (missing.empty() ? " missing=" : ",") + shard.collection;
-    }
-  }
   dependencies_->log.Write(
       {.level = base::LogLevel::kInfo,
        .step = Step::kForward,
@@ -498,7 +516,23 @@
            std::to_string((dependencies_->clock.Now() - arrived_).count() /
                           1000) +
            " sends=" + std::to_string(sends_) +
-           " extra=" + std::to_string(extra_sends_) + missing});
+           " extra=" + std::to_string(extra_sends_) + DescribeMissing()});
+}
+
+std::string FanOutSession::DescribeMissing() const {
+  std::string text;
+  for (const Shard& shard : shards_) {
+    if (shard.state == ShardState::kAnswered) {
+      continue;
+    }
+    text += (text.empty() ? " missing=" : ",") + shard.collection +
+            "/sends:" + std::to_string(shard.sends) +
+            "/obstacle:" + kSendObstacleNames.NameOf(shard.obstacle);
+    if (!shard.attempts.empty()) {
+      text += "/last:" + shard.attempts.back()->leaf.name;
+    }
+  }
+  return text;
 }
 
 bool FanOutSession::is_gather() const {
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -101,8 +101,12 @@
 
   void SendTo(Shard& shard, const blackboard::Upstream& leaf);
   // Sends the shard to a leaf that it was not sent to yet; false if none may
-  // take it or the budget is used up.
+  // take it or the budget is used up, which the shard then notes.
   bool TrySend(Shard& shard, Payment payment);
+  // The same for a further leaf, if the route and the time allow one.
+  bool TrySendElsewhere(Shard& shard, Payment payment);
+  // Why NextLeaf() finds none.
+  SendObstacle WhyNoLeaf(const Shard& shard) const;
   // Sends a shard that found no leaf so far, or gives it up after a while.
   void SendWaiting(Shard& shard, base::MonotonicTime now);
   // Whether the route allows one more leaf.
@@ -132,6 +136,9 @@
   base::MonotonicTime NextDue() const;
   void Finish(ForwardedAnswer answer);
   void LogAnswer(const ForwardedAnswer& answer) const;
+  // The shards without an answer, each with its sends and what kept it from
+  // more.
+  std::string DescribeMissing() const;
 
   bool is_gather() const;
   base::Duration time_left() const {
--- a/src/query/fan_out_shard.h
+++ b/src/query/fan_out_shard.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/base/clock.h"
+#include "src/base/name_table.h"
 #include "src/blackboard/views.h"
 #include "src/upstream/forward_port.h"
 
@@ -17,6 +18,30 @@
 
 enum class ShardState { kOpen, kAnswered, kFailed };
 
+// What kept a shard from being sent to one more leaf, the last time that was
+// due.
+enum class SendObstacle {
+  kNone,
+  // All leaves were sent to already, or none is known.
+  kNoLeaf,
+  // The others have no connection free.
+  kNoRoom,
+  kBudgetUsedUp,
+  // The route allows no further leaf.
+  kAttemptsUsedUp,
+  // Too little time was left.
+  kTooLate,
+};
+
+inline constexpr base::NameTable<SendObstacle, 6> kSendObstacleNames{{{
+    {SendObstacle::kNone, "none"},
+    {SendObstacle::kNoLeaf, "no_leaf"},
+    {SendObstacle::kNoRoom, "no_room"},
+    {SendObstacle::kBudgetUsedUp, "budget_used_up"},
+    {SendObstacle::kAttemptsUsedUp, "attempts_used_up"},
+    {SendObstacle::kTooLate, "too_late"},
+}}};
+
 // One send to one leaf.
 struct ShardAttempt {
   blackboard::Upstream leaf;
@@ -46,6 +71,7 @@
   int sends = 0;
   // When to send again after a refusal; zero if that is not planned.
   base::MonotonicTime again_at;
+  SendObstacle obstacle = SendObstacle::kNone;
   // No leaf had room; the shard waits for one.
   bool is_waiting = false;
   upstream::ForwardReply reply;
