--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -28,6 +28,7 @@
 #include "src/base/random.h"
 #include "src/blackboard/views.h"
 #include "src/routing/leaf_index.h"
+#include "src/routing/leaf_pace.h"
 #include "src/upstream/forward_port.h"
 
 namespace medlarspread::routing {
@@ -38,6 +39,19 @@
   std::string failure_domain;
 };
 
+// What a request needs of its leaf.
+struct LeafNeed {
+  // Its class of work.
+  std::string class_name;
+  // Within this time it should be answered.
+  base::Duration target{};
+  // Whether it may be sent again after a failure that may have run.
+  bool is_repeatable = true;
+  // Whether the caller can do without this reply: then it isn't sent to a leaf
+  // that would answer late.
+  bool is_optional = false;
+};
+
 class LeafTracker {
  public:
   LeafTracker(Place place,
@@ -49,10 +63,10 @@
   using ReadinessOf =
       std::function<upstream::Readiness(const blackboard::Upstream&)>;
 
-  // The leaf with the earliest expected reply to a request of the class, or
-  // null if none of `leaves` may be sent to now.
+  // The leaf with the earliest expected reply, what a failure would cost
+  // included, or null if none of `leaves` may be sent to now.
   const blackboard::Upstream* Choose(const LeafIndex::Leaves& leaves,
-                                     const std::string& class_name,
+                                     const LeafNeed& need,
                                      const MayUse& may_use,
                                      const ReadinessOf& readiness_of);
   // What a request of the class takes at a leaf that has nothing else to do for
@@ -65,10 +79,12 @@
                                  base::Duration first_delay) const;
 
   void DidSend(const blackboard::Upstream& leaf, base::MonotonicTime now);
-  // The end of a request that was sent at `sent`.
+  // The end of a request that was sent at `sent`, in time for its target or
+  // not.
   void DidReply(const blackboard::Upstream& leaf,
                 const std::string& class_name,
                 base::MonotonicTime sent,
+                bool is_in_time,
                 const upstream::ForwardReply& reply);
   // A request sent at `sent` was cancelled: it says nothing of the leaf.
   void DidCancel(const blackboard::Upstream& leaf, base::MonotonicTime sent);
@@ -92,6 +108,7 @@
     int stalls_in_a_row = 0;
     base::MonotonicTime avoid_until;
     base::MonotonicTime stalled_until;
+    LeafPace pace;
   };
   struct Work {
     admission::SecondSendPolicy second_sends;
@@ -102,8 +119,10 @@
     double alone = 0.0;
   };
 
+  bool IsInTime(const blackboard::Upstream& leaf,
+                base::MonotonicTime now) const;
   double Expect(const blackboard::Upstream& leaf,
-                const std::string& class_name,
+                const LeafNeed& need,
                 base::MonotonicTime now) const;
   // Microseconds that a reply from the domain takes longer than one from the
   // nearest.
--- a/tests/routing/leaf_tracker_test.cc
+++ b/tests/routing/leaf_tracker_test.cc
@@ -14,6 +14,7 @@
 using upstream::LeafOutcome;
 
 constexpr const char* kClass = "lookup";
+constexpr bool kInTime = true;
 
 class LeafTrackerTest : public testing::Test {
  protected:
@@ -31,8 +32,13 @@
   }
 
   const Upstream* Choose(const std::set<std::string>& excluded = {}) {
+    return ChooseFor({kClass, Milliseconds(100)}, excluded);
+  }
+
+  const Upstream* ChooseFor(const LeafNeed& need,
+                            const std::set<std::string>& excluded = {}) {
     return tracker_.Choose(
-        leaves_, kClass,
+        leaves_, need,
         [&excluded](const Upstream& leaf) {
           return !excluded.contains(leaf.name);
         },
@@ -49,7 +55,7 @@
     ForwardReply reply;
     reply.outcome = outcome;
     reply.service_time = base::Milliseconds(milliseconds);
-    tracker_.DidReply(leaf, kClass, sent, reply);
+    tracker_.DidReply(leaf, kClass, sent, kInTime, reply);
   }
 
   void Learn() {
@@ -93,7 +99,7 @@
   ForwardReply reply;
   reply.outcome = LeafOutcome::kAnswered;
   reply.service_time = base::Milliseconds(100);
-  tracker_.DidReply(near_, kClass, sent, reply);
+  tracker_.DidReply(near_, kClass, sent, kInTime, reply);
   EXPECT_EQ(Choose(), &near_);
 }
 
@@ -135,7 +141,8 @@
 
 TEST_F(LeafTrackerTest, SkipsALeafWithoutRoom) {
   const auto* leaf = tracker_.Choose(
-      leaves_, kClass, [](const Upstream&) { return true; },
+      leaves_, {kClass, Milliseconds(100)},
+      [](const Upstream&) { return true; },
       [this](const Upstream& candidate) {
         return &candidate == &near_ ? upstream::Readiness::kFull
                                     : upstream::Readiness::kOpen;
@@ -153,7 +160,8 @@
   leaves_ = {&far_, &other};
   for (int request = 0; request < 20; ++request) {
     const auto* leaf = tracker_.Choose(
-        leaves_, kClass, [](const Upstream&) { return true; },
+        leaves_, {kClass, Milliseconds(100)},
+        [](const Upstream&) { return true; },
         [&other](const Upstream& candidate) {
           return &candidate == &other ? upstream::Readiness::kOpen
                                       : upstream::Readiness::kMustConnect;
@@ -186,5 +194,54 @@
   EXPECT_GT(far_delay, near_delay + base::Milliseconds(10));
 }
 
+// The near leaf loses every other answer. A reply from the far one takes 40 ms
+// more and is in time all the same.
+TEST_F(LeafTrackerTest, ASoundLeafFartherAwayBeatsOneThatLosesAnswers) {
+  for (int request = 0; request < 100; ++request) {
+    Serve(near_, 8);
+    Serve(far_, 48);
+  }
+  for (int request = 0; request < 8; ++request) {
+    const bool is_lost = request % 2 == 0;
+    Serve(near_, 8, is_lost ? LeafOutcome::kLost : LeafOutcome::kAnswered);
+    time_->Advance(Milliseconds(50));
+  }
+  EXPECT_EQ(ChooseFor({kClass, Milliseconds(200)}), &far_);
+  // Where a reply from there would be too late, the near one is better.
+  EXPECT_EQ(ChooseFor({kClass, Milliseconds(60)}), &near_);
+}
+
+// One answer was lost a while ago: a request that can be sent again takes the
+// near leaf all the same, one that can't goes round it.
+TEST_F(LeafTrackerTest, AFailureThatIsFinalWeighsMore) {
+  Learn();
+  Serve(near_, 8, LeafOutcome::kLost);
+  time_->Advance(Milliseconds(3'000));
+  const LeafNeed repeatable{kClass, Milliseconds(100), true};
+  const LeafNeed final{kClass, Milliseconds(100), false};
+  EXPECT_EQ(ChooseFor(repeatable), &near_);
+  EXPECT_EQ(ChooseFor(final), &far_);
+}
+
+TEST_F(LeafTrackerTest, WhatTheCallerCanDoWithoutIsNotSentToALateLeaf) {
+  Learn();
+  const LeafNeed needed{kClass, Milliseconds(100)};
+  LeafNeed optional = needed;
+  optional.is_optional = true;
+  EXPECT_EQ(ChooseFor(optional, {"far"}), &near_);
+  for (int request = 0; request < 30; ++request) {
+    const base::MonotonicTime sent = clock_.Now();
+    tracker_.DidSend(near_, sent);
+    time_->Advance(Milliseconds(150));
+    ForwardReply reply;
+    reply.outcome = LeafOutcome::kAnswered;
+    reply.service_time = Milliseconds(150);
+    tracker_.DidReply(near_, kClass, sent, !kInTime, reply);
+  }
+  EXPECT_EQ(ChooseFor(optional, {"far"}), nullptr);
+  EXPECT_EQ(ChooseFor(optional), &far_);
+  EXPECT_EQ(ChooseFor(needed, {"far"}), &near_);
+}
+
 }  // namespace
 }  // namespace medlarspread::routing
