Routing: Let a leaf's pace have no bound before a reply was late

Cause: the window stood at 16 from the start, so that a daemon that is let send 380 requests at once sent a leaf 16 of them; query.OverloadTest.WhatCannotBeAnsweredInTimeIsRefusedBeforeAnySend failed in the first run of all tests with it. A fixed bound follows nothing that was observed.

--- a/src/routing/leaf_pace.h
+++ b/src/routing/leaf_pace.h
@@ -3,20 +3,24 @@
 //
 // A shard whose leaves have all become slow can answer a part of what it is
 // asked. First come, first served, nobody gets an answer in time: each waits
-// behind those that have given up already. So a daemon sends a leaf no more than
-// what comes back in time; the requests beyond that are answered without the
-// shard, early, if their coverage target allows it.
+// behind those that have given up already. So a daemon sends a leaf no more
+// than what comes back in time; the requests beyond that are answered without
+// the shard, early, if their coverage target allows it.
 //
-// The window grows a little with each reply in time and shrinks by a part with
-// each late one. Below one it stands for the time between two sends. Daemons
-// that share a leaf find their parts without knowing of each other, as senders
-// that share a network path do.
+// There is no window until a reply was late; it then begins at what was in
+// flight. It grows a little with each reply in time, shrinks by a part with
+// each late one and is forgotten some seconds after the last. Below one it
+// stands for the time between two sends. Daemons that share a leaf find their
+// parts without knowing of each other, as senders that share a network path do.
 //
 // Pure decision code; calls come from one sequence.
 
 #ifndef MEDLARSPREAD_ROUTING_LEAF_PACE_H_
 #define MEDLARSPREAD_ROUTING_LEAF_PACE_H_
 
+#include <cstddef>
+#include <optional>
+
 #include "src/base/clock.h"
 
 namespace medlarspread::routing {
@@ -27,18 +31,20 @@
   // tell.
   bool MaySend(std::size_t in_flight, base::MonotonicTime now) const;
   void DidSend(base::MonotonicTime now) { sent_ = now; }
-  // A request ended `time` after it was sent, in time for its target or not.
-  void DidEnd(bool is_in_time, base::Duration time, base::MonotonicTime now);
-
-  double window() const { return window_; }
+  // A request ended `time` after it was sent, in time for its target or not,
+  // and left so many others at the leaf.
+  void DidEnd(bool is_in_time,
+              base::Duration time,
+              std::size_t in_flight,
+              base::MonotonicTime now);
 
  private:
-  // Far more than any load keeps at one leaf.
-  static constexpr double kWidest = 16.0;
+  void DidEndInTime();
 
-  // Invariant: more than 0 and at most kWidest.
-  double window_ = kWidest;
+  // Requests; absent while nothing is bounded.
+  std::optional<double> window_;
   base::MonotonicTime sent_;
+  // When a late reply last made the window smaller.
   base::MonotonicTime shrunk_;
   // What the last request took.
   base::Duration last_time_{};
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -136,7 +136,8 @@
   Row& row = rows_[leaf.name];
   if (reply.outcome == LeafOutcome::kAnswered ||
       reply.outcome == LeafOutcome::kTimeout) {
-    row.pace.DidEnd(is_in_time, reply.service_time, clock_.Now());
+    row.pace.DidEnd(is_in_time, reply.service_time, row.in_flight.size(),
+                    clock_.Now());
   }
   LearnFailure(row, reply.outcome != LeafOutcome::kAnswered, clock_.Now());
   switch (reply.outcome) {
