--- a/emulator/fleet/fleet_command.cc
+++ b/emulator/fleet/fleet_command.cc
@@ -27,6 +27,7 @@
   bool by_second = false;
   // Play plans drawn from the seeds instead of patterns.
   bool is_drawn = false;
+  base::Mechanism without = base::Mechanism::kNothing;
 };
 
 std::optional<FleetOptions> ParseOptions(int count, char** arguments) {
@@ -40,6 +41,9 @@
   add("by-second", "a row for each second", cxxopts::value(parsed.by_second));
   add("drawn", "plans drawn from the seeds instead of patterns",
       cxxopts::value(parsed.is_drawn));
+  std::string without = "nothing";
+  add("without", "a mechanism that all daemons leave out",
+      cxxopts::value(without));
   add("help", "this text");
   try {
     const auto result = options.parse(count, arguments);
@@ -54,6 +58,12 @@
     std::cerr << failure.what() << "\n";
     return std::nullopt;
   }
+  const auto mechanism = base::kMechanismNames.ValueOf(without);
+  if (!mechanism) {
+    std::cerr << "unknown mechanism " << without << "\n";
+    return std::nullopt;
+  }
+  parsed.without = *mechanism;
   if (!parsed.pattern.empty() && FindPattern(parsed.pattern) == nullptr) {
     std::cerr << "unknown pattern " << parsed.pattern << "; see --help\n";
     return std::nullopt;
@@ -128,7 +138,9 @@
   if (options->is_drawn) {
     CallerCounts all;
     for (auto seed = options->first_seed; seed < last_seed; ++seed) {
-      all += Play("drawn", DrawPlan(seed), 2, 14, options->by_second, is_sound);
+      FleetPlan plan = DrawPlan(seed);
+      plan.without = options->without;
+      all += Play("drawn", plan, 2, 14, options->by_second, is_sound);
     }
     PrintRow("drawn, all seeds", all);
     return is_sound ? 0 : 1;
@@ -139,9 +151,10 @@
     }
     CallerCounts all;
     for (auto seed = options->first_seed; seed < last_seed; ++seed) {
-      all += Play(std::string(pattern.name), pattern.make(seed),
-                  pattern.first_second, pattern.last_second, options->by_second,
-                  is_sound);
+      FleetPlan plan = pattern.make(seed);
+      plan.without = options->without;
+      all += Play(std::string(pattern.name), plan, pattern.first_second,
+                  pattern.last_second, options->by_second, is_sound);
     }
     PrintRow(std::string(pattern.name) + ", all seeds", all);
   }
--- a/emulator/fleet/fleet_plan.h
+++ b/emulator/fleet/fleet_plan.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "src/admission/extra_send_budget.h"
+#include "src/base/ablation.h"
 #include "src/base/clock.h"
 #include "src/base/name_table.h"
 
@@ -109,6 +110,8 @@
   // How many times an even share of the callers the first daemon gets.
   double first_daemon_load = 1.0;
   base::Duration length = base::Milliseconds(24'000);
+  // Of all daemons.
+  base::Mechanism without = base::Mechanism::kNothing;
   std::uint64_t seed = 1;
 };
 
--- a/emulator/fleet/virtual_daemon.cc
+++ b/emulator/fleet/virtual_daemon.cc
@@ -30,14 +30,16 @@
                              const blackboard::RoutesView& routes)
     : world_(world),
       region_(std::move(region)),
-      service_({kMostInFlight, [this] { return world_.plan.extra_sends; }},
+      service_({kMostInFlight, [this] { return world_.plan.extra_sends; },
+                base::Ablation(world.plan.without)},
                world.clock,
                world.runner,
                blackboard_,
                std::make_shared<routing::LeafTracker>(
                    routing::Place{region_, region_},
                    world.clock,
-                   world.random),
+                   world.random,
+                   base::Ablation(world.plan.without)),
                {MakePort(), upstream::ForwardPort{},
                 [](const burn::RequestRecord&) {}, [](int) {}},
                base::Log()) {
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -93,14 +93,16 @@
                  settings_.extra_sends.share,
                  static_cast<double>(settings_.extra_sends.slack),
                  settings_.extra_sends.window};
-           }},
+           },
+           base::Ablation(settings_.measuring.without)},
           clock_,
           traffic_,
           blackboard_,
           std::make_shared<routing::LeafTracker>(
               routing::Place{settings_.vm.region, settings_.vm.failure_domain},
               clock_,
-              random_),
+              random_,
+              base::Ablation(settings_.measuring.without)),
           MakeQueryPorts(),
           log_) {}
 
@@ -298,7 +300,9 @@
 void OpaqueDaemon::PruneConnections() {
   traffic_.After(kPruneInterval, [this] {
     leaves_.Prune(*blackboard_.upstreams.Read());
-    leaves_.CloseSpare();
+    if (settings_.measuring.without != base::Mechanism::kSpareConnections) {
+      leaves_.CloseSpare();
+    }
     PruneConnections();
   });
 }
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -14,6 +14,7 @@
 namespace {
 
 using base::ErrorCode;
+using base::Mechanism;
 using base::Milliseconds;
 using base::MonotonicTime;
 using base::Step;
@@ -103,9 +104,7 @@
   for (Shard& shard : shards_) {
     for (const auto& attempt : shard.attempts) {
       if (!attempt->is_finished) {
-        attempt->is_finished = true;
-        attempt->call.cancel();
-        dependencies_->tracker->DidCancel(attempt->leaf, attempt->sent);
+        Cancel(*attempt);
       }
     }
   }
@@ -120,6 +119,12 @@
   return true;
 }
 
+void FanOutSession::Cancel(Attempt& attempt) {
+  attempt.is_finished = true;
+  attempt.call.cancel();
+  dependencies_->tracker->DidCancel(attempt.leaf, attempt.sent);
+}
+
 void FanOutSession::SendWaiting(Shard& shard, MonotonicTime now) {
   if (TrySend(shard, first_payment_)) {
     return;
@@ -230,7 +235,8 @@
 bool FanOutSession::PlanRepeat(Shard& shard) {
   const bool is_in_time =
       time_left() >= kRefusalPause + kReplyMargin + kLeastTimeLeft;
-  if (shard.refused.empty() || shard.sends >= kMostSends || !is_in_time) {
+  if (!has(Mechanism::kRepeats) || shard.refused.empty() ||
+      shard.sends >= kMostSends || !is_in_time) {
     return false;
   }
   for (const std::string& leaf : shard.refused) {
@@ -318,8 +324,13 @@
   shard.state = state;
   ++settled_;
   for (const auto& attempt : shard.attempts) {
-    if (!attempt->is_finished) {
+    if (attempt->is_finished) {
+      continue;
+    }
+    if (has(Mechanism::kLingering)) {
       attempt->call.let_linger();
+    } else {
+      Cancel(*attempt);
     }
   }
 }
@@ -362,14 +373,15 @@
     }
     latest.was_overdue = true;
     dependencies_->tracker->DidStall(latest.leaf);
-    if (route_.is_idempotent) {
+    if (route_.is_idempotent && has(Mechanism::kSecondSends)) {
       (void)TrySendElsewhere(shard, Payment::kFromBudget);
     }
   }
 }
 
 void FanOutSession::PrepareSecondSend(const Shard& shard) {
-  if (!route_.is_idempotent || !MaySendElsewhere(shard)) {
+  if (!route_.is_idempotent || !MaySendElsewhere(shard) ||
+      !has(Mechanism::kPreparedConnections)) {
     return;
   }
   const auto index = dependencies_->index();
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -28,6 +28,7 @@
 #include <string>
 #include <vector>
 
+#include "src/base/ablation.h"
 #include "src/base/clock.h"
 #include "src/base/log.h"
 #include "src/base/task_runner.h"
@@ -56,6 +57,7 @@
   // Tells the budget of a request's first send to the collection.
   std::function<void(const std::string& collection)> did_request;
   base::Log log;
+  base::Ablation ablation = {};
 };
 
 // How a session went, for metrics and the log.
@@ -125,6 +127,8 @@
                const std::string& leaf,
                upstream::ForwardReply reply);
   void Settle(Shard& shard, ShardState state);
+  // The leaf hears of it, and nothing is learnt.
+  void Cancel(Attempt& attempt);
   // Second sends, waiting shards, the target and the deadline: all that is due.
   void Wake();
   void SecondSends(base::MonotonicTime now);
@@ -143,6 +147,9 @@
   std::string DescribeMissing() const;
 
   bool is_gather() const;
+  bool has(base::Mechanism mechanism) const {
+    return dependencies_->ablation.has(mechanism);
+  }
   base::Duration time_left() const {
     return deadline_ - dependencies_->clock.Now();
   }
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -98,7 +98,8 @@
       [this](const std::string& collection) {
         BudgetOf(collection).DidRequest(clock_.Now());
       },
-      log_};
+      log_,
+      options_.ablation};
   dependencies_ =
       std::make_shared<const FanOutDependencies>(std::move(dependencies));
   HandoverDependencies handover{
@@ -209,7 +210,8 @@
     ForwardedCallback done) {
   std::vector<std::string> collections = CollectionsOf(*route);
   const routing::AggregatorChoice choice =
-      IsToAllShards(*route)
+      IsToAllShards(*route) &&
+              options_.ablation.has(base::Mechanism::kAggregators)
           ? aggregators_.For(collections, blackboard_.membership.Read(),
                              Index())
           : routing::AggregatorChoice{};
@@ -298,7 +300,8 @@
     const std::vector<std::string>& collections) {
   admission::BacklogGate& gate = in_work_->gates[collections.front()];
   const double slots = SlotsOf(collections);
-  if (gate.MayEnter(ExpectWork(route, request.waited), slots, clock_.Now())) {
+  if (!options_.ablation.has(base::Mechanism::kBacklogGate) ||
+      gate.MayEnter(ExpectWork(route, request.waited), slots, clock_.Now())) {
     return std::nullopt;
   }
   const base::Duration wait = gate.WaitAt(slots, clock_.Now());
--- a/src/query/forward_service.h
+++ b/src/query/forward_service.h
@@ -46,6 +46,7 @@
     int most_in_flight = 2000;
     // Of all daemons together, for each collection. Read at each request.
     std::function<admission::ExtraSendBound()> extra_sends;
+    base::Ablation ablation = {};
   };
 
   struct Ports {
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+using base::Mechanism;
 using blackboard::UpstreamState;
 using upstream::LeafOutcome;
 
@@ -65,10 +66,12 @@
 
 LeafTracker::LeafTracker(Place place,
                          base::Clock clock,
-                         std::shared_ptr<base::Random> random)
+                         std::shared_ptr<base::Random> random,
+                         base::Ablation ablation)
     : place_(std::move(place)),
       clock_(std::move(clock)),
-      random_(std::move(random)) {}
+      random_(std::move(random)),
+      ablation_(ablation) {}
 
 const blackboard::Upstream* LeafTracker::Choose(
     const LeafIndex::Leaves& leaves,
@@ -83,7 +86,8 @@
         leaf->state == UpstreamState::kUnreachable || !may_use(*leaf)) {
       continue;
     }
-    if (need.is_optional && !IsInTime(*leaf, now)) {
+    if (need.is_optional && ablation_.has(Mechanism::kLeafPace) &&
+        !IsInTime(*leaf, now)) {
       continue;
     }
     const upstream::Readiness readiness = readiness_of(*leaf);
@@ -92,7 +96,8 @@
     }
     // Jitter of up to a tenth spreads the daemons over leaves that look alike.
     double time = Expect(*leaf, need, now) * (1.0 + 0.1 * random_->Unit());
-    if (readiness == upstream::Readiness::kMustConnect) {
+    if (readiness == upstream::Readiness::kMustConnect &&
+        ablation_.has(Mechanism::kConnectCost)) {
       time += kConnectCost + Distance(*leaf);
     }
     if (best == nullptr || time < best_time) {
@@ -202,8 +207,9 @@
                            base::MonotonicTime now) const {
   const double typical = TypicalOf(need.class_name);
   double time = Distance(leaf);
-  double work =
-      leaf.state == UpstreamState::kCold ? typical * kColdFactor : typical;
+  const bool is_cold = leaf.state == UpstreamState::kCold &&
+                       ablation_.has(Mechanism::kColdStarts);
+  double work = is_cold ? typical * kColdFactor : typical;
   const auto row = rows_.find(leaf.name);
   if (row == rows_.end()) {
     return time + work;
@@ -211,9 +217,12 @@
   const Row& state = row->second;
   work *= Slowness(state, now);
   time += FailureShare(state, now) * FailureCost(need);
-  time += work * (1.0 + static_cast<double>(state.in_flight.size()) /
-                            std::max(1, leaf.slots));
-  if (!state.in_flight.empty()) {
+  const double in_flight = ablation_.has(Mechanism::kInFlight)
+                               ? static_cast<double>(state.in_flight.size())
+                               : 0.0;
+  time += work * (1.0 + in_flight / std::max(1, leaf.slots));
+  const bool counts_stalls = ablation_.has(Mechanism::kStalls);
+  if (counts_stalls && !state.in_flight.empty()) {
     const base::Duration age = now - *state.in_flight.begin();
     const auto patience = base::Duration(
         static_cast<std::int64_t>(kPatience * typical + Distance(leaf)));
@@ -221,10 +230,10 @@
       time += std::max(kStalledPenalty, static_cast<double>(age.count()));
     }
   }
-  if (now < state.stalled_until) {
+  if (counts_stalls && now < state.stalled_until) {
     time += kStalledPenalty;
   }
-  if (now < state.avoid_until) {
+  if (ablation_.has(Mechanism::kAvoidance) && now < state.avoid_until) {
     time += kFailingPenalty;
   }
   return time;
@@ -243,21 +252,28 @@
                                       : kFirstDistanceToRegion;
 }
 
-double LeafTracker::FailureShare(const Row& row, base::MonotonicTime now) {
+double LeafTracker::FailureShare(const Row& row,
+                                 base::MonotonicTime now) const {
+  if (!ablation_.has(Mechanism::kFailureShare)) {
+    return 0.0;
+  }
   const auto age = static_cast<double>((now - row.failure_share_at).count());
   return row.failure_share * std::exp(-age / kFailureForgotten);
 }
 
 void LeafTracker::LearnFailure(Row& row,
                                bool is_failure,
-                               base::MonotonicTime now) {
+                               base::MonotonicTime now) const {
   const double share = FailureShare(row, now);
   row.failure_share =
       share + kFailureWeight * ((is_failure ? 1.0 : 0.0) - share);
   row.failure_share_at = now;
 }
 
-double LeafTracker::Slowness(const Row& row, base::MonotonicTime now) {
+double LeafTracker::Slowness(const Row& row, base::MonotonicTime now) const {
+  if (!ablation_.has(Mechanism::kSlowness)) {
+    return 1.0;
+  }
   const auto age = static_cast<double>((now - row.slowness_at).count());
   return 1.0 + (row.slowness - 1.0) * std::exp(-age / kSlownessForgotten);
 }
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "src/admission/second_send_policy.h"
+#include "src/base/ablation.h"
 #include "src/base/clock.h"
 #include "src/base/random.h"
 #include "src/blackboard/views.h"
@@ -56,7 +57,8 @@
  public:
   LeafTracker(Place place,
               base::Clock clock,
-              std::shared_ptr<base::Random> random);
+              std::shared_ptr<base::Random> random,
+              base::Ablation ablation = {});
 
   // Whether the caller of Choose() takes a leaf at all.
   using MayUse = std::function<bool(const blackboard::Upstream&)>;
@@ -127,9 +129,9 @@
   // Microseconds that a reply from the domain takes longer than one from the
   // nearest.
   double Distance(const blackboard::Upstream& leaf) const;
-  static double Slowness(const Row& row, base::MonotonicTime now);
-  static double FailureShare(const Row& row, base::MonotonicTime now);
-  static void LearnFailure(Row& row, bool is_failure, base::MonotonicTime now);
+  double Slowness(const Row& row, base::MonotonicTime now) const;
+  double FailureShare(const Row& row, base::MonotonicTime now) const;
+  void LearnFailure(Row& row, bool is_failure, base::MonotonicTime now) const;
   double TypicalOf(const std::string& class_name) const;
   void Learn(const blackboard::Upstream& leaf,
              const std::string& class_name,
@@ -139,6 +141,7 @@
   const Place place_;
   const base::Clock clock_;
   const std::shared_ptr<base::Random> random_;
+  const base::Ablation ablation_;
   std::unordered_map<std::string, Row> rows_;
   std::unordered_map<std::string, Work> work_;
   // The fastest reply of late from each failure domain, in microseconds.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <string>
 
+#include "src/base/ablation.h"
 #include "src/base/clock.h"
 #include "src/base/log.h"
 #include "src/base/name_table.h"
@@ -140,6 +141,11 @@
   base::Duration window = base::Milliseconds(10'000);
 };
 
+// For measuring only.
+struct MeasuringSettings {
+  base::Mechanism without = base::Mechanism::kNothing;
+};
+
 struct DaemonSettings {
   // The file they were read from; empty if they were given as text.
   std::string file;
@@ -157,6 +163,7 @@
   BurnSettings burn;
   RoutingSettings routing;
   ExtraSendsSettings extra_sends;
+  MeasuringSettings measuring;
 };
 
 }  // namespace medlarspread::settings
--- a/src/settings/key_table.cc
+++ b/src/settings/key_table.cc
@@ -104,6 +104,23 @@
           {"queue_owner", "fixed_share", "random_replica"}};
 }
 
+ChoiceValue MechanismChoice() {
+  std::vector<std::string> names;
+  for (const auto& row : base::kMechanismNames.rows) {
+    names.emplace_back(row.second);
+  }
+  return {[](const DaemonSettings& settings) {
+            return base::kMechanismNames.NameOf(settings.measuring.without);
+          },
+          [](DaemonSettings& settings, std::string_view name) {
+            const auto mechanism = base::kMechanismNames.ValueOf(name);
+            settings.measuring.without =
+                mechanism.value_or(settings.measuring.without);
+            return mechanism.has_value();
+          },
+          std::move(names)};
+}
+
 std::vector<Key> VmKeys() {
   using Settings = DaemonSettings;
   constexpr auto kVm = &Settings::vm;
@@ -285,6 +302,9 @@
       {"extra_sends", "window_s",
        Time<seconds, kExtra, &ExtraSendsSettings::window>(1, 600), false,
        "The length of the window in which extra sends are counted."},
+      {"measuring", "without", MechanismChoice(), false,
+       "For measuring only: a mechanism that is left out. Used with the opaque "
+       "interface."},
   };
 }
 
