Query: Send nothing before enough shards have a leaf with room

Change: a request to all shards is held until enough shards for an answer have a leaf with room, for an eighth of its target at the most, and then refused with nothing sent, to come back after a quarter of the target.

--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -28,6 +28,15 @@
 // A request waits for a leaf with room for this part of its latency target:
 // after that the caller does better to come back.
 constexpr int kWaitShare = 5;
+// A request to all shards waits for room at enough of them for this part of its
+// latency target: a caller that is told then can come back and still be
+// answered in time. If it were sent to those that have room, and failed for
+// want of the others, their leaves had worked for nothing. In a burst of four
+// times the usual requests 0.866 of the credit is earned with it where 0.797
+// was (virtual fleet).
+constexpr int kHoldShare = 8;
+// The caller comes back after this part of its latency target.
+constexpr int kReturnShare = 4;
 // When to come back after a refusal: room appears within some service times,
 // and a leaf that is down is replaced within seconds.
 constexpr base::Duration kRetryAfter = Milliseconds(50);
@@ -82,12 +91,31 @@
     ConcludeFailed();
     return;
   }
-  for (Shard& shard : shards_) {
-    if (request_.leaves_of_others == 0) {
+  if (request_.leaves_of_others == 0) {
+    for (const Shard& shard : shards_) {
       dependencies_->did_request(shard.collection);
     }
+  }
+  if (is_gather() && !request_.is_part && !HasRoom()) {
+    is_held_ = true;
+    ArmTimer();
+    return;
+  }
+  SendAll();
+}
+
+bool FanOutSession::HasRoom() const {
+  const auto with_room = std::count_if(
+      shards_.begin(), shards_.end(),
+      [this](const Shard& shard) { return NextLeaf(shard) != nullptr; });
+  return with_room >= least_answers_;
+}
+
+void FanOutSession::SendAll() {
+  const MonotonicTime now = dependencies_->clock.Now();
+  for (Shard& shard : shards_) {
     shard.is_waiting = true;
-    SendWaiting(shard, arrived_);
+    SendWaiting(shard, now);
   }
   ConcludeIfDue();
   if (!is_finished_) {
@@ -95,6 +123,24 @@
   }
 }
 
+void FanOutSession::LookForRoom(MonotonicTime now) {
+  if (HasRoom()) {
+    is_held_ = false;
+    SendAll();
+    return;
+  }
+  const base::Duration target = route_.targets.latency;
+  if (now - arrived_ < target / kHoldShare) {
+    ArmTimer();
+    return;
+  }
+  last_error_ =
+      base::MakeError(ErrorCode::kOverloaded, Step::kForward, "",
+                      "too few shards have a leaf with room; nothing was sent");
+  Finish(Refused{request_.request_id, last_error_, target / kReturnShare,
+                 RefusalKind::kOverload});
+}
+
 bool FanOutSession::Abandon() {
   if (is_finished_) {
     return false;
@@ -349,6 +395,10 @@
     return;
   }
   const MonotonicTime now = dependencies_->clock.Now();
+  if (is_held_) {
+    LookForRoom(now);
+    return;
+  }
   for (Shard& shard : shards_) {
     if (shard.state == ShardState::kOpen && shard.is_waiting) {
       SendWaiting(shard, now);
@@ -480,6 +530,9 @@
 
 MonotonicTime FanOutSession::NextDue() const {
   const MonotonicTime now = dependencies_->clock.Now();
+  if (is_held_) {
+    return now + kRoomInterval;
+  }
   MonotonicTime due = deadline_;
   if (now < target_due_) {
     due = std::min(due, target_due_);
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -4,7 +4,10 @@
 // same here, since one collection is one shard.
 //
 // Steps:
-//   1. Each shard is sent to the leaf that should reply first.
+//   1. Each shard is sent to the leaf that should reply first; to all shards
+//   only
+//      once enough of them have a leaf with room. If that takes long, the
+//      request is refused before anything was sent.
 //   2. A shard whose reply is overdue is sent to a second leaf, if the request
 //      is idempotent, the route's attempts allow it and the collection's
 //      budget pays for it. The first reply counts.
@@ -104,6 +107,11 @@
   using Attempt = ShardAttempt;
   using Shard = FanOutShard;
 
+  // Whether enough shards for an answer could be sent now.
+  bool HasRoom() const;
+  void SendAll();
+  // Sends what was held back for want of room, or refuses it after a while.
+  void LookForRoom(base::MonotonicTime now);
   void SendTo(Shard& shard, const blackboard::Upstream& leaf);
   // Sends the shard to a leaf that it was not sent to yet; false if none may
   // take it or the budget is used up, which the shard then notes.
@@ -177,6 +185,8 @@
   int refusals_ = 0;
   // A send to a leaf may have run without an answer that can be given.
   bool may_have_run_;
+  // Nothing was sent yet, since too few shards had a leaf with room.
+  bool is_held_ = false;
   bool is_finished_ = false;
   base::Error last_error_;
   base::Timer timer_;
--- a/tests/fleet/load_patterns_test.cc
+++ b/tests/fleet/load_patterns_test.cc
@@ -74,8 +74,10 @@
 // Requests that lost the race to a second send are cancelled, but for one a
 // leaf, so that they take no slots from those that callers wait for. When all
 // of them went on for 250 ms it was 0.713.
-TEST(LoadPatternsTest, ABurstIsNotMadeWorseBySecondSends) {
-  EXPECT_GT(Play("burst").mean_credit(), 0.77);
+// Nor is anything sent of a request that lacks a leaf with room at too many
+// shards; when it was, 0.803.
+TEST(LoadPatternsTest, InABurstLeavesWorkForThoseThatAreAnswered) {
+  EXPECT_GT(Play("burst").mean_credit(), 0.84);
 }
 
 // A fleet that comes back knows nothing of its leaves, whose connections are
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -409,6 +409,54 @@
 }
 
 // More requests than the leaves can answer within the target.
+class RoomTest : public ForwardServiceTest {
+ protected:
+  void Fill(const std::string& collection) {
+    for (const char* domain : {"n1", "s1", "w1"}) {
+      leaves_.full().insert(collection + "-" + domain);
+    }
+  }
+};
+
+// Three of four shards make an answer.
+TEST_F(RoomTest, NothingIsSentBeforeEnoughShardsHaveRoom) {
+  Fill("shard0");
+  Fill("shard1");
+  Submit();
+  Advance(5);
+  EXPECT_TRUE(leaves_.sent().empty());
+  leaves_.full().erase("shard0-s1");
+  Advance(5);
+  EXPECT_EQ(leaves_.sent().size(), 3U);
+  EXPECT_FALSE(answer_.has_value());
+}
+
+TEST_F(RoomTest, WithoutRoomItIsRefusedBeforeAnySend) {
+  Fill("shard0");
+  Fill("shard1");
+  Submit();
+  Advance(12);
+  EXPECT_FALSE(answer_.has_value());
+  Advance(5);
+  const auto* refused = AnswerAs<Refused>();
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(refused->kind, RefusalKind::kOverload);
+  EXPECT_EQ(refused->retry_after, Milliseconds(25));
+  EXPECT_TRUE(leaves_.sent().empty());
+  EXPECT_EQ(service_.in_flight(), 0);
+}
+
+TEST_F(RoomTest, ACallerThatLeavesWhileItIsHeldIsNotAnswered) {
+  Fill("shard0");
+  Fill("shard1");
+  const ForwardService::Abandon abandon = Submit();
+  abandon();
+  leaves_.full().clear();
+  Advance(50);
+  EXPECT_FALSE(answer_.has_value());
+  EXPECT_TRUE(leaves_.sent().empty());
+}
+
 class OverloadTest : public ForwardServiceTest {
  protected:
   OverloadTest() {
