--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -1,4 +1,4 @@
-// The steps of fan_out_session.h.
+// The steps of fan_out_session.h, but for the sends (fan_out_sends.cc).
 
 #include "src/query/fan_out_session.h"
 
@@ -21,36 +21,8 @@
 using upstream::ForwardReply;
 using upstream::LeafOutcome;
 
-// A leaf stops at its deadline; its answer must still reach the caller.
-constexpr base::Duration kReplyMargin = Milliseconds(4);
 // How often a shard looks for a leaf with room.
 constexpr base::Duration kRoomInterval = Milliseconds(5);
-// A request waits for a leaf with room for this part of its latency target:
-// after that the caller does better to come back.
-constexpr int kWaitShare = 5;
-// A request to all shards waits for room at enough of them for this part of its
-// latency target: a caller that is told then can come back and still be
-// answered in time. If it were sent to those that have room, and failed for
-// want of the others, their leaves had worked for nothing. In a burst of four
-// times the usual requests 0.866 of the credit is earned with it where 0.797
-// was (virtual fleet).
-constexpr int kHoldShare = 8;
-// The caller comes back after this part of its latency target.
-constexpr int kReturnShare = 4;
-// When to come back after a refusal: room appears within some service times,
-// and a leaf that is down is replaced within seconds.
-constexpr base::Duration kRetryAfter = Milliseconds(50);
-// Until the times of a class are known, a second send follows after this part
-// of its latency target.
-constexpr int kFirstDelayShare = 3;
-// A connection for a second send is opened after this part of its delay. To
-// another region it takes 22 ms to open, as long as the delay itself.
-constexpr int kPreparePercent = 55;
-// A leaf that refused for want of room is asked again after this time; its
-// slots turn over in about as much.
-constexpr base::Duration kRefusalPause = Milliseconds(8);
-// Sends of one shard, refused ones included.
-constexpr int kMostSends = 5;
 
 bool IsCertainlyNotRun(LeafOutcome outcome) {
   return !upstream::MayHaveRun(outcome);
@@ -104,43 +76,6 @@
   SendAll();
 }
 
-bool FanOutSession::HasRoom() const {
-  const auto with_room = std::count_if(
-      shards_.begin(), shards_.end(),
-      [this](const Shard& shard) { return NextLeaf(shard) != nullptr; });
-  return with_room >= least_answers_;
-}
-
-void FanOutSession::SendAll() {
-  const MonotonicTime now = dependencies_->clock.Now();
-  for (Shard& shard : shards_) {
-    shard.is_waiting = true;
-    SendWaiting(shard, now);
-  }
-  ConcludeIfDue();
-  if (!is_finished_) {
-    ArmTimer();
-  }
-}
-
-void FanOutSession::LookForRoom(MonotonicTime now) {
-  if (HasRoom()) {
-    is_held_ = false;
-    SendAll();
-    return;
-  }
-  const base::Duration target = route_.targets.latency;
-  if (now - arrived_ < target / kHoldShare) {
-    ArmTimer();
-    return;
-  }
-  last_error_ =
-      base::MakeError(ErrorCode::kOverloaded, Step::kForward, "",
-                      "too few shards have a leaf with room; nothing was sent");
-  Finish(Refused{request_.request_id, last_error_, target / kReturnShare,
-                 RefusalKind::kOverload});
-}
-
 bool FanOutSession::Abandon() {
   if (is_finished_) {
     return false;
@@ -175,137 +110,6 @@
   }
 }
 
-void FanOutSession::SendWaiting(Shard& shard, MonotonicTime now) {
-  if (TrySend(shard, first_payment_)) {
-    return;
-  }
-  const bool has_leaves =
-      !dependencies_->index()->LeavesOf(shard.collection).empty();
-  if (has_leaves && now - arrived_ < route_.targets.latency / kWaitShare) {
-    return;
-  }
-  last_error_ =
-      base::MakeError(ErrorCode::kUnavailable, Step::kForward, shard.collection,
-                      has_leaves ? "no leaf has room" : "no leaf is known");
-  shard.is_waiting = false;
-  Settle(shard, ShardState::kFailed);
-}
-
-bool FanOutSession::TrySend(Shard& shard, Payment payment) {
-  const auto index = dependencies_->index();
-  const blackboard::Upstream* leaf = NextLeaf(shard);
-  if (leaf == nullptr) {
-    shard.obstacle = WhyNoLeaf(shard);
-    return false;
-  }
-  if (payment == Payment::kFromBudget) {
-    if (!dependencies_->take_extra_send(shard.collection)) {
-      shard.obstacle = SendObstacle::kBudgetUsedUp;
-      return false;
-    }
-    ++extra_sends_;
-  }
-  SendTo(shard, *leaf);
-  return true;
-}
-
-bool FanOutSession::TrySendElsewhere(Shard& shard, Payment payment) {
-  if (shard.leaves >= most_leaves_) {
-    shard.obstacle = SendObstacle::kAttemptsUsedUp;
-    return false;
-  }
-  if (time_left() < kReplyMargin + kLeastTimeLeft) {
-    shard.obstacle = SendObstacle::kTooLate;
-    return false;
-  }
-  return TrySend(shard, payment);
-}
-
-SendObstacle FanOutSession::WhyNoLeaf(const Shard& shard) const {
-  const auto& leaves = dependencies_->index()->LeavesOf(shard.collection);
-  const bool is_one_full =
-      std::any_of(leaves.begin(), leaves.end(), [&](const auto* leaf) {
-        return MayUse(shard, *leaf) && dependencies_->leaves.readiness(*leaf) ==
-                                           upstream::Readiness::kFull;
-      });
-  return is_one_full ? SendObstacle::kNoRoom : SendObstacle::kNoLeaf;
-}
-
-const blackboard::Upstream* FanOutSession::NextLeaf(const Shard& shard) const {
-  return dependencies_->tracker->Choose(
-      dependencies_->index()->LeavesOf(shard.collection),
-      {route_.targets.name, route_.targets.latency, route_.is_idempotent,
-       is_one_optional()},
-      [&](const blackboard::Upstream& leaf) { return MayUse(shard, leaf); },
-      dependencies_->leaves.readiness);
-}
-
-bool FanOutSession::is_one_optional() const {
-  const int failed = settled_ - answered_;
-  return static_cast<int>(shards_.size()) - failed > least_answers_;
-}
-
-bool FanOutSession::MayUse(const Shard& shard,
-                           const blackboard::Upstream& leaf) const {
-  const bool is_further_leaf = !shard.refused.contains(leaf.name);
-  if (is_further_leaf && shard.leaves >= most_leaves_) {
-    return false;
-  }
-  return !shard.excluded.contains(leaf.name);
-}
-
-void FanOutSession::SendTo(Shard& shard, const blackboard::Upstream& leaf) {
-  auto attempt = std::make_shared<Attempt>();
-  attempt->leaf = leaf;
-  attempt->sent = dependencies_->clock.Now();
-  const base::Duration delay = dependencies_->tracker->SecondSendDelay(
-      leaf, route_.targets.name, route_.targets.latency / kFirstDelayShare);
-  attempt->prepare = attempt->sent + delay * kPreparePercent / 100;
-  attempt->overdue = attempt->sent + delay;
-  shard.excluded.insert(leaf.name);
-  shard.leaves += shard.refused.erase(leaf.name) > 0 ? 0 : 1;
-  ++shard.sends;
-  shard.is_waiting = false;
-  ++sends_;
-  dependencies_->tracker->DidSend(leaf, attempt->sent);
-  const auto shard_index = static_cast<std::size_t>(&shard - shards_.data());
-  attempt->call = dependencies_->leaves.send(
-      leaf, {request_.request_id, request_.message, time_left() - kReplyMargin},
-      [self = shared_from_this(), shard_index, attempt](ForwardReply reply) {
-        self->DidReply(shard_index, attempt, std::move(reply));
-      });
-  shard.attempts.push_back(std::move(attempt));
-}
-
-bool FanOutSession::MaySendElsewhere(const Shard& shard) const {
-  return shard.leaves < most_leaves_ &&
-         time_left() >= kReplyMargin + kLeastTimeLeft;
-}
-
-bool FanOutSession::PlanRepeat(Shard& shard) {
-  const bool is_in_time =
-      time_left() >= kRefusalPause + kReplyMargin + kLeastTimeLeft;
-  if (!has(Mechanism::kRepeats) || shard.refused.empty() ||
-      shard.sends >= kMostSends || !is_in_time) {
-    return false;
-  }
-  for (const std::string& leaf : shard.refused) {
-    shard.excluded.erase(leaf);
-  }
-  shard.again_at = dependencies_->clock.Now() + kRefusalPause;
-  return true;
-}
-
-void FanOutSession::SendAgain(Shard& shard, MonotonicTime now) {
-  if (shard.again_at == MonotonicTime{} || now < shard.again_at) {
-    return;
-  }
-  shard.again_at = {};
-  if (!TrySend(shard, Payment::kFromBudget)) {
-    Settle(shard, ShardState::kFailed);
-  }
-}
-
 void FanOutSession::DidReply(std::size_t shard_index,
                              const std::shared_ptr<Attempt>& attempt,
                              ForwardReply reply) {
@@ -414,41 +218,6 @@
   }
 }
 
-void FanOutSession::SecondSends(MonotonicTime now) {
-  for (Shard& shard : shards_) {
-    if (shard.state != ShardState::kOpen || shard.attempts.empty()) {
-      continue;
-    }
-    Attempt& latest = *shard.attempts.back();
-    if (latest.is_finished || latest.was_overdue) {
-      continue;
-    }
-    if (!latest.was_prepared && now >= latest.prepare) {
-      latest.was_prepared = true;
-      PrepareSecondSend(shard);
-    }
-    if (now < latest.overdue) {
-      continue;
-    }
-    latest.was_overdue = true;
-    dependencies_->tracker->DidStall(latest.leaf);
-    if (route_.is_idempotent && has(Mechanism::kSecondSends)) {
-      (void)TrySendElsewhere(shard, Payment::kFromBudget);
-    }
-  }
-}
-
-void FanOutSession::PrepareSecondSend(const Shard& shard) {
-  if (!route_.is_idempotent || !MaySendElsewhere(shard) ||
-      !has(Mechanism::kPreparedConnections)) {
-    return;
-  }
-  const auto index = dependencies_->index();
-  if (const blackboard::Upstream* leaf = NextLeaf(shard)) {
-    dependencies_->leaves.prepare(*leaf);
-  }
-}
-
 void FanOutSession::Relax(int most_missing) {
   if (is_finished_) {
     return;
@@ -524,7 +293,7 @@
     last_error_ = base::MakeError(ErrorCode::kUnavailable, Step::kForward, "",
                                   "no leaf may be sent to");
   }
-  Finish(Refused{request_.request_id, last_error_, kRetryAfter,
+  Finish(Refused{request_.request_id, last_error_, retry_after(),
                  RefusalKind::kUnavailable});
 }
 
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -46,6 +46,8 @@
 // What a session is about to send may be cut by the deadline; less time than
 // this is not worth a send.
 constexpr base::Duration kLeastTimeLeft = base::Milliseconds(2);
+// A caller comes back after this part of its latency target.
+constexpr int kReturnShare = 4;
 
 struct FanOutDependencies {
   base::Clock clock;
@@ -129,6 +131,7 @@
   bool is_one_optional() const;
   // Plans another send to a leaf that refused; false if that is no use.
   bool PlanRepeat(Shard& shard);
+  base::Duration RefusalPause() const;
   void SendAgain(Shard& shard, base::MonotonicTime now);
   void DidReply(std::size_t shard,
                 const std::shared_ptr<Attempt>& attempt,
@@ -157,6 +160,11 @@
   // more.
   std::string DescribeMissing() const;
 
+  // When a caller that is refused should come back: a part of its target, so
+  // that it can still be answered in time.
+  base::Duration retry_after() const {
+    return route_.targets.latency / kReturnShare;
+  }
   bool is_gather() const;
   bool has(base::Mechanism mechanism) const {
     return dependencies_->ablation.has(mechanism);
