--- a/emulator/fleet/virtual_fleet.cc
+++ b/emulator/fleet/virtual_fleet.cc
@@ -124,10 +124,11 @@
       leaf.connections = plan_.leaves.connections;
       leaves_.upstreams[leaf.name] = leaf;
       // Which region has the fast one differs from shard to shard.
-      const auto speed = static_cast<std::size_t>(collection + region);
+      const int speed = collection + region;
       world_.leaves[leaf.name] = std::make_shared<VirtualLeaf>(
-          leaf, plan_.leaves, plan_.speeds[speed % plan_.speeds.size()], clock_,
-          runner_, random_);
+          leaf, plan_.leaves,
+          plan_.speeds[static_cast<std::size_t>(speed) % plan_.speeds.size()],
+          clock_, runner_, random_);
     }
   }
 }
--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -23,8 +23,8 @@
 
 constexpr std::array kCommands{
     Command{"platform", RunPlatform}, Command{"leaf", RunLeaf},
-    Command{"leaves", RunLeaves}, Command{"load", RunLoad},
-    Command{"hosted", RunHosted}, Command{"fleet", RunFleet}};
+    Command{"leaves", RunLeaves},     Command{"load", RunLoad},
+    Command{"hosted", RunHosted},     Command{"fleet", RunFleet}};
 constexpr int kUsageError = 2;
 
 int Usage() {
