Routing, Query, Admission: Comments and names as a newcomer reads them

The head comment of leaf_pace.h told of an earlier form; a reply that is waited for without need is called that and not a witness. No change in behaviour.

--- a/src/admission/extra_send_budget.cc
+++ b/src/admission/extra_send_budget.cc
@@ -1,4 +1,4 @@
-// The two purses, and how the bound is shared out.
+// What requests earned, the slack, and how the bound is shared out.
 
 #include "src/admission/extra_send_budget.h"
 
--- a/src/admission/extra_send_budget.h
+++ b/src/admission/extra_send_budget.h
@@ -2,8 +2,8 @@
 // collection.
 //
 // The leaves bear, from all daemons together and in any window of time, a share
-// of the requests and a slack beside it. Each daemon spends from two purses of
-// its own:
+// of the requests and a slack beside it. Each daemon has two sources of
+// its own to spend from:
 //   - what its requests of the last quarter of a window earned and is not spent
 //     yet. Trouble at the leaves begins at once and often ends within seconds,
 //     so what calm seconds earned may be spent in its first moments;
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -182,10 +182,10 @@
     if (attempt->is_finished) {
       continue;
     }
-    const bool is_witness =
+    const bool is_awaited =
         has(Mechanism::kLingering) &&
-        dependencies_->tracker->TakeWitness(attempt->leaf, attempt->sent);
-    if (is_witness) {
+        dependencies_->tracker->AwaitLateReply(attempt->leaf, attempt->sent);
+    if (is_awaited) {
       attempt->call.let_linger();
     } else {
       Cancel(*attempt,
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -4,10 +4,9 @@
 // same here, since one collection is one shard.
 //
 // Steps:
-//   1. Each shard is sent to the leaf that should reply first; to all shards
-//   only
-//      once enough of them have a leaf with room. If that takes long, the
-//      request is refused before anything was sent.
+//   1. Each shard is sent to the leaf that should reply first. A request to all
+//      shards begins only once enough of them have a leaf with room; if that
+//      takes long, it is refused before anything was sent.
 //   2. A shard whose reply is overdue is sent to a second leaf, if the request
 //      is idempotent, the route's attempts allow it and the collection's
 //      budget pays for it. The first reply counts.
--- a/src/routing/leaf_pace.h
+++ b/src/routing/leaf_pace.h
@@ -7,11 +7,12 @@
 // than what comes back in time; the requests beyond that are answered without
 // the shard, early, if their coverage target allows it.
 //
-// There is no window until a reply was late; it then begins at what was in
-// flight. It grows a little with each reply in time, shrinks by a part with
-// each late one and is forgotten some seconds after the last. Below one it
-// stands for the time between two sends. Daemons that share a leaf find their
-// parts without knowing of each other, as senders that share a network path do.
+// There is no window until a reply was late; it then begins wider than one
+// pause of a sound leaf can narrow it to a bound, or at what was in flight if
+// that is more. It grows a little with each reply in time, until it is that
+// wide again, and shrinks by a part with each late one. Below one it stands for
+// the time between two sends. Daemons that share a leaf find their parts
+// without knowing of each other, as senders that share a network path do.
 //
 // Pure decision code; calls come from one sequence.
 
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -176,8 +176,8 @@
   if (row == rows_.end()) {
     return;
   }
-  if (row->second.witness == sent) {
-    row->second.witness.reset();
+  if (row->second.late_reply == sent) {
+    row->second.late_reply.reset();
   }
   const auto position = row->second.in_flight.find(sent);
   if (position != row->second.in_flight.end()) {
@@ -185,13 +185,13 @@
   }
 }
 
-bool LeafTracker::TakeWitness(const blackboard::Upstream& leaf,
-                              base::MonotonicTime sent) {
+bool LeafTracker::AwaitLateReply(const blackboard::Upstream& leaf,
+                                 base::MonotonicTime sent) {
   Row& row = rows_[leaf.name];
-  if (row.witness) {
+  if (row.late_reply) {
     return false;
   }
-  row.witness = sent;
+  row.late_reply = sent;
   return true;
 }
 
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -93,7 +93,8 @@
   // Whether the reply to a request sent at `sent` is worth waiting for although
   // nobody needs it: it shows when the leaf is back, and one such reply shows
   // as much as many. False if another one is waited for already.
-  bool TakeWitness(const blackboard::Upstream& leaf, base::MonotonicTime sent);
+  bool AwaitLateReply(const blackboard::Upstream& leaf,
+                      base::MonotonicTime sent);
   // A request sent at `sent` was cancelled because its target has passed: all
   // that is known is that its reply would have been late.
   void DidGiveUp(const blackboard::Upstream& leaf, base::MonotonicTime sent);
@@ -119,7 +120,7 @@
     base::MonotonicTime stalled_until;
     LeafPace pace;
     // When the request that is waited for without need was sent.
-    std::optional<base::MonotonicTime> witness;
+    std::optional<base::MonotonicTime> late_reply;
   };
   struct Work {
     admission::SecondSendPolicy second_sends;
--- a/tests/routing/leaf_tracker_test.cc
+++ b/tests/routing/leaf_tracker_test.cc
@@ -249,13 +249,13 @@
   time_->Advance(Milliseconds(1));
   const base::MonotonicTime second = clock_.Now();
   tracker_.DidSend(near_, second);
-  EXPECT_TRUE(tracker_.TakeWitness(near_, first));
-  EXPECT_FALSE(tracker_.TakeWitness(near_, second));
-  EXPECT_TRUE(tracker_.TakeWitness(far_, second));
+  EXPECT_TRUE(tracker_.AwaitLateReply(near_, first));
+  EXPECT_FALSE(tracker_.AwaitLateReply(near_, second));
+  EXPECT_TRUE(tracker_.AwaitLateReply(far_, second));
   ForwardReply reply;
   reply.outcome = LeafOutcome::kAnswered;
   tracker_.DidReply(near_, kClass, first, kInTime, reply);
-  EXPECT_TRUE(tracker_.TakeWitness(near_, second));
+  EXPECT_TRUE(tracker_.AwaitLateReply(near_, second));
 }
 
 }  // namespace
