Settings: Take fractions for the bounds of stops and extra sends

Cause: a deployment may state these bounds with fractions; slack of extra sends, its window and the bound of a stop took whole numbers, so a daemon with such settings ended at its start, and with it the whole fleet. Seen on the small twins of the large site: 48 exits, nothing served. Ruled out: rounding in the template, which has no arithmetic; the old template glued three zeros to the seconds of the grace time. Change: slack and window are numbers, [stop] bound_ms became bound_s.

--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -136,7 +136,7 @@
 // The sends beyond the first of each request, over all daemons together.
 struct ExtraSendsSettings {
   double share = 0.2;
-  int slack = 50;
+  double slack = 50.0;
   // The bound holds in any span of this length.
   base::Duration window = base::Milliseconds(10'000);
 };
--- a/src/settings/key.cc
+++ b/src/settings/key.cc
@@ -185,7 +185,7 @@
     if (!number || !(*number >= value.min) || !(*number <= value.max)) {
       return "must be a number from " + RangeOf(value);
     }
-    value.member(settings) = *number;
+    value.set(settings, *number);
     return std::nullopt;
   }
 
@@ -210,8 +210,7 @@
     return std::to_string(value.get(settings));
   }
   std::string operator()(const DecimalValue& value) const {
-    DaemonSettings copy = settings;
-    return base::JsonNumber(value.member(copy));
+    return base::JsonNumber(value.get(settings));
   }
   std::string operator()(const ChoiceValue& value) const {
     return value.get(settings);
--- a/src/settings/key.h
+++ b/src/settings/key.h
@@ -46,14 +46,15 @@
   std::int64_t max;
 };
 
-// One of a few names.
-// A number that may have a fraction.
+// A number in [min, max] that may have a fraction.
 struct DecimalValue {
-  double& (*member)(DaemonSettings&);
+  double (*get)(const DaemonSettings&);
+  void (*set)(DaemonSettings&, double);
   double min;
   double max;
 };
 
+// One of a few names.
 struct ChoiceValue {
   const char* (*get)(const DaemonSettings&);
   // Returns false if `name` is none of the names.
--- a/src/settings/key_table.cc
+++ b/src/settings/key_table.cc
@@ -36,9 +36,27 @@
 
 template <auto kSection, auto kMember>
 DecimalValue Decimal(double min, double max) {
-  return {[](DaemonSettings& settings) -> double& {
+  return {[](const DaemonSettings& settings) -> double {
             return settings.*kSection.*kMember;
           },
+          [](DaemonSettings& settings, double value) {
+            settings.*kSection.*kMember = value;
+          },
+          min, max};
+}
+
+// A duration written as a number of seconds that may have a fraction.
+template <auto kSection, auto kMember>
+DecimalValue Seconds(double min, double max) {
+  return {[](const DaemonSettings& settings) -> double {
+            return std::chrono::duration<double>(settings.*kSection.*kMember)
+                .count();
+          },
+          [](DaemonSettings& settings, double value) {
+            settings.*kSection.*kMember =
+                std::chrono::duration_cast<base::Duration>(
+                    std::chrono::duration<double>(value));
+          },
           min, max};
 }
 
@@ -233,10 +251,8 @@
       {"traffic", "threads",
        Integer<&DaemonSettings::traffic, &TrafficSettings::threads>(1, 64),
        false, "Threads for requests. One more thread serves control state."},
-      {"stop", "bound_ms",
-       Time<milliseconds, &DaemonSettings::stop, &StopSettings::bound>(100,
-                                                                       600000),
-       false,
+      {"stop", "bound_s",
+       Seconds<&DaemonSettings::stop, &StopSettings::bound>(0.1, 600.0), false,
        "How long a planned stop waits for requests in flight. What is cut off "
        "after that is logged."},
       {"log", "level", LevelChoice(), false,
@@ -296,11 +312,11 @@
        "with "
        "the opaque interface."},
       {"extra_sends", "slack",
-       Integer<kExtra, &ExtraSendsSettings::slack>(0, 100000), false,
+       Decimal<kExtra, &ExtraSendsSettings::slack>(0.0, 100000.0), false,
        "Extra sends that a collection bears from all daemons together beside "
        "that share, in any window."},
       {"extra_sends", "window_s",
-       Time<seconds, kExtra, &ExtraSendsSettings::window>(1, 600), false,
+       Seconds<kExtra, &ExtraSendsSettings::window>(0.1, 600.0), false,
        "The length of the window in which extra sends are counted."},
       {"measuring", "without", MechanismChoice(), false,
        "For measuring only: a mechanism that is left out. Used with the opaque "
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -219,7 +219,7 @@
                       << peer_port
                       << "\nquery_address = 127.0.0.1:" << query_port
                       << "\n[platform]\naddress = " << store_proxy_.address()
-                      << "\ntimeout_ms = 400\n[stop]\nbound_ms = 6000\n";
+                      << "\ntimeout_ms = 400\n[stop]\nbound_s = 6\n";
   daemon.process = std::make_unique<tests::Process>(
       options_.daemon_program,
       std::vector<std::string>{"serve", file.string()});
