--- a/src/query/query_session.cc
+++ b/src/query/query_session.cc
@@ -324,6 +324,11 @@
   for (const std::uint64_t id : std::exchange(sub_queries_, {})) {
     dependencies_->sub_queries->Cancel(id);
   }
+  // What ran in this snapshot has run, also if the next one gets no answer.
+  may_have_run_ = may_have_run_ ||
+                  std::any_of(shards_.begin(), shards_.end(), [](auto& row) {
+                    return row.second.state != ShardState::kRefused;
+                  });
   silence_timer_.Cancel();
   ChooseSnapshotAndAsk();
   return true;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -26,6 +26,12 @@
   return job * 2 + (is_second_send ? 1 : 0);
 }
 
+// What is said of a shard that got no answer: a refusal promises that no leaf
+// ran it, whichever of its sends came first.
+ShardOutcome OutcomeWithoutAnswer(const ShardJob& job) {
+  return job.may_have_run ? ShardOutcome::kUnknown : ShardOutcome::kRefused;
+}
+
 bool IsRefusal(LeafOutcome outcome) {
   return !upstream::MayHaveRun(outcome) && outcome != LeafOutcome::kAnswered;
 }
@@ -271,11 +277,12 @@
   ShardJob& job = row->second;
   job.is_forwarded = false;
   job.sends += result.sends;
+  job.may_have_run =
+      job.may_have_run || result.outcome == ShardOutcome::kUnknown;
   if (result.outcome == ShardOutcome::kAnswered) {
     Deliver(id, std::move(result));
   } else if (!job.is_pending()) {
-    GiveUp(id,
-           job.may_have_run ? ShardOutcome::kUnknown : ShardOutcome::kRefused);
+    GiveUp(id, OutcomeWithoutAnswer(job));
   }
 }
 
@@ -372,7 +379,7 @@
   const Duration delay =
       std::max(job.retry_after, admission::Backoff(job.retries, *random_));
   if (clock_.Now() + delay >= job.request.deadline) {
-    GiveUp(id, ShardOutcome::kRefused);
+    GiveUp(id, OutcomeWithoutAnswer(job));
     return;
   }
   // Only a leaf that shed may be asked again: it said when.
--- a/tests/query/query_session_test.cc
+++ b/tests/query/query_session_test.cc
@@ -196,6 +196,36 @@
   EXPECT_EQ(As<Answered>(answer).items, "[\"old-low\",\"old-high\"]");
 }
 
+TEST_F(QuerySessionTest, WhatRanInAnotherSnapshotIsNotRefused) {
+  world_.AddLeaf("low", "north",
+                 {{kSnapshot, kLowerHalf}, {kNewer, kLowerHalf}});
+  world_.AddLeaf("high", "north",
+                 {{kSnapshot, kUpperHalf}, {kNewer, kUpperHalf}});
+  const auto answer = Submit();
+  world_.Answer(0, "[\"new-low\"]");
+  world_.Fail(1, LeafOutcome::kWrongSnapshot);
+  ASSERT_EQ(world_.sends.size(), 4U);
+  world_.Fail(2, LeafOutcome::kDraining);
+  world_.Fail(3, LeafOutcome::kDraining);
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_TRUE(std::holds_alternative<Unknown>(answer->value()));
+}
+
+TEST_F(QuerySessionTest, RefusedInTwoSnapshotsIsRefused) {
+  world_.AddLeaf("low", "north",
+                 {{kSnapshot, kLowerHalf}, {kNewer, kLowerHalf}});
+  world_.AddLeaf("high", "north",
+                 {{kSnapshot, kUpperHalf}, {kNewer, kUpperHalf}});
+  const auto answer = Submit();
+  world_.Fail(0, LeafOutcome::kDraining);
+  world_.Fail(1, LeafOutcome::kWrongSnapshot);
+  ASSERT_EQ(world_.sends.size(), 4U);
+  world_.Fail(2, LeafOutcome::kDraining);
+  world_.Fail(3, LeafOutcome::kDraining);
+  ASSERT_TRUE(answer->has_value());
+  EXPECT_TRUE(std::holds_alternative<Refused>(answer->value()));
+}
+
 TEST_F(QuerySessionTest, AtMostOnceDoesNotStartAgainWithAnotherSnapshot) {
   const auto answer = Submit("counter", false);
   SettleClaim(claims::ClaimOutcome::kGranted);
--- a/tests/routing/dispatcher_test.cc
+++ b/tests/routing/dispatcher_test.cc
@@ -253,5 +253,33 @@
   EXPECT_GE((*result)->retry_after, Milliseconds(40));
 }
 
+TEST_F(DispatcherTest, ShedAfterALostReplyIsUnknownNotRefused) {
+  const auto result = Submit(MakeRequest());
+  world_.Fail(0, LeafOutcome::kLost);
+  ASSERT_EQ(world_.sends.size(), 2U);
+  // No time is left to ask again, but the first leaf may have run it.
+  world_.Fail(1, LeafOutcome::kShed, Milliseconds(600));
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, ShardOutcome::kUnknown);
+}
+
+TEST_F(DispatcherTest, ASecondSendElsewhereThatMayHaveRunIsUnknown) {
+  TeachServiceTime();
+  world_.SetLeafState("leaf-2", UpstreamState::kDraining);
+  world_.has_other_region = true;
+  const auto result = Submit(MakeRequest());
+  world_.scheduler->Advance(Milliseconds(60));
+  ASSERT_EQ(world_.forwarded.size(), 1U);
+  world_.Fail(0, LeafOutcome::kDraining);
+  EXPECT_FALSE(result->has_value());
+  ShardResult lost;
+  lost.outcome = ShardOutcome::kUnknown;
+  lost.sends = 1;
+  world_.forward_callbacks.front()(lost);
+  world_.scheduler->RunReady();
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, ShardOutcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace medlarspread::routing
