Platform, Upstream: Know one start of a leaf from the next; survive foreign entries

A leaf may start again under its identifier; its entry then says when it started. The name by which everything is learnt (slowness, failures, cold start, in flight, connections) now holds that time, so nothing of a former start is kept. The directory orders entries by start and number: an old one that is written late never replaces a newer one. An entry with a field missing, of another type or out of range, with an unknown state or with bytes that can't be read names no leaf: what it named before is out of use until a good one follows. One value that is no base64 no longer fails the whole page or watch. The old decoder test used entries without version, slots and seq, which the pages now call unusable; they are whole now, and each field is tested missing and odd.

--- a/emulator/hosted/hosted_leaf.cc
+++ b/emulator/hosted/hosted_leaf.cc
@@ -47,11 +47,13 @@
 
 std::string HostedLeaf::MakeEntry(const std::string& state,
                                   const std::string& address) const {
+  const std::int64_t started = started_wall_ms_;
   return R"({"service":)" + base::JsonString(service_) + R"(,"addr":)" +
          base::JsonString(address.empty() ? this->address() : address) +
          R"(,"zone":)" + base::JsonString(zone_) +
          R"(,"version":"v1","slots":2,"state":)" + base::JsonString(state) +
-         R"(,"warmup_left_ms":0,"seq":1})";
+         R"(,"warmup_left_ms":0,"seq":)" + std::to_string(++entries_) +
+         (started == 0 ? "" : R"(,"born":)" + std::to_string(started)) + "}";
 }
 
 std::string HostedLeaf::address() const {
--- a/emulator/hosted/hosted_leaf.h
+++ b/emulator/hosted/hosted_leaf.h
@@ -46,6 +46,8 @@
   static std::string RecordOf(const std::string& service);
   const std::string& id() const { return id_; }
 
+  // What its entries say of when it started, Unix time; they don't without it.
+  void set_started(std::int64_t wall_ms) { started_wall_ms_ = wall_ms; }
   void set_mood(LeafMood mood) { mood_ = mood; }
   void set_work(base::Duration work) { work_ = work; }
 
@@ -66,6 +68,9 @@
   std::shared_ptr<http1::CallerListener> listener_;
   std::atomic<LeafMood> mood_ = LeafMood::kAnswer;
   std::atomic<base::Duration> work_ = base::Milliseconds(2);
+  std::atomic<std::int64_t> started_wall_ms_ = 0;
+  // Entries made so far.
+  mutable std::atomic<int> entries_ = 0;
   std::atomic<int> runs_ = 0;
   std::atomic<int> cancelled_ = 0;
   mutable std::mutex mutex_;
--- a/emulator/hosted/hosted_store.cc
+++ b/emulator/hosted/hosted_store.cc
@@ -64,6 +64,10 @@
   runner_.Post([this, key, value] { Change(key, {value, 0, false}); });
 }
 
+void HostedStore::PutUnreadable(const std::string& key) {
+  runner_.Post([this, key] { Change(key, {"", 0, false, true}); });
+}
+
 void HostedStore::Remove(const std::string& key) {
   runner_.Post([this, key] { Change(key, {"", 0, true}); });
 }
@@ -171,7 +175,8 @@
     if (row.is_removed) {
       item["removed"] = value::boolean(true);
     } else {
-      item["value"] = value::string(Encode(row.value));
+      item["value"] =
+          value::string(row.is_unreadable ? "?" : Encode(row.value));
     }
     rows[count++] = item;
   }
--- a/emulator/hosted/hosted_store.h
+++ b/emulator/hosted/hosted_store.h
@@ -27,6 +27,8 @@
 
   // Writes or removes a key as the operators and the leaves do.
   void Put(const std::string& key, const std::string& value);
+  // The same with a value that is no base64.
+  void PutUnreadable(const std::string& key);
   void Remove(const std::string& key);
   // While silent, it reads calls and answers none, those that wait included.
   void set_silent(bool is_silent) { is_silent_ = is_silent; }
@@ -43,6 +45,7 @@
     std::string value;
     std::int64_t revision = 0;
     bool is_removed = false;
+    bool is_unreadable = false;
   };
   struct Watch {
     std::string prefix;
--- a/src/blackboard/views.h
+++ b/src/blackboard/views.h
@@ -84,7 +84,12 @@
 
 // One leaf (a replica of a shard) as this daemon knows it.
 struct Upstream {
+  // Unique to one start of the leaf: what is learnt of a leaf, and connections
+  // to it, go by it.
   std::string name;
+  // What the leaf calls itself. It may start again under the same identifier
+  // and then knows nothing of before.
+  std::string id;
   // "ip:port" of its HTTP interface.
   std::string address;
   std::string region;
--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 
+#include "src/membership/daemon_entry.h"
 #include "src/platform/configuration_decoder.h"
 
 namespace medlarspread::daemon {
@@ -83,9 +84,10 @@
       routes_(blackboard, log),
       known_(clock.Now().microseconds),
       news_(std::make_shared<relay::NewsSource>(
-          relay::NewsSourceSettings{settings.vm.name,
-                                    settings.vm.failure_domain,
-                                    ParseAddresses(settings.peers.seeds)},
+          relay::NewsSourceSettings{
+              settings.vm.name, settings.vm.failure_domain,
+              ParseAddresses(settings.peers.seeds),
+              membership::EncodeNamedEntry(MakeSelf(settings))},
           context,
           clock,
           control,
@@ -95,7 +97,10 @@
       news_server_(std::make_shared<relay::NewsServer>(
           known_,
           control,
-          [news = news_] { return news->freshness(); })),
+          [news = news_] { return news->freshness(); },
+          [this](const std::string& entry) {
+            registration_->DidHearFollower(entry);
+          })),
       peers_(MakePeerListener(context,
                               settings.peers.address,
                               news_server_,
@@ -140,9 +145,13 @@
 void StoreControllers::DidChange(const std::vector<store::Event>& events) {
   constexpr std::string_view kLeaves = platform::kLeafKeyPrefix;
   constexpr std::string_view kDaemons = membership::kDaemonKeyPrefix;
+  constexpr std::string_view kFollowers = membership::kFollowersKeyPrefix;
   for (const store::Event& event : events) {
     const std::string_view key = event.key;
-    if (key.starts_with(kLeaves)) {
+    if (key.starts_with(kFollowers)) {
+      registration_->DidChangeFollowers(event.key.substr(kFollowers.size()),
+                                        event.value);
+    } else if (key.starts_with(kLeaves)) {
       DidChangeLeaf(event.key.substr(kLeaves.size()), event);
     } else if (key.starts_with(kDaemons)) {
       registration_->DidChange(event.key.substr(kDaemons.size()), event.value);
@@ -163,16 +172,17 @@
     leaves_.DidRemove(id);
     return;
   }
-  auto leaf = platform::DecodeLeaf(id, *event.value, clock_.Now());
-  if (!leaf.is_ok()) {
-    log_.DidFail(leaf.error(), "an entry that can't be read is left out");
+  auto entry = platform::DecodeLeaf(id, *event.value, clock_.Now());
+  if (!entry.is_ok()) {
+    leaves_.DidSpoil(id, entry.error());
     return;
   }
-  const auto region = regions_.find(leaf.value().failure_domain);
+  blackboard::Upstream& leaf = entry.value().upstream;
+  const auto region = regions_.find(leaf.failure_domain);
   if (region != regions_.end()) {
-    leaf.value().region = region->second;
+    leaf.region = region->second;
   }
-  leaves_.DidWrite(std::move(leaf.value()));
+  leaves_.DidWrite(std::move(entry.value()));
 }
 
 void StoreControllers::DidChangeConfiguration(const store::Event& event) {
--- a/src/platform/configuration_decoder.cc
+++ b/src/platform/configuration_decoder.cc
@@ -9,6 +9,7 @@
 
 #include <cpprest/json.h>
 
+#include "src/http1/caller_listener.h"
 #include "src/store/json_fields.h"
 
 namespace medlarspread::platform {
@@ -16,6 +17,7 @@
 namespace {
 
 using blackboard::RoutesView;
+using blackboard::UpstreamState;
 using blackboard::WorkRoute;
 using store::FindArray;
 using store::ReadInteger;
@@ -25,7 +27,15 @@
 
 // A leaf that is cold for less time than this is at its speed before a request
 // could tell the difference.
-constexpr std::int64_t kNegligibleColdMs = 300;
+constexpr double kNegligibleColdMs = 300.0;
+// No leaf works on so many requests at once; a larger number is not a leaf's.
+constexpr std::int64_t kMostSlots = 1'000'000;
+// Longer times than a year are no timeouts; they would not fit the clock.
+constexpr double kLongestMs = 365.0 * 24 * 3600 * 1000;
+constexpr std::int64_t kMostRecords = 1'000'000'000;
+constexpr std::int64_t kLeastUrgent = 1'000'000;
+constexpr std::int64_t kMostAttempts = 1'000;
+constexpr std::int64_t kMostConnections = 1'000'000;
 
 base::Error Malformed(const std::string& what) {
   return base::MakeError(base::ErrorCode::kMalformed, base::Step::kTargets, "",
@@ -35,7 +45,7 @@
 std::optional<base::Duration> ReadMilliseconds(const value& object,
                                                const char* field) {
   const auto number = ReadNumber(object, field);
-  if (!number || *number < 0.0) {
+  if (!number || *number < 0.0 || *number > kLongestMs) {
     return std::nullopt;
   }
   constexpr double kMicrosecondsPerMillisecond = 1000.0;
@@ -66,7 +76,7 @@
     all.shards.push_back(shard.as_string());
   }
   const auto most = ReadInteger(route, "top_k");
-  if (!most || *most < 0 || all.shards.empty()) {
+  if (!most || *most < 0 || *most > kMostRecords || all.shards.empty()) {
     return std::nullopt;
   }
   all.most_records = static_cast<std::size_t>(*most);
@@ -103,26 +113,48 @@
   route->prefix = *prefix;
   route->destination = *destination;
   route->is_idempotent = ReadString(row, "kind") == "idempotent";
-  route->priority = static_cast<int>(ReadInteger(row, "priority").value_or(0));
+  route->priority = static_cast<int>(std::clamp<std::int64_t>(
+      ReadInteger(row, "priority").value_or(0), 0, kLeastUrgent));
   route->timeout = *timeout;
-  route->most_attempts = static_cast<int>(
-      std::max<std::int64_t>(1, ReadInteger(row, "attempts").value_or(1)));
+  route->most_attempts = static_cast<int>(std::clamp<std::int64_t>(
+      ReadInteger(row, "attempts").value_or(1), 1, kMostAttempts));
   return route;
 }
 
 void DecodeLimits(const value& object, blackboard::CallerLimits& limits) {
   const auto header = ReadInteger(object, "max_header_bytes");
   const auto body = ReadInteger(object, "max_body_bytes");
-  limits.header_bytes =
-      header ? static_cast<std::size_t>(*header) : limits.header_bytes;
-  limits.body_bytes =
-      body ? static_cast<std::size_t>(*body) : limits.body_bytes;
+  if (header && *header > 0) {
+    limits.header_bytes = static_cast<std::size_t>(*header);
+  }
+  if (body && *body >= 0) {
+    limits.body_bytes = static_cast<std::size_t>(*body);
+  }
   limits.header_timeout = ReadMilliseconds(object, "header_timeout_ms")
                               .value_or(limits.header_timeout);
   limits.idle_timeout =
       ReadMilliseconds(object, "idle_timeout_ms").value_or(limits.idle_timeout);
 }
 
+std::optional<UpstreamState> DecodeState(const std::string& text) {
+  if (text == "ready") {
+    return UpstreamState::kServing;
+  }
+  if (text == "draining") {
+    return UpstreamState::kDraining;
+  }
+  return std::nullopt;
+}
+
+// Zero if the leaf does not tell; absent if what it tells is no time.
+std::optional<std::int64_t> DecodeStart(const value& object) {
+  if (!store::HasField(object, "born")) {
+    return 0;
+  }
+  const auto started = ReadInteger(object, "born");
+  return started && *started > 0 ? started : std::nullopt;
+}
+
 }  // namespace
 
 base::Result<RoutesView> DecodeConfiguration(const std::string& text) {
@@ -150,7 +182,8 @@
       const auto name = ReadString(row, "name");
       const auto connections = ReadInteger(row, "max_conns");
       if (name && connections && *connections > 0) {
-        view.connections[*name] = static_cast<int>(*connections);
+        view.connections[*name] =
+            static_cast<int>(std::min(kMostConnections, *connections));
       }
     }
   }
@@ -160,9 +193,9 @@
   return view;
 }
 
-base::Result<blackboard::Upstream> DecodeLeaf(const std::string& id,
-                                              const std::string& text,
-                                              base::MonotonicTime now) {
+base::Result<upstream::LeafEntry> DecodeLeaf(const std::string& id,
+                                             const std::string& text,
+                                             base::MonotonicTime now) {
   const auto object = store::ParseObject(text);
   if (!object) {
     return Malformed("the entry of leaf " + id + " is no JSON object");
@@ -170,25 +203,43 @@
   const auto service = ReadString(*object, "service");
   const auto address = ReadString(*object, "addr");
   const auto zone = ReadString(*object, "zone");
-  const auto state = ReadString(*object, "state");
-  if (!service || !address || !zone || !state) {
+  const auto version = ReadString(*object, "version");
+  const auto slots = ReadInteger(*object, "slots");
+  const auto cold_ms = ReadNumber(*object, "warmup_left_ms");
+  const auto sequence = ReadInteger(*object, "seq");
+  if (!service || !zone || !version || !slots || !cold_ms || !sequence) {
     return Malformed("the entry of leaf " + id + " lacks a field");
   }
-  blackboard::Upstream leaf;
-  leaf.name = id;
+  if (!address || !http1::ParseEndpoint(*address).is_ok()) {
+    return Malformed("the entry of leaf " + id + " names no address");
+  }
+  if (service->empty() || *slots < 1 || *slots > kMostSlots || *cold_ms < 0.0) {
+    return Malformed("the entry of leaf " + id + " has a field out of range");
+  }
+  const auto state = DecodeState(ReadString(*object, "state").value_or(""));
+  if (!state) {
+    return Malformed("the entry of leaf " + id + " has an unknown state");
+  }
+  const auto started = DecodeStart(*object);
+  if (!started) {
+    return Malformed("the entry of leaf " + id + " has no whole start time");
+  }
+  upstream::LeafEntry entry;
+  entry.started_wall_ms = *started;
+  entry.sequence = *sequence;
+  blackboard::Upstream& leaf = entry.upstream;
+  leaf.id = id;
+  leaf.name = upstream::NameOfStart(id, *started);
   leaf.address = *address;
   leaf.failure_domain = *zone;
   leaf.collection = *service;
-  leaf.slots = static_cast<int>(
-      std::max<std::int64_t>(1, ReadInteger(*object, "slots").value_or(1)));
-  const auto cold = ReadInteger(*object, "warmup_left_ms").value_or(0);
-  if (*state == "draining") {
-    leaf.state = blackboard::UpstreamState::kDraining;
-  } else if (cold > kNegligibleColdMs) {
-    leaf.state = blackboard::UpstreamState::kCold;
+  leaf.slots = static_cast<int>(*slots);
+  leaf.state = *state;
+  if (*state == UpstreamState::kServing && *cold_ms > kNegligibleColdMs) {
+    leaf.state = UpstreamState::kCold;
     leaf.cold_since = now;
   }
-  return leaf;
+  return entry;
 }
 
 }  // namespace medlarspread::platform
--- a/src/platform/configuration_decoder.h
+++ b/src/platform/configuration_decoder.h
@@ -7,6 +7,7 @@
 
 #include "src/base/result.h"
 #include "src/blackboard/views.h"
+#include "src/upstream/leaf_directory.h"
 
 namespace medlarspread::platform {
 
@@ -20,10 +21,11 @@
     const std::string& text);
 
 // The entry of the leaf that is called `id`. Its region stays empty, since the
-// entry does not name it. kMalformed if a field is missing or odd.
-base::Result<blackboard::Upstream> DecodeLeaf(const std::string& id,
-                                              const std::string& text,
-                                              base::MonotonicTime now);
+// entry does not name it. kMalformed if the leaf can't have written it: a field
+// is missing, of another type or out of range, or the state is unknown.
+base::Result<upstream::LeafEntry> DecodeLeaf(const std::string& id,
+                                             const std::string& text,
+                                             base::MonotonicTime now);
 
 }  // namespace medlarspread::platform
 
--- a/src/platform/leaf_codec.cc
+++ b/src/platform/leaf_codec.cc
@@ -24,7 +24,7 @@
 http1::Request Encode(const blackboard::Upstream& leaf,
                       const upstream::ForwardCall& call) {
   http1::Request request = MakeForwardedMessage(call);
-  request.set(kExpectedLeaf, leaf.name);
+  request.set(kExpectedLeaf, leaf.id);
   return request;
 }
 
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -56,43 +56,54 @@
   }
 }
 
-// An item as it was written, or a removal.
-std::optional<store::Event> DecodeEvent(const value& row) {
-  const auto key = ReadString(row, "key");
-  const auto revision = ReadInteger(row, "rev");
-  if (!key || !revision) {
-    return std::nullopt;
-  }
-  store::Event event{*key, std::nullopt, *revision};
-  if (store::HasField(row, "removed")) {
-    return event;
-  }
+// The bytes of a value; empty if they can't be read, which no reader of a key
+// takes for a value. The other keys of the answer hold.
+std::string DecodeBytes(const value& row) {
   const auto text = ReadString(row, "value");
   if (!text) {
-    return std::nullopt;
+    return {};
   }
   try {
     const auto bytes = utility::conversions::from_base64(*text);
-    event.value = std::string(bytes.begin(), bytes.end());
+    return {bytes.begin(), bytes.end()};
   } catch (const std::exception&) {
+    return {};
+  }
+}
+
+// An item as it was written, or a removal; absent if it names no key.
+std::optional<store::Event> DecodeEvent(const value& row) {
+  const auto key = ReadString(row, "key");
+  const auto revision = ReadInteger(row, "rev");
+  if (!key || !revision) {
     return std::nullopt;
   }
+  store::Event event{*key, std::nullopt, *revision};
+  if (!store::HasField(row, "removed")) {
+    event.value = DecodeBytes(row);
+  }
   return event;
 }
 
 std::optional<std::vector<store::Event>> DecodeEvents(const value& body,
-                                                      const char* field) {
+                                                      const char* field,
+                                                      const base::Log& log) {
   const value* rows = store::FindArray(body, field);
   if (rows == nullptr) {
     return std::nullopt;
   }
   std::vector<store::Event> events;
   for (const value& row : rows->as_array()) {
-    auto event = DecodeEvent(row);
-    if (!event) {
-      return std::nullopt;
+    if (auto event = DecodeEvent(row)) {
+      events.push_back(std::move(*event));
     }
-    events.push_back(std::move(*event));
+  }
+  if (const auto unread = rows->size() - events.size(); unread > 0) {
+    log.Write({.level = base::LogLevel::kWarning,
+               .step = Step::kReadStore,
+               .message = std::to_string(unread) +
+                          " keys of the store have no name or revision and "
+                          "are left out"});
   }
   return events;
 }
@@ -112,10 +123,12 @@
  public:
   Impl(boost::asio::io_context& context,
        base::TaskRunner control,
-       StoreCallsSettings settings)
+       StoreCallsSettings settings,
+       base::Log log)
       : context_(context),
         control_(std::move(control)),
-        settings_(std::move(settings)) {}
+        settings_(std::move(settings)),
+        log_(std::move(log)) {}
 
   void Call(http::verb method,
             const std::string& target,
@@ -124,6 +137,7 @@
             JsonCallback done);
 
   const StoreCallsSettings& settings() const { return settings_; }
+  const base::Log& log() const { return log_; }
 
  private:
   std::shared_ptr<http1::ClientConnection> Connect();
@@ -132,6 +146,7 @@
   boost::asio::io_context& context_;
   const base::TaskRunner control_;
   const StoreCallsSettings settings_;
+  const base::Log log_;
   std::list<std::shared_ptr<http1::ClientConnection>> connections_;
 };
 
@@ -209,10 +224,12 @@
 
 StoreCalls::StoreCalls(boost::asio::io_context& context,
                        base::TaskRunner control,
-                       StoreCallsSettings settings)
+                       StoreCallsSettings settings,
+                       base::Log log)
     : impl_(std::make_shared<Impl>(context,
                                    std::move(control),
-                                   std::move(settings))) {}
+                                   std::move(settings),
+                                   std::move(log))) {}
 
 StoreCalls::~StoreCalls() = default;
 
@@ -232,7 +249,7 @@
                    done(body.error());
                    return;
                  }
-                 auto items = DecodeEvents(*body.value(), "items");
+                 auto items = DecodeEvents(*body.value(), "items", impl->log());
                  const auto revision =
                      ReadInteger(*body.value(), "current_rev");
                  if (!items || !revision) {
@@ -247,25 +264,25 @@
   source.watch = [impl = impl_, encode](const std::string& prefix,
                                         std::int64_t after, base::Duration wait,
                                         auto done) {
-    impl->Call(http::verb::get,
-               "/kv-watch?prefix=" + encode(prefix) +
-                   "&after=" + std::to_string(after) +
-                   "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
-               "", wait + impl->settings().timeout,
-               [impl, done](const Result<std::shared_ptr<value>>& body) {
-                 if (!body.is_ok()) {
-                   done(body.error());
-                   return;
-                 }
-                 auto events = DecodeEvents(*body.value(), "events");
-                 const auto revision =
-                     ReadInteger(*body.value(), "current_rev");
-                 if (!events || !revision) {
-                   done(Malformed(impl->settings().address));
-                   return;
-                 }
-                 done(store::Changes{std::move(*events), *revision});
-               });
+    impl->Call(
+        http::verb::get,
+        "/kv-watch?prefix=" + encode(prefix) +
+            "&after=" + std::to_string(after) +
+            "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
+        "", wait + impl->settings().timeout,
+        [impl, done](const Result<std::shared_ptr<value>>& body) {
+          if (!body.is_ok()) {
+            done(body.error());
+            return;
+          }
+          auto events = DecodeEvents(*body.value(), "events", impl->log());
+          const auto revision = ReadInteger(*body.value(), "current_rev");
+          if (!events || !revision) {
+            done(Malformed(impl->settings().address));
+            return;
+          }
+          done(store::Changes{std::move(*events), *revision});
+        });
   };
   source.open_lease = [impl = impl_](base::Duration time_to_live, auto done) {
     auto body = value::object();
--- a/src/platform/store_calls.h
+++ b/src/platform/store_calls.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "src/base/log.h"
 #include "src/base/task_runner.h"
 #include "src/store/event_source.h"
 
@@ -28,7 +29,8 @@
  public:
   StoreCalls(boost::asio::io_context& context,
              base::TaskRunner control,
-             StoreCallsSettings settings);
+             StoreCallsSettings settings,
+             base::Log log);
   ~StoreCalls();
 
   StoreCalls(const StoreCalls&) = delete;
--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -102,7 +102,7 @@
                                             : "query_address = 127.0.0.1:" +
                                                   std::to_string(query_port))
                         << "\n[platform]\naddress = " << store_->address()
-                        << "\ntimeout_ms = 300\n[stop]\nbound_ms = 6000\n";
+                        << "\ntimeout_ms = 300\n[stop]\nbound_s = 6\n";
     Daemon daemon;
     daemon.process =
         &processes_->Start(DAEMON_PROGRAM, {"serve", file.string()});
@@ -318,6 +318,70 @@
   }));
 }
 
+// Keys that no leaf wrote, some over the entry of a leaf: that leaf is out of
+// use, all others hold, and what changes later is still learnt.
+TEST_F(OpaqueTest, EntriesOfAnotherWriterNameNoLeafAndHoldNothingUp) {
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  store_->Put("servers/odd-1", "\xff\xfe{}");
+  store_->Put("servers/odd-2", R"({"service":"s1"})");
+  store_->Put("servers/odd-3", leaves_["s1-a"]->MakeEntry("resting"));
+  store_->Put("daemons/odd", "\xff\xfe");
+  store_->Put("else/odd", "\xff\xfe");
+  store_->PutUnreadable("servers/odd-4");
+  store_->PutUnreadable("servers/s1-a");
+  ASSERT_TRUE(WaitUntil([&] {
+    const int before = leaves_["s1-a"]->runs();
+    const auto status = AwaitCall(MakeCall(daemon, "/pay/1", "a")).status;
+    return status == http::kOk && leaves_["s1-a"]->runs() == before;
+  }));
+  // A daemon that starts now reads the same.
+  const Daemon late = Start("vm2");
+  ASSERT_TRUE(AwaitReadiness(late, http::kOk));
+  for (const Daemon& asked : {daemon, late}) {
+    const int before = leaves_["s1-a"]->runs();
+    for (int request = 0; request < 20; ++request) {
+      const std::string id = "r" + std::to_string(request);
+      EXPECT_EQ(AwaitCall(MakeCall(asked, "/pay/1", id)).status, http::kOk);
+    }
+    EXPECT_EQ(leaves_["s1-a"]->runs(), before);
+  }
+  Announce("s1-a", "ready");
+  leaves_["s1-b"]->set_mood(LeafMood::kShed);
+  EXPECT_TRUE(WaitUntil([&] {
+    return AwaitCall(MakeCall(daemon, "/pay/1", "b")).status == http::kOk;
+  }));
+}
+
+TEST_F(OpaqueTest, ALeafThatStartsAgainUnderItsIdentifierIsServedAnew) {
+  leaves_["s1-a"]->set_started(1'000);
+  Announce("s1-a", "ready");
+  const std::string old_entry = leaves_["s1-a"]->MakeEntry("draining");
+  const Daemon daemon = Start("vm1");
+  Configure(3);
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  ASSERT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "a")).status, http::kOk);
+  // The former start drains and is gone; the next one has another address.
+  Announce("s1-a", "draining");
+  const auto former = std::move(leaves_["s1-a"]);
+  leaves_["s1-a"] = std::make_unique<HostedLeaf>(context_, "s1-a", "s1", "n1");
+  leaves_["s1-a"]->set_started(2'000);
+  Announce("s1-a", "ready");
+  leaves_["s1-b"]->set_mood(LeafMood::kShed);
+  ASSERT_TRUE(WaitUntil([&] {
+    (void)AwaitCall(MakeCall(daemon, "/pay/1", "b"));
+    return leaves_["s1-a"]->runs() > 0;
+  }));
+  // A late write of the former start changes nothing.
+  store_->Put("servers/s1-a", old_entry);
+  store_->Put("other", "x");
+  ASSERT_TRUE(WaitUntil([&] { return store_->calls() > 6; }));
+  const int before = former->runs();
+  EXPECT_EQ(AwaitCall(MakeCall(daemon, "/pay/1", "c")).status, http::kOk);
+  EXPECT_EQ(former->runs(), before);
+}
+
 TEST_F(OpaqueTest, OneDaemonOfADomainReadsTheStoreForTheOthers) {
   Configure(3);
   std::vector<Daemon> daemons;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -106,7 +106,8 @@
 };
 
 TEST_F(LeafCodecTest, RequestsNameTheLeafAndTheTimeLeft) {
-  leaf_.name = "i-1";
+  leaf_.name = "i-1@1796251705697";
+  leaf_.id = "i-1";
   upstream::ForwardCall call;
   call.message = std::make_shared<const Request>(MakeRequest());
   call.time_left = base::Duration(700'900);
--- a/tests/platform/configuration_decoder_test.cc
+++ b/tests/platform/configuration_decoder_test.cc
@@ -2,6 +2,10 @@
 
 #include "src/platform/configuration_decoder.h"
 
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -67,36 +71,108 @@
   (void)DecodeLeaf("id", text, {});
 }
 
+// A whole entry; `field` with `text` in place of what it holds, or left out if
+// `text` is empty.
+std::string MakeEntry(const std::string& field = "",
+                      const std::string& text = "") {
+  const std::vector<std::pair<std::string, std::string>> whole = {
+      {"service", "\"x\""},     {"addr", "\"10.0.0.1:80\""},
+      {"zone", "\"z\""},        {"version", "\"v1\""},
+      {"slots", "2"},           {"state", "\"ready\""},
+      {"warmup_left_ms", "0"},  {"seq", "4"},
+      {"born", "1796251705697"}};
+  std::string entry;
+  for (const auto& [name, value] : whole) {
+    const std::string& shown = name == field ? text : value;
+    if (!shown.empty()) {
+      entry += (entry.empty() ? "{\"" : ",\"") + name + "\":" + shown;
+    }
+  }
+  return entry + "}";
+}
+
 TEST(LeafDecoderTest, DecodesAnEntry) {
-  const auto leaf = DecodeLeaf(
-      "i-1",
-      R"({"service":"x","addr":"10.0.0.1:80","zone":"z","version":"v1",)"
-      R"("slots":2,"state":"ready","warmup_left_ms":0,"seq":4})",
-      {5});
-  ASSERT_TRUE(leaf.is_ok());
-  EXPECT_EQ(leaf.value().name, "i-1");
-  EXPECT_EQ(leaf.value().collection, "x");
-  EXPECT_EQ(leaf.value().failure_domain, "z");
-  EXPECT_EQ(leaf.value().state, blackboard::UpstreamState::kServing);
+  const auto entry = DecodeLeaf("i-1", MakeEntry("born"), {5});
+  ASSERT_TRUE(entry.is_ok()) << entry.error().ToString();
+  EXPECT_EQ(entry.value().sequence, 4);
+  EXPECT_EQ(entry.value().started_wall_ms, 0);
+  const blackboard::Upstream& leaf = entry.value().upstream;
+  EXPECT_EQ(leaf.id, "i-1");
+  EXPECT_EQ(leaf.name, "i-1");
+  EXPECT_EQ(leaf.collection, "x");
+  EXPECT_EQ(leaf.failure_domain, "z");
+  EXPECT_EQ(leaf.slots, 2);
+  EXPECT_EQ(leaf.state, blackboard::UpstreamState::kServing);
+}
+
+TEST(LeafDecoderTest, TheStartOfALeafIsPartOfItsName) {
+  const auto entry = DecodeLeaf("i-1", MakeEntry(), {});
+  ASSERT_TRUE(entry.is_ok());
+  EXPECT_EQ(entry.value().started_wall_ms, 1796251705697);
+  EXPECT_EQ(entry.value().upstream.id, "i-1");
+  EXPECT_EQ(entry.value().upstream.name, "i-1@1796251705697");
 }
 
 TEST(LeafDecoderTest, DrainingGoesBeforeCold) {
-  const auto draining =
-      DecodeLeaf("i",
-                 R"({"service":"x","addr":"a","zone":"z","state":"draining",)"
-                 R"("warmup_left_ms":900})",
-                 {});
-  EXPECT_EQ(draining.value().state, blackboard::UpstreamState::kDraining);
-  const auto cold =
-      DecodeLeaf("i",
-                 R"({"service":"x","addr":"a","zone":"z","state":"ready",)"
-                 R"("warmup_left_ms":900})",
-                 {5});
-  EXPECT_EQ(cold.value().state, blackboard::UpstreamState::kCold);
+  std::string entry = MakeEntry("warmup_left_ms", "900");
+  const auto cold = DecodeLeaf("i", entry, {5});
+  EXPECT_EQ(cold.value().upstream.state, blackboard::UpstreamState::kCold);
+  entry.replace(entry.find("ready"), 5, "draining");
+  const auto draining = DecodeLeaf("i", entry, {});
+  EXPECT_EQ(draining.value().upstream.state,
+            blackboard::UpstreamState::kDraining);
 }
 
-TEST(LeafDecoderTest, AMissingFieldMakesItMalformed) {
-  EXPECT_FALSE(DecodeLeaf("i", R"({"service":"x"})", {}).is_ok());
+TEST(LeafDecoderTest, EveryFieldButTheStartMustBeThere) {
+  for (const char* field : {"service", "addr", "zone", "version", "slots",
+                            "state", "warmup_left_ms", "seq"}) {
+    const auto entry = DecodeLeaf("i", MakeEntry(field), {});
+    ASSERT_FALSE(entry.is_ok()) << field;
+    EXPECT_EQ(entry.error().code, base::ErrorCode::kMalformed);
+  }
+}
+
+TEST(LeafDecoderTest, FieldsOfAnotherTypeOrRangeMakeItMalformed) {
+  const std::vector<std::pair<std::string, std::string>> odd = {
+      {"service", "7"},         {"service", "\"\""},
+      {"addr", "\"nowhere\""},  {"addr", "{}"},
+      {"zone", "null"},         {"version", "[]"},
+      {"slots", "\"2\""},       {"slots", "2.5"},
+      {"slots", "0"},           {"slots", "99999999999"},
+      {"state", "\"resting\""}, {"state", "true"},
+      {"warmup_left_ms", "-1"}, {"warmup_left_ms", "\"0\""},
+      {"seq", "\"4\""},         {"seq", "4.5"},
+      {"born", "1.5"},          {"born", "\"1796251705697\""},
+      {"born", "-3"},           {"born", "null"}};
+  for (const auto& [field, text] : odd) {
+    EXPECT_FALSE(DecodeLeaf("i", MakeEntry(field, text), {}).is_ok())
+        << field << ": " << text;
+  }
+}
+
+TEST(LeafDecoderTest, BytesThatAreNoEntryAreMalformed) {
+  std::string deep;
+  constexpr int kDepth = 100'000;
+  for (int level = 0; level < kDepth; ++level) {
+    deep += "{\"a\":";
+  }
+  const std::string bytes("\x00\xff\xfe{}", 5);
+  for (const std::string& text :
+       {std::string(), std::string("{"), std::string("[]"),
+        std::string("\"\\ud800\""), bytes, deep}) {
+    EXPECT_FALSE(DecodeLeaf("i", text, {}).is_ok());
+  }
+}
+
+RC_GTEST_PROP(LeafDecoderProperty, NeverThrows, ()) {
+  std::string text = MakeEntry();
+  const auto changes = *rc::gen::inRange(1, 6);
+  for (int change = 0; change < changes; ++change) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+  }
+  (void)DecodeLeaf("id", text, {});
+  (void)DecodeConfiguration(text);
 }
 
 }  // namespace
