Query, Upstream: Say not run of what never left this daemon

Change: a send tells whether it has left. At the end of a request what has not left is cancelled, never left to linger, and counts as not run; a part for an aggregator that was never reached is fanned out as if it had just arrived. A call that times out before it left is unreachable. Tests: refused and cancelled at the deadline for one collection and for all shards; one send that left keeps it unknown; an aggregator that never connects costs no repeat.

--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -236,7 +236,8 @@
       continue;
     }
     latest.was_overdue = true;
-    dependencies_->tracker->DidStall(latest.leaf);
+    dependencies_->tracker->DidStall(latest.leaf, route_.targets.name,
+                                     now - latest.sent);
     if (route_.is_idempotent && has(Mechanism::kSecondSends)) {
       (void)TrySendElsewhere(shard, Payment::kFromBudget);
     }
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -183,7 +183,7 @@
       continue;
     }
     const bool is_awaited =
-        has(Mechanism::kLingering) &&
+        has(Mechanism::kLingering) && attempt->call.has_left() &&
         dependencies_->tracker->AwaitLateReply(attempt->leaf, attempt->sent);
     if (is_awaited) {
       attempt->call.let_linger();
@@ -252,6 +252,12 @@
   }
 }
 
+bool FanOutSession::may_have_run() const {
+  return may_have_run_ || answered_ > 0 ||
+         std::any_of(shards_.begin(), shards_.end(),
+                     [](const Shard& shard) { return shard.may_be_running(); });
+}
+
 void FanOutSession::Conclude() {
   if (answered_ == 0) {
     ConcludeFailed();
@@ -276,10 +282,7 @@
 }
 
 void FanOutSession::ConcludeFailed() {
-  for (const Shard& shard : shards_) {
-    may_have_run_ = may_have_run_ || shard.running() > 0 ||
-                    shard.state == ShardState::kAnswered;
-  }
+  may_have_run_ = may_have_run();
   if (!is_gather() && !shards_.empty() &&
       shards_.front().reply.outcome == LeafOutcome::kFailed) {
     Finish(PassedOn{std::move(shards_.front().reply.message)});
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -94,6 +94,9 @@
   void Relax(int most_missing);
   // Shards without an answer; never grows.
   int missing() const { return static_cast<int>(shards_.size()) - answered_; }
+  // Whether a leaf may have run the request. What has not left this daemon yet
+  // counts as not run: whoever relies on that cancels it.
+  bool may_have_run() const;
   // The caller has left: everything is cancelled, and nobody is answered.
   // False if the session had answered already.
   bool Abandon();
--- a/src/query/fan_out_shard.h
+++ b/src/query/fan_out_shard.h
@@ -83,6 +83,14 @@
         [](const auto& attempt) { return !attempt->is_finished; }));
   }
 
+  // Whether a send that has not ended may have reached its leaf.
+  bool may_be_running() const {
+    return std::any_of(
+        attempts.begin(), attempts.end(), [](const auto& attempt) {
+          return !attempt->is_finished && attempt->call.has_left();
+        });
+  }
+
   // When the latest send has to be looked at: its second send is prepared or
   // due. `otherwise` if there is nothing to wait for.
   base::MonotonicTime SecondSendDue(base::MonotonicTime otherwise) const {
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -59,6 +59,7 @@
             session->Check(std::move(report));
           },
           [session](int most_missing) { session->Relax(most_missing); },
+          [session] { return session->may_have_run(); },
           [session] { (void)session->Abandon(); }};
 }
 
--- a/src/query/gather_session.cc
+++ b/src/query/gather_session.cc
@@ -165,9 +165,9 @@
   std::vector<std::string> records;
   for (Part& part : parts_) {
     if (!part.result) {
+      may_have_run_ = may_have_run_ || part.work.may_have_run();
       part.work.abandon();
       gathered.missing += part.shards;
-      may_have_run_ = true;
       continue;
     }
     gathered.missing += part.result->missing;
--- a/src/query/gather_session.h
+++ b/src/query/gather_session.h
@@ -48,6 +48,8 @@
   std::function<void(Report)> check;
   // Answer as soon as no more than so many shards are missing.
   std::function<void(int most_missing)> relax;
+  // Whether a leaf may have run it by now.
+  std::function<bool()> may_have_run;
   // The caller has left, or the part is no longer needed.
   std::function<void()> abandon;
 };
--- a/src/query/handover_session.cc
+++ b/src/query/handover_session.cc
@@ -116,6 +116,7 @@
   last_error_ = reply.error;
   const bool is_peers_word = reply.outcome == LeafOutcome::kFailed;
   const bool did_not_run = !upstream::MayHaveRun(reply.outcome);
+  is_peer_unknown_ = !did_not_run;
   // A peer that refuses is alive: it is stopping, or its routes differ for a
   // moment.
   if (!is_peers_word && reply.outcome != LeafOutcome::kShed) {
@@ -194,7 +195,18 @@
                                  " is left alone for " +
                                  std::to_string(pause.count() / 1000) + " ms",
                              request_.request_id);
-  FanOutHere(true);
+  if (call_.has_left()) {
+    FanOutHere(true);
+    return;
+  }
+  call_.cancel();
+  is_peer_running_ = false;
+  FanOutHere(false);
+}
+
+bool HandoverSession::may_have_run() const {
+  return is_peer_unknown_ || (is_peer_running_ && call_.has_left()) ||
+         (here_ && here_->may_have_run());
 }
 
 void HandoverSession::FanOutHere(bool is_repeat) {
--- a/src/query/handover_session.h
+++ b/src/query/handover_session.h
@@ -8,10 +8,12 @@
 //      fanned out here, as if the request had just arrived.
 //   3. A peer that is silent for a while is probed on a connection of its own.
 //      If it answers the probe it is at work on the shards, and the session
-//      waits on. If not, or if its connection breaks, the part is fanned out
-//      here as a repeat, if the route allows more leaves than the peer may have
-//      sent to: each send of it is paid for from the budget of extra sends, and
-//      the first answer counts. Otherwise it has failed, at once.
+//      waits on. If not, and the request has not even left for it, the part is
+//      fanned out here as in step 2. Else, or if its connection breaks, it is
+//      fanned out here as a repeat, if the route allows more leaves than the
+//      peer may have sent to: each send of it is paid for from the budget of
+//      extra sends, and the first answer counts. Otherwise it has failed, at
+//      once.
 //
 // Invariants: it ends once; a part runs at both daemons only where the request
 // is idempotent, which requests to all shards are.
@@ -64,6 +66,8 @@
   void Check(std::function<void(int missing)> report);
   // Answer as soon as no more than so many shards are missing.
   void Relax(int most_missing);
+  // Whether a leaf may have run the part.
+  bool may_have_run() const;
   // The caller has left: everything is cancelled, and nobody is answered.
   // False if the session had answered already.
   bool Abandon();
@@ -104,6 +108,8 @@
   std::shared_ptr<FanOutSession> here_;
   bool is_here_running_ = false;
   bool is_peer_running_ = false;
+  // The peer got the part, or may have, and its connection was lost.
+  bool is_peer_unknown_ = false;
   bool is_finished_ = false;
   // Set once Check() was called.
   std::function<void(int missing)> report_;
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -71,6 +71,7 @@
     ForwardPort::Callback done;
     std::weak_ptr<ClientConnection> connection;
     base::Timer timer;
+    bool has_left = false;
     bool is_finished = false;
   };
 
@@ -119,7 +120,8 @@
     traffic_.Post([self = shared_from_this(), state, reply] {
       self->Finish(state, reply);
     });
-    return {[state] { state->is_finished = true; }, [] {}};
+    return {[state] { state->is_finished = true; }, [] {},
+            [] { return false; }};
   }
   state->connection = connection;
   EndAfter(state, call.time_left + kDeadlineMargin);
@@ -129,6 +131,7 @@
   // The leaf must not be given the time that opening the connection took.
   exchange.will_write = [self = shared_from_this(), state,
                          time_left = call.time_left](http1::Request& request) {
+    state->has_left = true;
     const base::Duration waited = self->clock_.Now() - state->sent;
     self->codec_.set_time_left(request,
                                std::max(base::Duration{}, time_left - waited));
@@ -156,7 +159,8 @@
             if (!state->is_finished) {
               self->EndAfter(state, kLinger);
             }
-          }};
+          },
+          [state] { return state->has_left; }};
 }
 
 Readiness ForwardClient::Impl::ReadinessOf(
@@ -318,9 +322,13 @@
       return;
     }
     ForwardReply reply;
-    reply.outcome = LeafOutcome::kTimeout;
-    reply.error = base::MakeError(ErrorCode::kTimeout, Step::kReadUpstream,
-                                  call->upstream.address, "no reply in time");
+    reply.outcome =
+        call->has_left ? LeafOutcome::kTimeout : LeafOutcome::kUnreachable;
+    reply.error = base::MakeError(
+        ErrorCode::kTimeout,
+        call->has_left ? Step::kReadUpstream : Step::kSendUpstream,
+        call->upstream.address,
+        call->has_left ? "no reply in time" : "no connection in time");
     if (auto running = call->connection.lock()) {
       running->Abort();
     }
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -67,6 +67,9 @@
   // The reply is no longer needed, but may still tell when the leaf is back.
   // The callback follows within the time that the client waits for that.
   std::function<void()> let_linger;
+  // Whether a byte of the request may have left this daemon. One that was
+  // cancelled before it left has not run and never will.
+  std::function<bool()> has_left;
 };
 
 enum class Readiness {
--- a/tests/query/fake_leaves.h
+++ b/tests/query/fake_leaves.h
@@ -21,16 +21,20 @@
     upstream::ForwardPort::Callback done;
     bool is_cancelled = false;
     bool is_lingering = false;
+    // False while its connection is being opened.
+    bool has_left = true;
   };
 
   upstream::ForwardPort port() {
     return {[this](const blackboard::Upstream& leaf, upstream::ForwardCall call,
                    upstream::ForwardPort::Callback done) {
               sent_.push_back({leaf, std::move(call), std::move(done)});
+              sent_.back().has_left = !connecting_.contains(leaf.name);
               const std::size_t index = sent_.size() - 1;
               return upstream::SentCall{
                   [this, index] { sent_[index].is_cancelled = true; },
-                  [this, index] { sent_[index].is_lingering = true; }};
+                  [this, index] { sent_[index].is_lingering = true; },
+                  [this, index] { return sent_[index].has_left; }};
             },
             [this](const blackboard::Upstream& leaf) {
               return full_.contains(leaf.name) ? upstream::Readiness::kFull
@@ -67,6 +71,8 @@
   const std::vector<std::string>& prepared() const { return prepared_; }
   // Names of leaves that have no connection free.
   std::set<std::string>& full() { return full_; }
+  // Names of leaves whose connections never open.
+  std::set<std::string>& connecting() { return connecting_; }
 
   void End(std::size_t index, upstream::ForwardReply reply) {
     const auto done = std::exchange(sent_[index].done, nullptr);
@@ -76,6 +82,7 @@
  private:
   std::deque<Sent> sent_;
   std::set<std::string> full_;
+  std::set<std::string> connecting_;
   std::vector<std::string> prepared_;
 };
 
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -254,6 +254,40 @@
   EXPECT_EQ(passed->message.body(), "body");
 }
 
+// A caller may ask again after "not run" whatever it asked for.
+TEST_F(ForwardServiceTest, WhatNeverLeftThisDaemonIsRefusedAndNeverLeavesIt) {
+  for (const char* domain : {"n1", "s1", "w1"}) {
+    leaves_.connecting().insert(std::string("single-") + domain);
+  }
+  SetRoute(OneCollection{"single"}, false);
+  Submit();
+  Advance(790);
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+  for (const auto& sent : leaves_.sent()) {
+    EXPECT_TRUE(sent.is_cancelled);
+  }
+}
+
+TEST_F(ForwardServiceTest, OneSendThatLeftMakesTheRequestOneThatMayHaveRun) {
+  for (const char* shard : {"shard0", "shard1", "shard2"}) {
+    for (const char* domain : {"-n1", "-s1", "-w1"}) {
+      leaves_.connecting().insert(std::string(shard) + domain);
+    }
+  }
+  Submit();
+  Advance(790);
+  EXPECT_NE(AnswerAs<Unknown>(), nullptr);
+}
+
+TEST_F(ForwardServiceTest, ARequestToAllShardsThatNeverLeftIsRefused) {
+  for (const auto& [name, leaf] : leaves_view_.upstreams) {
+    leaves_.connecting().insert(name);
+  }
+  Submit();
+  Advance(790);
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
 TEST_F(ForwardServiceTest, NonIdempotentIsNeverSentAgainOnceItMayHaveRun) {
   SetRoute(OneCollection{"single"}, false);
   Submit();
@@ -852,6 +886,20 @@
   EXPECT_EQ(leaves_.sent().size(), 4U);
 }
 
+// A peer whose connection never opened has sent nothing.
+TEST_F(HandoverTest, APartThatNeverLeftIsFannedOutHereAsIfItHadJustArrived) {
+  SetAttempts(2);
+  extra_sends_ = {0.0, 0.0};
+  peers_.connecting().insert("large");
+  Submit();
+  Advance(kUntilProbe);
+  Advance(kUntilProbeIsMissed);
+  EXPECT_TRUE(peers_.sent()[0].is_cancelled);
+  ASSERT_EQ(leaves_.sent().size(), 4U);
+  AnswerLeaves(0);
+  EXPECT_NE(AnswerAs<Gathered>(), nullptr);
+}
+
 TEST_F(HandoverTest, ARepeatUsesNoMoreLeavesThanTheRouteLeavesIt) {
   Submit();
   Advance(kUntilProbe);
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -106,7 +106,10 @@
   Open([](int) { return RawLeaf::Reply{"", false}; });
   std::optional<ForwardReply> reply;
   const SentCall call = Send(reply);
+  // The connection is not open yet.
+  EXPECT_FALSE(call.has_left());
   RunUntil([this] { return raw_->requests() == 1; });
+  EXPECT_TRUE(call.has_left());
   call.cancel();
   RunUntil([this] { return raw_->open_connections() == 0; });
   EXPECT_FALSE(reply.has_value());
