Membership, Relay: List the followers of a reader in one key

Change: the stronger a VM, the sooner its daemon registers; one that is weak beside another of its failure domain says who it is when it asks for news, and its reader lists it. Unlisted for 6 s, it registers itself. Dead followers count for as long as a lease lasts, a reader that restarts takes its list up from the store, and a list that is taken away counts for 10 s more, so that budgets are never shared among too few. Bytes in an entry that no daemon wrote name none.

--- a/src/membership/lease_registration.cc
+++ b/src/membership/lease_registration.cc
@@ -1,48 +1,24 @@
-// Lease, entry, renewals.
+// Lease, entry, followers, renewals.
 
 #include "src/membership/lease_registration.h"
 
-#include <sstream>
-#include <string_view>
+#include <algorithm>
 #include <utility>
 
+#include "src/membership/daemon_entry.h"
+
 namespace medlarspread::membership {
 
 namespace {
 
 // Each call is paid for; a registration may come seconds late.
 constexpr base::Duration kRetry = base::Milliseconds(2'000);
-
-// For a daemon that takes no requests from others.
-constexpr std::string_view kNoAddress = "-";
-
-// The value of a daemon's entry: words with blanks between.
-std::string MakeEntry(const blackboard::Member& member) {
-  std::ostringstream entry;
-  entry << member.failure_domain << ' ' << member.address << ' '
-        << member.region << ' '
-        << (member.query_address.empty() ? kNoAddress : member.query_address)
-        << ' ' << member.processor_share;
-  return entry.str();
-}
-
-// Words that are missing, as in the entry of another version, leave what the
-// daemon is without them.
-blackboard::Member ParseEntry(const std::string& name,
-                              const std::string& value) {
-  blackboard::Member member;
-  member.name = name;
-  std::istringstream words(value);
-  words >> member.failure_domain >> member.address >> member.region >>
-      member.query_address;
-  if (double share = 0.0; words >> share && share > 0.0) {
-    member.processor_share = share;
-  }
-  if (member.query_address == kNoAddress) {
-    member.query_address.clear();
-  }
-  return member;
-}
+// How often a daemon that is not registered looks whether it should be.
+constexpr base::Duration kConsiderInterval = base::Milliseconds(1'000);
+// A daemon with less than this part of another one's processor follows it.
+constexpr double kWeakPart = 0.5;
+// A daemon that says it has less than this part of a core comes no later.
+constexpr double kLeastShare = 0.1;
 
 }  // namespace
 
@@ -64,15 +40,17 @@
       is_reading_store_(std::move(is_reading_store)),
       did_renew_(std::move(did_renew)),
       blackboard_(blackboard),
-      log_(std::move(log)) {
-  view_.self = self_.name;
-  view_.members[self_.name] = self_;
-  is_changed_ = true;
-}
+      log_(std::move(log)),
+      followers_(settings.time_to_live),
+      is_changed_(true) {}
 
 void LeaseRegistration::Start() {
   Publish();
-  Register();
+  const double share = std::max(kLeastShare, self_.processor_share);
+  const auto wait = static_cast<std::int64_t>(
+      static_cast<double>(settings_.pace.count()) / share);
+  Again(base::Duration(wait), &LeaseRegistration::ConsiderRegistering);
+  Again(settings_.list_interval, &LeaseRegistration::WriteFollowers);
 }
 
 void LeaseRegistration::Stop() {
@@ -85,11 +63,88 @@
     return;
   }
   is_changed_ = true;
+  auto member = value ? DecodeEntry(name, *value) : std::nullopt;
+  if (member) {
+    registered_[name] = std::move(*member);
+    return;
+  }
+  if (value) {
+    log_.Write({.level = base::LogLevel::kWarning,
+                .step = base::Step::kMembership,
+                .message = "the entry of daemon " + name +
+                           " can't be read; it counts as gone"});
+  }
+  registered_.erase(name);
+}
+
+void LeaseRegistration::DidChangeFollowers(
+    const std::string& reader,
+    const std::optional<std::string>& value) {
   if (!value) {
-    view_.members.erase(name);
+    forget_at_[reader] = clock_.Now() + settings_.unlisted_kept;
+    control_.After(settings_.unlisted_kept,
+                   [self = shared_from_this(), reader] {
+                     if (!self->is_stopped_) {
+                       self->ForgetList(reader);
+                     }
+                   });
     return;
   }
-  view_.members[name] = ParseEntry(name, *value);
+  is_changed_ = true;
+  forget_at_.erase(reader);
+  std::vector<blackboard::Member> members = DecodeFollowers(*value);
+  if (reader == self_.name) {
+    followers_.DidReadOwn(members, clock_.Now());
+  }
+  Members& list = lists_[reader];
+  list.clear();
+  for (blackboard::Member& member : members) {
+    std::string name = member.name;
+    list[std::move(name)] = std::move(member);
+  }
+}
+
+void LeaseRegistration::ForgetList(const std::string& reader) {
+  const auto due = forget_at_.find(reader);
+  if (due == forget_at_.end() || clock_.Now() < due->second) {
+    return;
+  }
+  forget_at_.erase(due);
+  const bool was_listed = lists_.erase(reader) > 0;
+  is_changed_ = is_changed_ || was_listed;
+  Publish();
+}
+
+void LeaseRegistration::DidHearFollower(const std::string& entry) {
+  const auto member = DecodeNamedEntry(entry);
+  if (member && member->name != self_.name) {
+    followers_.DidHear(*member, clock_.Now());
+  }
+}
+
+void LeaseRegistration::WriteFollowers() {
+  Again(settings_.list_interval, &LeaseRegistration::WriteFollowers);
+  if (lease_ == 0) {
+    return;
+  }
+  std::vector<blackboard::Member> members = followers_.Current(clock_.Now());
+  std::erase_if(members, [this](const blackboard::Member& member) {
+    return registered_.contains(member.name);
+  });
+  std::string list = EncodeFollowers(members);
+  if (list == written_followers_) {
+    return;
+  }
+  source_.put(std::string(kFollowersKeyPrefix) + self_.name, list, lease_,
+              [self = shared_from_this(), list,
+               lease = lease_](const base::Status& status) {
+                if (!status.is_ok()) {
+                  self->log_.DidFail(status.error(),
+                                     "the followers are not listed yet");
+                } else if (lease == self->lease_) {
+                  self->written_followers_ = list;
+                }
+              });
 }
 
 void LeaseRegistration::Publish() {
@@ -97,12 +152,57 @@
     return;
   }
   is_changed_ = false;
-  view_.is_settled = true;
-  blackboard_.membership.Write(view_);
+  blackboard::MembershipView view;
+  view.self = self_.name;
+  view.is_settled = true;
+  view.members = registered_;
+  for (const auto& [reader, members] : lists_) {
+    view.members.insert(members.begin(), members.end());
+  }
+  view.members[self_.name] = self_;
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = base::Step::kMembership,
+              .message = std::to_string(view.members.size()) +
+                         " daemons are known, " +
+                         std::to_string(registered_.size()) +
+                         " others registered themselves"});
+  blackboard_.membership.Write(std::move(view));
+}
+
+bool LeaseRegistration::is_weak() const {
+  return std::any_of(
+      registered_.begin(), registered_.end(), [this](const auto& row) {
+        const blackboard::Member& other = row.second;
+        return other.failure_domain == self_.failure_domain &&
+               self_.processor_share < kWeakPart * other.processor_share;
+      });
+}
+
+bool LeaseRegistration::is_listed() const {
+  return std::any_of(lists_.begin(), lists_.end(), [this](const auto& row) {
+    return row.second.contains(self_.name);
+  });
+}
+
+void LeaseRegistration::ConsiderRegistering() {
+  const base::MonotonicTime now = clock_.Now();
+  if (is_listed()) {
+    unlisted_since_ = {};
+  } else if (unlisted_since_ == base::MonotonicTime{}) {
+    unlisted_since_ = now;
+  }
+  const bool waits_for_list =
+      unlisted_since_ == base::MonotonicTime{} ||
+      (is_weak() && now - unlisted_since_ < settings_.listing_patience);
+  if (waits_for_list) {
+    Again(kConsiderInterval, &LeaseRegistration::ConsiderRegistering);
+    return;
+  }
   log_.Write({.level = base::LogLevel::kInfo,
               .step = base::Step::kMembership,
-              .message = std::to_string(view_.members.size()) +
-                         " daemons are registered"});
+              .message = is_weak() ? "no reader lists this daemon; registering"
+                                   : "registering"});
+  Register();
 }
 
 void LeaseRegistration::Register() {
@@ -123,8 +223,9 @@
     return;
   }
   lease_ = lease.value().id;
-  source_.put(kDaemonKeyPrefix + self_.name, MakeEntry(self_), lease_,
-              [self = shared_from_this()](const base::Status& status) {
+  written_followers_.clear();
+  source_.put(std::string(kDaemonKeyPrefix) + self_.name, EncodeEntry(self_),
+              lease_, [self = shared_from_this()](const base::Status& status) {
                 if (!status.is_ok()) {
                   self->log_.DidFail(status.error(),
                                      "this daemon is not registered yet");
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -40,10 +40,12 @@
 
 NewsServer::NewsServer(const store::EventLog& log,
                        base::TaskRunner control,
-                       std::function<std::optional<Freshness>()> freshness)
+                       std::function<std::optional<Freshness>()> freshness,
+                       std::function<void(const std::string&)> did_hear)
     : log_(log),
       control_(std::move(control)),
-      freshness_(std::move(freshness)) {}
+      freshness_(std::move(freshness)),
+      did_hear_(std::move(did_hear)) {}
 
 http1::Abandon NewsServer::Handle(const http1::Request& request,
                                   http1::Respond respond) {
@@ -53,6 +55,10 @@
     respond(MakeResponse(http1::Status::service_unavailable, ""));
     return [] {};
   }
+  const auto follower = request.find(kFollowerField);
+  if (follower != request.end()) {
+    did_hear_(std::string(follower->value()));
+  }
   if (target == kNewsTarget) {
     respond(Render(log_.Everything()));
     return [] {};
--- a/src/relay/news_server.h
+++ b/src/relay/news_server.h
@@ -23,6 +23,10 @@
 constexpr const char* kNewsTarget = "/news";
 constexpr const char* kCursorPrefix = "/news?cursor=";
 
+// The field of a request for news in which the asker says who it is. A daemon
+// that does not know it leaves it out of account.
+constexpr const char* kFollowerField = "Follower";
+
 // How long a request for news waits. It bounds how late a daemon notices that
 // the one it asks has frozen or lost the store, together with its own timeout.
 constexpr base::Duration kNewsWait = base::Milliseconds(700);
@@ -39,9 +43,11 @@
 class NewsServer : public std::enable_shared_from_this<NewsServer> {
  public:
   // `freshness` is absent while this daemon has not read anything yet.
+  // `did_hear` is told what an asker says of itself.
   NewsServer(const store::EventLog& log,
              base::TaskRunner control,
-             std::function<std::optional<Freshness>()> freshness);
+             std::function<std::optional<Freshness>()> freshness,
+             std::function<void(const std::string&)> did_hear);
 
   http1::Abandon Handle(const http1::Request& request, http1::Respond respond);
   // The log has grown.
@@ -60,6 +66,7 @@
   const store::EventLog& log_;
   const base::TaskRunner control_;
   const std::function<std::optional<Freshness>()> freshness_;
+  const std::function<void(const std::string&)> did_hear_;
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, Waiting> waiting_;
 };
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -345,6 +345,7 @@
   auto request = std::make_shared<http1::Request>(boost::beast::http::verb::get,
                                                   target, kHttpVersion);
   request->set(boost::beast::http::field::host, peer);
+  request->set(kFollowerField, settings_.self_entry);
   http1::TimedExchange exchange;
   exchange.request = std::move(request);
   exchange.timeout =
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -41,6 +41,8 @@
   std::string failure_domain;
   // "ip:port" of peers that may be asked before any is known.
   std::vector<std::string> seeds;
+  // What this daemon says of itself to the one that it follows.
+  std::string self_entry;
 };
 
 // Runs on the control thread.
--- a/tests/membership/lease_registration_test.cc
+++ b/tests/membership/lease_registration_test.cc
@@ -2,6 +2,10 @@
 
 #include "src/membership/lease_registration.h"
 
+#include <optional>
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 namespace medlarspread::membership {
@@ -27,6 +31,7 @@
       key_ = key;
       value_ = value;
       lease_ = lease;
+      keys_.push_back(key);
       done(base::Status(base::Done{}));
     };
     source.keep_lease = [this](std::int64_t, auto done) {
@@ -34,6 +39,15 @@
       done(has_ended_ ? base::Status(Failure(ErrorCode::kNotFound))
                       : base::Status(base::Done{}));
     };
+    source_ = std::move(source);
+    MakeRegistration();
+  }
+
+  // A daemon that has just started.
+  void MakeRegistration() {
+    if (registration_) {
+      registration_->Stop();
+    }
     blackboard::Member self;
     self.name = "vm-1";
     self.region = "north";
@@ -43,7 +57,7 @@
     self.address = "10.0.0.1:80";
     registration_ = std::make_shared<LeaseRegistration>(
         LeaseRegistrationSettings{}, self, base::Clock(time_),
-        base::TaskRunner(scheduler_), std::move(source), blackboard_,
+        base::TaskRunner(scheduler_), source_, blackboard_,
         [this] { return is_reader_; },
         [this](const base::Status& renewed) {
           reached_ += renewed.is_ok() ? 1 : 0;
@@ -51,6 +65,24 @@
         base::Log());
   }
 
+  // Starts it and lets it register, which a quarter of a core does after 1.2 s.
+  void StartRegistered() {
+    registration_->Start();
+    scheduler_->Advance(Milliseconds(1'200));
+  }
+
+  // The daemons that this one knows, without itself.
+  std::vector<std::string> Known() {
+    registration_->Publish();
+    std::vector<std::string> names;
+    for (const auto& [name, member] : blackboard_.membership.Read()->members) {
+      if (name != "vm-1") {
+        names.push_back(name);
+      }
+    }
+    return names;
+  }
+
   static base::Error Failure(ErrorCode code) {
     return base::MakeError(code, base::Step::kWriteStore, "store", "");
   }
@@ -66,21 +98,24 @@
   int leases_ = 0;
   int renewals_ = 0;
   int reached_ = 0;
+  store::EventSource source_;
   std::string key_;
+  // All that were written.
+  std::vector<std::string> keys_;
   std::string value_;
   std::int64_t lease_ = 0;
   std::shared_ptr<LeaseRegistration> registration_;
 };
 
 TEST_F(LeaseRegistrationTest, WritesAnEntryThatLivesAsLongAsItsLease) {
-  registration_->Start();
+  StartRegistered();
   EXPECT_EQ(key_, "daemons/vm-1");
   EXPECT_EQ(value_, "n1 10.0.0.1:80 north 10.0.0.1:81 0.25");
   EXPECT_EQ(lease_, 1);
 }
 
 TEST_F(LeaseRegistrationTest, ReadersRenewEachSecondOthersSeldom) {
-  registration_->Start();
+  StartRegistered();
   scheduler_->Advance(Milliseconds(19'000));
   EXPECT_EQ(renewals_, 0);
   scheduler_->Advance(Milliseconds(2'000));
@@ -92,7 +127,7 @@
 }
 
 TEST_F(LeaseRegistrationTest, RegistersAgainWhenTheLeaseHasEnded) {
-  registration_->Start();
+  StartRegistered();
   is_reader_ = true;
   has_ended_ = true;
   scheduler_->Advance(Milliseconds(1'500));
@@ -102,7 +137,7 @@
 
 TEST_F(LeaseRegistrationTest, TriesAgainWhileTheStoreIsAway) {
   is_away_ = true;
-  registration_->Start();
+  StartRegistered();
   scheduler_->Advance(Milliseconds(5'000));
   EXPECT_EQ(leases_, 3);
   is_away_ = false;
@@ -124,6 +159,25 @@
   EXPECT_DOUBLE_EQ(view->members.at("vm-4").processor_share, 1.0);
 }
 
+TEST_F(LeaseRegistrationTest, AnEntryThatNoDaemonWroteNamesNone) {
+  registration_->DidChange("vm-2", "s1 10.0.0.2:80 south 10.0.0.2:81 0.5");
+  registration_->Publish();
+  for (const std::string& value :
+       {std::string(), std::string("\x00\xff{\"a\":1}", 9), std::string("s1"),
+        std::string("s1 10.0.0.2"), std::string("s1 10.0.0.2:port south")}) {
+    registration_->DidChange("vm-2", value);
+    registration_->Publish();
+    EXPECT_FALSE(blackboard_.membership.Read()->members.contains("vm-2"))
+        << value;
+  }
+  // A share of a core that no VM has counts as not told.
+  registration_->DidChange("vm-2", "s1 10.0.0.2:80 south odd:x 1e300");
+  registration_->Publish();
+  const auto& member = blackboard_.membership.Read()->members.at("vm-2");
+  EXPECT_DOUBLE_EQ(member.processor_share, 1.0);
+  EXPECT_EQ(member.query_address, "");
+}
+
 TEST_F(LeaseRegistrationTest, KeepsTheViewOfAllDaemons) {
   registration_->Start();
   registration_->DidChange("vm-2", "s1 10.0.0.2:80");
@@ -139,5 +193,134 @@
   EXPECT_EQ(blackboard_.membership.Read()->members.size(), 1U);
 }
 
+// Strong daemons come first, so that the others find somebody to follow.
+TEST_F(LeaseRegistrationTest, TheStrongerAVmTheSoonerItRegisters) {
+  registration_->Start();
+  scheduler_->Advance(Milliseconds(1'100));
+  EXPECT_EQ(leases_, 0);
+  scheduler_->Advance(Milliseconds(200));
+  EXPECT_EQ(leases_, 1);
+}
+
+TEST_F(LeaseRegistrationTest, AFollowerOfAStrongerDaemonCostsTheStoreNothing) {
+  registration_->Start();
+  registration_->DidChange("big", "n1 10.0.0.9:80 north 10.0.0.9:81 1");
+  scheduler_->Advance(Milliseconds(3'000));
+  registration_->DidChangeFollowers(
+      "big", "vm-1 n1 10.0.0.1:80 north 10.0.0.1:81 0.25\n");
+  scheduler_->Advance(Milliseconds(60'000));
+  EXPECT_EQ(leases_, 0);
+  EXPECT_EQ(keys_, std::vector<std::string>{});
+}
+
+TEST_F(LeaseRegistrationTest, AFollowerThatNobodyListsRegistersItself) {
+  registration_->Start();
+  registration_->DidChange("big", "n1 10.0.0.9:80 north 10.0.0.9:81 1");
+  scheduler_->Advance(Milliseconds(5'000));
+  EXPECT_EQ(leases_, 0);
+  scheduler_->Advance(Milliseconds(5'000));
+  EXPECT_EQ(leases_, 1);
+}
+
+TEST_F(LeaseRegistrationTest, AFollowerWhoseReaderIsGoneRegistersItself) {
+  registration_->Start();
+  registration_->DidChange("big", "n1 10.0.0.9:80 north 10.0.0.9:81 1");
+  registration_->DidChangeFollowers(
+      "big", "vm-1 n1 10.0.0.1:80 north 10.0.0.1:81 0.25\n");
+  scheduler_->Advance(Milliseconds(20'000));
+  EXPECT_EQ(leases_, 0);
+  registration_->DidChange("big", std::nullopt);
+  registration_->DidChangeFollowers("big", std::nullopt);
+  scheduler_->Advance(Milliseconds(12'000));
+  EXPECT_EQ(leases_, 1);
+}
+
+// A daemon of another failure domain lists nobody here.
+TEST_F(LeaseRegistrationTest, AStrongerDaemonElsewhereIsNotFollowed) {
+  registration_->Start();
+  registration_->DidChange("big", "s1 10.0.0.9:80 south 10.0.0.9:81 1");
+  scheduler_->Advance(Milliseconds(1'300));
+  EXPECT_EQ(leases_, 1);
+}
+
+TEST_F(LeaseRegistrationTest, ListsItsFollowersWhenTheyChange) {
+  StartRegistered();
+  registration_->DidHearFollower("small-1 n1 10.0.0.2:80 north - 0.1");
+  registration_->DidHearFollower("small-2 n1 10.0.0.3:80 north - 0.1");
+  scheduler_->Advance(Milliseconds(1'600));
+  EXPECT_EQ(key_, "followers/vm-1");
+  EXPECT_EQ(value_,
+            "small-1 n1 10.0.0.2:80 north - 0.1\n"
+            "small-2 n1 10.0.0.3:80 north - 0.1\n");
+  const auto written = keys_.size();
+  for (int second = 0; second < 50; ++second) {
+    registration_->DidHearFollower("small-1 n1 10.0.0.2:80 north - 0.1");
+    scheduler_->Advance(Milliseconds(1'000));
+  }
+  EXPECT_EQ(keys_.size(), written);
+  // One that was silent for as long as a lease lasts is gone.
+  registration_->DidHearFollower("small-1 n1 10.0.0.2:80 north - 0.1");
+  scheduler_->Advance(Milliseconds(12'000));
+  EXPECT_EQ(value_, "small-1 n1 10.0.0.2:80 north - 0.1\n");
+}
+
+TEST_F(LeaseRegistrationTest, WhatIsNoFollowerIsNotListed) {
+  StartRegistered();
+  const auto written = keys_.size();
+  registration_->DidChange("big", "n1 10.0.0.9:80 north 10.0.0.9:81 0.25");
+  for (const char* entry :
+       {"", "small", "small n1", "small n1 nowhere x - 1",
+        "vm-1 n1 10.0.0.1:80 north - 0.1", "big n1 10.0.0.9:80 north - 0.25"}) {
+    registration_->DidHearFollower(entry);
+  }
+  scheduler_->Advance(Milliseconds(5'000));
+  EXPECT_EQ(keys_.size(), written);
+}
+
+// A reader that restarts knows its followers from the store: had it forgotten
+// them, all would count too few daemons until they ask again.
+TEST_F(LeaseRegistrationTest, AReaderThatRestartsKeepsItsList) {
+  const std::string list = "small-1 n1 10.0.0.2:80 north - 0.1\n";
+  registration_->Start();
+  registration_->DidChangeFollowers("vm-1", list);
+  EXPECT_EQ(Known(), std::vector<std::string>{"small-1"});
+  scheduler_->Advance(Milliseconds(3'000));
+  EXPECT_EQ(key_, "followers/vm-1");
+  EXPECT_EQ(value_, list);
+}
+
+TEST_F(LeaseRegistrationTest, AListThatWasTakenAwayCountsForAWhile) {
+  registration_->Start();
+  registration_->DidChangeFollowers("big",
+                                    "small-1 n1 10.0.0.2:80 north - 0.1\n");
+  registration_->DidChangeFollowers("big", std::nullopt);
+  scheduler_->Advance(Milliseconds(9'000));
+  EXPECT_EQ(Known(), std::vector<std::string>{"small-1"});
+  scheduler_->Advance(Milliseconds(2'000));
+  EXPECT_EQ(Known(), std::vector<std::string>{});
+}
+
+TEST_F(LeaseRegistrationTest, ALineThatCantBeReadIsLeftOut) {
+  registration_->DidChangeFollowers(
+      "big",
+      std::string("\x00\xff\nsmall-1 n1 10.0.0.2:80 north - 0.1\nx", 40));
+  EXPECT_EQ(Known(), std::vector<std::string>{"small-1"});
+}
+
+// After its lease has ended a reader writes its list again, under the new one.
+TEST_F(LeaseRegistrationTest, AListBelongsToItsLease) {
+  StartRegistered();
+  is_reader_ = true;
+  registration_->DidHearFollower("small-1 n1 10.0.0.2:80 north - 0.1");
+  scheduler_->Advance(Milliseconds(2'000));
+  keys_.clear();
+  has_ended_ = true;
+  scheduler_->Advance(Milliseconds(1'000));
+  has_ended_ = false;
+  scheduler_->Advance(Milliseconds(2'000));
+  EXPECT_EQ(keys_,
+            (std::vector<std::string>{"daemons/vm-1", "followers/vm-1"}));
+}
+
 }  // namespace
 }  // namespace medlarspread::membership
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -45,8 +45,9 @@
 class NewsSourceTest : public testing::Test {
  protected:
   void SetUp() override {
-    server_ = std::make_shared<NewsServer>(log_, runner_,
-                                           [this] { return freshness_; });
+    server_ = std::make_shared<NewsServer>(
+        log_, runner_, [this] { return freshness_; },
+        [this](const std::string& entry) { heard_.push_back(entry); });
     http1::CallerListener::Settings settings;
     settings.address = "127.0.0.1:0";
     settings.limits = [] { return http1::MessageLimits{}; };
@@ -70,9 +71,9 @@
       store_wait_ = wait;
       store_watch_ = std::move(done);
     };
-    source_ = std::make_shared<NewsSource>(NewsSourceSettings{"self", "n1", {}},
-                                           context_, base::Clock(), runner_,
-                                           store_, blackboard_, base::Log());
+    source_ = std::make_shared<NewsSource>(
+        NewsSourceSettings{"self", "n1", {}, "self n1 10.0.0.1:80"}, context_,
+        base::Clock(), runner_, store_, blackboard_, base::Log());
   }
 
   // Makes the other daemon a member of the domain; the rank decides who reads.
@@ -138,6 +139,8 @@
   base::Duration store_wait_{};
   int asked_ = 0;
   int store_calls_ = 0;
+  // What askers said of themselves.
+  std::vector<std::string> heard_;
 };
 
 TEST_F(NewsSourceTest, AloneItReadsTheStore) {
@@ -165,6 +168,12 @@
   EXPECT_EQ(changes.value().events[0].key, "b");
 }
 
+TEST_F(NewsSourceTest, AFollowerSaysWhoItIs) {
+  AddMembers("n1");
+  ASSERT_TRUE(List().is_ok());
+  EXPECT_EQ(heard_, std::vector<std::string>{"self n1 10.0.0.1:80"});
+}
+
 TEST_F(NewsSourceTest, StrongVmsReadForTheSmallOnes) {
   blackboard::MembershipView view;
   view.self = "self";
