Relay: Keep followers off the store while it is away; begin with a cheap reading

Change: relay::PlaceChoice holds the order of the places, without a network. Only the first three in rank of a failure domain ask the store; the others turn to it if no peer answers at all. Another place is asked how old its news are before everything is read from it, and where nobody has younger ones a daemon stays with its reader. The first reading of all is a stale one, which costs a tenth: it tells whom to follow, and nothing goes on from it. Tests: the load of an outage on a follower, ranks, seeds, restarts.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -85,8 +85,8 @@
       known_(clock.Now().microseconds),
       news_(std::make_shared<relay::NewsSource>(
           relay::NewsSourceSettings{
-              settings.vm.name, settings.vm.failure_domain,
-              ParseAddresses(settings.peers.seeds),
+              {settings.vm.name, settings.vm.failure_domain,
+               ParseAddresses(settings.peers.seeds)},
               membership::EncodeNamedEntry(MakeSelf(settings))},
           context,
           clock,
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -136,6 +136,9 @@
             base::Duration timeout,
             JsonCallback done);
 
+  Result<store::Page> DecodePage(
+      const Result<std::shared_ptr<value>>& body) const;
+
   const StoreCallsSettings& settings() const { return settings_; }
   const base::Log& log() const { return log_; }
 
@@ -222,6 +225,20 @@
   return std::shared_ptr<value>(std::move(body));
 }
 
+Result<store::Page> StoreCalls::Impl::DecodePage(
+    const Result<std::shared_ptr<value>>& body) const {
+  if (!body.is_ok()) {
+    return body.error();
+  }
+  auto items = DecodeEvents(*body.value(), "items", log_);
+  const auto revision = ReadInteger(*body.value(), "current_rev");
+  if (!items || !revision) {
+    return Malformed(settings_.address);
+  }
+  return store::Page{std::move(*items), !ReadFlag(*body.value(), "truncated"),
+                     *revision, *revision};
+}
+
 StoreCalls::StoreCalls(boost::asio::io_context& context,
                        base::TaskRunner control,
                        StoreCallsSettings settings,
@@ -238,29 +255,20 @@
   const auto encode = [](const std::string& text) {
     return web::uri::encode_data_string(text);
   };
-  source.list = [impl = impl_, encode](const std::string& prefix,
-                                       const std::string& after, auto done) {
-    impl->Call(http::verb::get,
-               "/kv-range?prefix=" + encode(prefix) +
-                   (after.empty() ? "" : "&after=" + encode(after)),
-               "", impl->settings().timeout,
-               [impl, done](const Result<std::shared_ptr<value>>& body) {
-                 if (!body.is_ok()) {
-                   done(body.error());
-                   return;
-                 }
-                 auto items = DecodeEvents(*body.value(), "items", impl->log());
-                 const auto revision =
-                     ReadInteger(*body.value(), "current_rev");
-                 if (!items || !revision) {
-                   done(Malformed(impl->settings().address));
-                   return;
-                 }
-                 done(store::Page{std::move(*items),
-                                  !ReadFlag(*body.value(), "truncated"),
-                                  *revision, *revision});
-               });
+  const auto make_list = [impl = impl_, encode](const std::string& options) {
+    return [impl, encode, options](const std::string& prefix,
+                                   const std::string& after, auto done) {
+      impl->Call(http::verb::get,
+                 "/kv-range?prefix=" + encode(prefix) +
+                     (after.empty() ? "" : "&after=" + encode(after)) + options,
+                 "", impl->settings().timeout,
+                 [impl, done](const Result<std::shared_ptr<value>>& body) {
+                   done(impl->DecodePage(body));
+                 });
+    };
   };
+  source.list = make_list("");
+  source.list_stale = make_list("&stale_ok=1");
   source.watch = [impl = impl_, encode](const std::string& prefix,
                                         std::int64_t after, base::Duration wait,
                                         auto done) {
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -59,6 +59,10 @@
   if (follower != request.end()) {
     did_hear_(std::string(follower->value()));
   }
+  if (target == kFreshnessTarget) {
+    respond(Render({}));
+    return [] {};
+  }
   if (target == kNewsTarget) {
     respond(Render(log_.Everything()));
     return [] {};
--- a/src/relay/news_server.h
+++ b/src/relay/news_server.h
@@ -22,6 +22,8 @@
 // Where news are asked for. Without a cursor all keys are meant.
 constexpr const char* kNewsTarget = "/news";
 constexpr const char* kCursorPrefix = "/news?cursor=";
+// Where is asked how old the news are; the answer holds none.
+constexpr const char* kFreshnessTarget = "/freshness";
 
 // The field of a request for news in which the asker says who it is. A daemon
 // that does not know it leaves it out of account.
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -1,12 +1,10 @@
-// The order of the places, and requests to peers.
+// Readings and watches, of the store and of peers.
 
 #include "src/relay/news_source.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
-#include "src/base/rendezvous.h"
 #include "src/http1/caller_listener.h"
 #include "src/http1/timed_exchange.h"
 
@@ -17,7 +15,6 @@
 using base::ErrorCode;
 using base::Step;
 
-constexpr const char* kStore = "";
 constexpr int kHttpVersion = 11;
 // A peer in the same failure domain answers within milliseconds of its wait.
 constexpr base::Duration kPeerMargin = base::Milliseconds(500);
@@ -29,47 +26,31 @@
 // bursts, and each watch that they end is a call that is paid for. Drains and
 // configurations have 3 s to be known everywhere.
 constexpr base::Duration kGather = base::Milliseconds(700);
-// How long a peer that failed is left alone.
-constexpr base::Duration kAvoidance = base::Milliseconds(4'000);
-// The store is asked again at once after one failure, since it cuts watches
-// that are well now and then; after more it is left alone for a time that
-// doubles.
-constexpr base::Duration kFirstStoreAvoidance = base::Milliseconds(500);
-constexpr int kMostStoreDoublings = 3;
 // How long a watch waits while it is not known whether the store is back. One
 // that is sent into its silence is lost, and would be found out at its end
 // only.
 constexpr base::Duration kTrialWait = base::Milliseconds(100);
 
-// A VM with this part of the strongest one's processor share counts as strong.
-constexpr double kStrongPart = 0.5;
+// Stands for a reading of the store that may be seconds old: no place that news
+// go on from.
+constexpr const char* kStaleStore = "stale";
 
-// The strong VMs of the domain first. When the reader changes, all others read
-// everything from the new one at once: a dozen readings of some 80 KB fill the
-// link of a small VM for half a second, and with it every request that it has
-// in work.
-std::vector<std::string> RankedMembers(const blackboard::MembershipView& view,
-                                       const std::string& domain) {
-  double strongest = 0.0;
-  for (const auto& [name, member] : view.members) {
-    if (member.failure_domain == domain) {
-      strongest = std::max(strongest, member.processor_share);
-    }
-  }
-  std::vector<std::string> strong;
-  std::vector<std::string> others;
-  for (const auto& [name, member] : view.members) {
-    if (member.failure_domain == domain) {
-      const bool is_strong = member.processor_share >= kStrongPart * strongest;
-      (is_strong ? strong : others).push_back(name);
-    }
+base::Duration TimeoutOf(const std::string& target) {
+  if (target == kNewsTarget) {
+    return kListTimeout;
   }
-  const std::string key = "store-reader/" + domain;
-  auto ranked = base::RankByRendezvous(key, std::move(strong));
-  for (std::string& name : base::RankByRendezvous(key, std::move(others))) {
-    ranked.push_back(std::move(name));
+  return target == kFreshnessTarget ? kPeerMargin : kNewsWait + kPeerMargin;
+}
+
+ErrorCode CodeOf(http1::Status status) {
+  switch (status) {
+    case http1::Status::gone:
+      return ErrorCode::kExpired;
+    case http1::Status::not_found:
+      return ErrorCode::kNotFound;
+    default:
+      return ErrorCode::kUnavailable;
   }
-  return ranked;
 }
 
 }  // namespace
@@ -83,11 +64,11 @@
                        base::Log log)
     : settings_(std::move(settings)),
       context_(context),
-      clock_(std::move(clock)),
+      clock_(clock),
       control_(std::move(control)),
       store_(std::move(store)),
-      blackboard_(blackboard),
-      log_(std::move(log)) {}
+      log_(std::move(log)),
+      choice_(settings_.places, std::move(clock), blackboard) {}
 
 store::EventSource NewsSource::source() {
   store::EventSource source = store_;
@@ -108,20 +89,14 @@
   return source;
 }
 
-bool NewsSource::is_reader() const {
-  const auto ranked =
-      RankedMembers(*blackboard_.membership.Read(), settings_.failure_domain);
-  return ranked.empty() || ranked.front() == settings_.vm;
-}
-
 void NewsSource::DidRenew() {
-  if (place_ == kStore && store_failures_ == 0) {
+  if (place_ == kStore && choice_.store_failures() == 0) {
     DidReachStore();
   }
 }
 
 void NewsSource::DidReachStore() {
-  store_failures_ = 0;
+  choice_.DidAnswer(kStore);
   reached_store_ = clock_.Now();
 }
 
@@ -143,93 +118,32 @@
     return std::nullopt;
   }
   return Freshness{clock_.Now() - *reached_store_,
-                   place_ == kStore && store_failures_ == 0};
-}
-
-std::vector<std::string> NewsSource::Places() const {
-  const auto view = blackboard_.membership.Read();
-  const auto ranked = RankedMembers(*view, settings_.failure_domain);
-  // How many daemons of the own domain are asked before the store.
-  constexpr std::size_t kMostPeers = 2;
-  std::vector<std::string> places;
-  for (const std::string& name : ranked) {
-    if (name == settings_.vm || places.size() == kMostPeers) {
-      break;
-    }
-    places.push_back(view->members.at(name).address);
-  }
-  places.emplace_back(kStore);
-  const auto others = ReadersOfOtherDomains();
-  places.insert(places.end(), others.begin(), others.end());
-  if (view->members.size() <= 1) {
-    places.insert(places.end(), settings_.seeds.begin(), settings_.seeds.end());
-  }
-  return places;
-}
-
-std::vector<std::string> NewsSource::ReadersOfOtherDomains() const {
-  const auto view = blackboard_.membership.Read();
-  std::set<std::string> domains;
-  for (const auto& [name, member] : view->members) {
-    if (member.failure_domain != settings_.failure_domain) {
-      domains.insert(member.failure_domain);
-    }
-  }
-  std::vector<std::string> readers;
-  readers.reserve(domains.size());
-  for (const std::string& domain : domains) {
-    readers.push_back(
-        view->members.at(RankedMembers(*view, domain).front()).address);
-  }
-  return readers;
-}
-
-std::string NewsSource::ChoosePlace() const {
-  const base::MonotonicTime now = clock_.Now();
-  for (const std::string& place : Places()) {
-    const auto avoided = avoid_until_.find(place);
-    if (avoided == avoid_until_.end() || avoided->second <= now) {
-      return place;
-    }
-  }
-  // Everything has failed of late: the store is what will be back first.
-  return kStore;
+                   place_ == kStore && choice_.store_failures() == 0};
 }
 
 void NewsSource::DidFail(const std::string& place, const base::Error& error) {
-  base::Duration avoidance = kAvoidance;
-  if (place == kStore) {
-    const int doublings = std::min(store_failures_ - 1, kMostStoreDoublings);
-    avoidance = store_failures_ == 0 ? base::Duration{}
-                                     : kFirstStoreAvoidance * (1 << doublings);
-    ++store_failures_;
-  }
-  avoid_until_[place] = clock_.Now() + avoidance;
+  choice_.DidFail(place);
   log_.DidFail(error, place == kStore ? "no news from the store"
                                       : "no news from a peer");
 }
 
-bool NewsSource::is_in_own_domain(const std::string& peer) const {
-  const auto view = blackboard_.membership.Read();
-  for (const auto& [name, member] : view->members) {
-    if (member.address == peer) {
-      return member.failure_domain == settings_.failure_domain;
-    }
-  }
-  return false;
-}
-
 std::optional<base::Error> NewsSource::Check(const std::string& place,
-                                             const News& news) const {
+                                             const News& news) {
+  if (!news.is_direct && !choice_.is_in_own_domain(place) && reached_store_) {
+    auto error = base::MakeError(ErrorCode::kUnavailable, Step::kWatchStore,
+                                 place, "it does not read the store itself");
+    DidFail(place, error);
+    return error;
+  }
   if (news.age > kMostAge) {
-    return base::MakeError(
+    auto error = base::MakeError(
         ErrorCode::kTimeout, Step::kWatchStore, place,
         "its news are " + std::to_string(news.age.count() / 1000) + " ms old");
+    choice_.DidGrowOld(place);
+    log_.DidFail(error, "looking for younger news");
+    return error;
   }
-  if (!news.is_direct && !is_in_own_domain(place) && reached_store_) {
-    return base::MakeError(ErrorCode::kUnavailable, Step::kWatchStore, place,
-                           "it does not read the store itself");
-  }
+  choice_.DidAnswer(place);
   return std::nullopt;
 }
 
@@ -237,30 +151,50 @@
                       const std::string& after,
                       ListCallback done) {
   if (after.empty()) {
-    place_ = ChoosePlace();
+    listing_ = next_place_.value_or(choice_.Choose(place_));
+    next_place_.reset();
+    const bool is_first = !std::exchange(has_begun_, true);
+    if (is_first && listing_ == kStore && store_.list_stale) {
+      listing_ = kStaleStore;
+    }
   }
-  const std::string place = place_;
-  if (place == kStore) {
-    store_.list(prefix, after,
-                [self = shared_from_this(),
-                 done = std::move(done)](base::Result<store::Page> page) {
-                  if (page.is_ok()) {
-                    self->DidReachStore();
-                  } else {
-                    self->DidFail(kStore, page.error());
-                  }
-                  done(std::move(page));
-                });
-    return;
+  if (listing_ == kStore || listing_ == kStaleStore) {
+    ListStore(prefix, after, std::move(done));
+  } else {
+    ListPeer(listing_, std::move(done));
   }
-  Ask(place, kNewsTarget,
-      [self = shared_from_this(), place,
+}
+
+void NewsSource::ListStore(const std::string& prefix,
+                           const std::string& after,
+                           ListCallback done) {
+  const bool is_stale = listing_ == kStaleStore;
+  const auto& list = is_stale ? store_.list_stale : store_.list;
+  list(prefix, after,
+       [self = shared_from_this(), is_stale,
+        done = std::move(done)](base::Result<store::Page> page) {
+         if (!page.is_ok()) {
+           self->DidFail(kStore, page.error());
+         } else if (is_stale) {
+           self->place_ = kStaleStore;
+         } else {
+           self->place_ = kStore;
+           self->DidReachStore();
+         }
+         done(std::move(page));
+       });
+}
+
+void NewsSource::ListPeer(const std::string& peer, ListCallback done) {
+  Ask(peer, kNewsTarget,
+      [self = shared_from_this(), peer,
        done = std::move(done)](base::Result<News> news) {
         if (!news.is_ok()) {
-          self->DidFail(place, news.error());
+          self->DidFail(peer, news.error());
           done(news.error());
           return;
         }
+        self->place_ = peer;
         self->reached_store_ = self->clock_.Now() - news.value().age;
         done(store::Page{std::move(news.value().events), true,
                          news.value().revision, news.value().cursor});
@@ -271,15 +205,8 @@
                        std::int64_t cursor,
                        base::Duration wait,
                        WatchCallback done) {
-  const std::string place = ChoosePlace();
-  if (place != place_) {
-    control_.Post([done = std::move(done), place] {
-      done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, place,
-                           "reading the store from another place"));
-    });
-    return;
-  }
-  if (place == kStore) {
+  const std::string place = choice_.Choose(place_);
+  if (place == place_ && place == kStore) {
     const base::Duration rest =
         std::max(base::Duration{}, rest_until_ - clock_.Now());
     control_.After(rest, [self = shared_from_this(), prefix, cursor, wait,
@@ -288,20 +215,62 @@
     });
     return;
   }
-  Ask(place, kCursorPrefix + std::to_string(cursor),
-      [self = shared_from_this(), place,
+  if (place == place_) {
+    WatchPeer(place, cursor, std::move(done));
+    return;
+  }
+  const auto move_there = [done, place] {
+    done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, place,
+                         "reading the store from another place"));
+  };
+  if (place == kStore || !reached_store_) {
+    control_.Post(move_there);
+    return;
+  }
+  Scout(place, [self = shared_from_this(), place, prefix, cursor, wait,
+                move_there, done](bool should_read) {
+    if (!should_read) {
+      self->Watch(prefix, cursor, wait, done);
+      return;
+    }
+    self->next_place_ = place;
+    move_there();
+  });
+}
+
+void NewsSource::Scout(const std::string& peer,
+                       std::function<void(bool should_read)> done) {
+  Ask(peer, kFreshnessTarget,
+      [self = shared_from_this(), peer,
+       done = std::move(done)](const base::Result<News>& news) {
+        if (news.is_ok()) {
+          done(!self->Check(peer, news.value()));
+          return;
+        }
+        // A peer of an earlier version does not know the question.
+        const bool is_unknown = news.error().code == ErrorCode::kNotFound;
+        if (!is_unknown) {
+          self->DidFail(peer, news.error());
+        }
+        done(is_unknown);
+      });
+}
+
+void NewsSource::WatchPeer(const std::string& peer,
+                           std::int64_t cursor,
+                           WatchCallback done) {
+  Ask(peer, kCursorPrefix + std::to_string(cursor),
+      [self = shared_from_this(), peer,
        done = std::move(done)](base::Result<News> news) {
         if (!news.is_ok()) {
           if (news.error().code != ErrorCode::kExpired) {
-            self->DidFail(place, news.error());
+            self->DidFail(peer, news.error());
           }
-          done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, place,
+          done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, peer,
                                news.error().ToString()));
           return;
         }
-        if (auto problem = self->Check(place, news.value())) {
-          self->DidFail(place, *problem);
-        }
+        (void)self->Check(peer, news.value());
         self->reached_store_ = self->clock_.Now() - news.value().age;
         done(store::Changes{std::move(news.value().events),
                             news.value().cursor});
@@ -314,7 +283,8 @@
                             WatchCallback done) {
   const auto pending = std::make_shared<WatchCallback>(std::move(done));
   watch_ = pending;
-  store_.watch(prefix, cursor, store_failures_ == 0 ? wait : kTrialWait,
+  store_.watch(prefix, cursor,
+               choice_.store_failures() == 0 ? wait : kTrialWait,
                [self = shared_from_this(),
                 pending](base::Result<store::Changes> changes) {
                  // Empty if the watch was given up meanwhile.
@@ -348,8 +318,7 @@
   request->set(kFollowerField, settings_.self_entry);
   http1::TimedExchange exchange;
   exchange.request = std::move(request);
-  exchange.timeout =
-      target == kNewsTarget ? kListTimeout : kNewsWait + kPeerMargin;
+  exchange.timeout = TimeoutOf(target);
   exchange.step = Step::kPeerLink;
   exchange.peer = peer;
   exchange.done = [done = std::move(done),
@@ -363,10 +332,8 @@
       done(DecodeNews(response.value().body(), peer));
       return;
     }
-    const bool is_gone = status == http1::Status::gone;
     done(base::MakeError(
-        is_gone ? ErrorCode::kExpired : ErrorCode::kUnavailable,
-        Step::kPeerLink, peer,
+        CodeOf(status), Step::kPeerLink, peer,
         "status " + std::to_string(response.value().result_int())));
   };
   http1::Start(ConnectionTo(peer), control_, std::move(exchange));
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -1,27 +1,21 @@
-// Reads the store for the follower from the best place: the store itself, or a
-// peer that follows it.
+// Reads the store for the follower from the best place (PlaceChoice): the store
+// itself, or a peer that follows it.
 //
-// Of the daemons of a failure domain one, picked by rendezvous hashing, reads
-// the store; the others ask it. So the calls to the store grow with the failure
-// domains and not with the daemons. A place that fails, or whose news are too
-// old, is left alone for some seconds, and the next one is asked:
-//   - the reader of the domain asks the store, then readers of other domains
-//     that do read the store, so that no two ever wait for each other;
-//   - any other daemon asks its reader, then the next in order, then the store,
-//     then readers of other domains;
-//   - a daemon that knows no others yet asks the store, then the addresses in
-//     its settings.
-// After a change of place everything is read anew.
+// Steps:
+//   1. The first reading of all comes from the store, and may be seconds old:
+//      it costs a tenth, and is enough to serve callers and to learn whom to
+//      follow.
+//   2. Everything is read from the best place, and changes from there on.
+//   3. When another place looks better, it is asked first how old its news are.
+//      Only if they are young, everything is read anew from there.
 
 #ifndef MEDLARSPREAD_RELAY_NEWS_SOURCE_H_
 #define MEDLARSPREAD_RELAY_NEWS_SOURCE_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -32,15 +26,13 @@
 #include "src/http1/client_connection.h"
 #include "src/relay/news_codec.h"
 #include "src/relay/news_server.h"
+#include "src/relay/place_choice.h"
 #include "src/store/event_source.h"
 
 namespace medlarspread::relay {
 
 struct NewsSourceSettings {
-  std::string vm;
-  std::string failure_domain;
-  // "ip:port" of peers that may be asked before any is known.
-  std::vector<std::string> seeds;
+  PlaceSettings places;
   // What this daemon says of itself to the one that it follows.
   std::string self_entry;
 };
@@ -59,10 +51,10 @@
   // `list` and `watch` go to the best place; the rest to the store.
   store::EventSource source();
   // Whether this daemon reads the store for its failure domain.
-  bool is_reader() const;
+  bool is_reader() const { return choice_.is_reader(); }
   // Whether this daemon takes its news from the store. Then it should renew its
   // lease often, so that DidRenew() and DidFailToRenew() tell how the store is.
-  bool is_reading_store() const { return place_.empty(); }
+  bool is_reading_store() const { return place_ == kStore; }
   // A lease was renewed, which shows that the store answers. It says nothing of
   // the news while they come from somewhere else.
   void DidRenew();
@@ -76,23 +68,27 @@
   using ListCallback = std::function<void(base::Result<store::Page>)>;
   using WatchCallback = std::function<void(base::Result<store::Changes>)>;
 
-  // The places in the order in which they are asked. The store's is empty.
-  std::vector<std::string> Places() const;
-  std::vector<std::string> ReadersOfOtherDomains() const;
-  std::string ChoosePlace() const;
   void DidReachStore();
   void DidFail(const std::string& place, const base::Error& error);
-  // Why news from the place are not taken, if they are not.
-  std::optional<base::Error> Check(const std::string& place,
-                                   const News& news) const;
-  bool is_in_own_domain(const std::string& peer) const;
+  // Why news from the place are not taken, if they are not; notes it.
+  std::optional<base::Error> Check(const std::string& place, const News& news);
   void List(const std::string& prefix,
             const std::string& after,
             ListCallback done);
+  void ListStore(const std::string& prefix,
+                 const std::string& after,
+                 ListCallback done);
+  void ListPeer(const std::string& peer, ListCallback done);
   void Watch(const std::string& prefix,
              std::int64_t cursor,
              base::Duration wait,
              WatchCallback done);
+  // Asks the peer how old its news are before it is read from.
+  void Scout(const std::string& peer,
+             std::function<void(bool should_read)> done);
+  void WatchPeer(const std::string& peer,
+                 std::int64_t cursor,
+                 WatchCallback done);
   void WatchStore(const std::string& prefix,
                   std::int64_t cursor,
                   base::Duration wait,
@@ -109,18 +105,19 @@
   const base::Clock clock_;
   const base::TaskRunner control_;
   const store::EventSource store_;
-  const blackboard::Blackboard& blackboard_;
   const base::Log log_;
+  PlaceChoice choice_;
   // The watch of the store that waits, until its first end.
   std::shared_ptr<WatchCallback> watch_;
   // Before this time the store is not watched again.
   base::MonotonicTime rest_until_;
-  // Where the last reading came from.
+  // Where the last reading came from; kStaleStore after the first.
   std::string place_;
-  // Until when a place is left alone.
-  std::map<std::string, base::MonotonicTime> avoid_until_;
-  // Failures of the store in a row.
-  int store_failures_ = 0;
+  // Where the reading that is under way comes from.
+  std::string listing_;
+  // Set once a place was found to be worth reading from.
+  std::optional<std::string> next_place_;
+  bool has_begun_ = false;
   // When the store answered, as far as this daemon knows.
   std::optional<base::MonotonicTime> reached_store_;
   std::shared_ptr<http1::ClientConnection> connection_;
--- /dev/null
+++ b/src/relay/place_choice.h
@@ -0,0 +1,90 @@
+// Where a daemon takes its news of the store from: the store itself, or a peer
+// that follows it.
+//
+// Of the daemons of a failure domain the first in rank reads the store; the
+// others ask it. So the calls to the store grow with the failure domains and
+// not with the daemons. A place that does not answer, or whose news are old, is
+// left alone for a while, and the next one is asked:
+//   - the first in rank asks the store, then readers of other domains that do
+//     read the store, so that no two ever wait for each other;
+//   - the second and the third ask those before them, then as the first does;
+//   - all others ask the first two, then readers of other domains. They turn to
+//     the store only if no peer answers at all: while the store is away for
+//     everybody, a hundred of them that ask it learn nothing and cost a call
+//     each, again and again;
+//   - a daemon that knows no others yet asks the store, then the addresses in
+//     its settings.
+// Where everything is left alone, a daemon stays where it is, if there somebody
+// answers.
+//
+// Pure decision code over the blackboard's members; calls come from one
+// sequence.
+
+#ifndef MEDLARSPREAD_RELAY_PLACE_CHOICE_H_
+#define MEDLARSPREAD_RELAY_PLACE_CHOICE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/blackboard/blackboard.h"
+
+namespace medlarspread::relay {
+
+// The address that stands for the store.
+constexpr const char* kStore = "";
+
+struct PlaceSettings {
+  std::string vm;
+  std::string failure_domain;
+  // "ip:port" of peers that may be asked before any is known.
+  std::vector<std::string> seeds;
+};
+
+class PlaceChoice {
+ public:
+  PlaceChoice(PlaceSettings settings,
+              base::Clock clock,
+              const blackboard::Blackboard& blackboard);
+
+  // The best place now. `current` is where the last news came from.
+  std::string Choose(const std::string& current) const;
+  // It answered with news that are young enough.
+  void DidAnswer(const std::string& place);
+  // It answers, but its news are too old.
+  void DidGrowOld(const std::string& place);
+  // It did not answer.
+  void DidFail(const std::string& place);
+
+  // Whether this daemon reads the store for its failure domain.
+  bool is_reader() const;
+  bool is_in_own_domain(const std::string& peer) const;
+  // Failures of the store in a row.
+  int store_failures() const;
+
+ private:
+  struct Row {
+    base::MonotonicTime avoid_until;
+    // In a row.
+    int failures = 0;
+    // It answered the last time, if with old news.
+    bool is_answering = false;
+  };
+
+  // The places in the order in which they are asked.
+  std::vector<std::string> Places() const;
+  std::vector<std::string> ReadersOfOtherDomains() const;
+  bool is_avoided(const std::string& place) const;
+  bool is_answering(const std::string& place) const;
+
+  const PlaceSettings settings_;
+  const base::Clock clock_;
+  const blackboard::Blackboard& blackboard_;
+  // Places that did not answer the last time, or with old news.
+  std::map<std::string, Row> rows_;
+};
+
+}  // namespace medlarspread::relay
+
+#endif  // MEDLARSPREAD_RELAY_PLACE_CHOICE_H_
--- a/src/store/event_source.h
+++ b/src/store/event_source.h
@@ -61,6 +61,12 @@
                      std::string after,
                      std::function<void(base::Result<Page>)>)>
       list;
+  // The same, but what it gives may be seconds old, and it costs a tenth. May
+  // be empty: not every source has it.
+  std::function<void(std::string prefix,
+                     std::string after,
+                     std::function<void(base::Result<Page>)>)>
+      list_stale;
   // Calls back at the first change after `cursor`, or with none after `wait`.
   // kExpired: the changes since then are no longer known; list again.
   std::function<void(std::string prefix,
--- /dev/null
+++ b/tests/relay/place_choice_test.cc
@@ -0,0 +1,146 @@
+// Where news are taken from while daemons and the store come and go.
+
+#include "src/relay/place_choice.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "src/base/rendezvous.h"
+
+namespace medlarspread::relay {
+namespace {
+
+using base::Milliseconds;
+
+// Two failure domains: n1 with three strong and many weak daemons, s1 with one.
+class PlaceChoiceTest : public testing::Test {
+ protected:
+  static constexpr int kWeak = 30;
+
+  PlaceChoiceTest() {
+    for (int index = 0; index < 3; ++index) {
+      Add("strong" + std::to_string(index), "n1", 0.5);
+    }
+    for (int index = 0; index < kWeak; ++index) {
+      Add("weak" + std::to_string(index), "n1", 0.12);
+    }
+    Add("other", "s1", 0.5);
+    blackboard_.membership.Write(view_);
+    std::vector<std::string> strong = {"strong0", "strong1", "strong2"};
+    ranked_ = base::RankByRendezvous("store-reader/n1", std::move(strong));
+  }
+
+  void Add(const std::string& name, const std::string& domain, double share) {
+    blackboard::Member& member = view_.members[name];
+    member.name = name;
+    member.address = name;
+    member.failure_domain = domain;
+    member.processor_share = share;
+  }
+
+  PlaceChoice Make(const std::string& name) const {
+    return {{name, "n1", {"seed"}}, base::Clock(time_), blackboard_};
+  }
+
+  const std::shared_ptr<base::ManualTime> time_ =
+      std::make_shared<base::ManualTime>(1'000'000, 0);
+  blackboard::Blackboard blackboard_;
+  blackboard::MembershipView view_;
+  // The strong daemons of n1, the reader first.
+  std::vector<std::string> ranked_;
+};
+
+TEST_F(PlaceChoiceTest, TheReaderAsksTheStoreTheOthersTheReader) {
+  EXPECT_EQ(Make(ranked_[0]).Choose(""), kStore);
+  EXPECT_TRUE(Make(ranked_[0]).is_reader());
+  EXPECT_EQ(Make(ranked_[1]).Choose(""), ranked_[0]);
+  EXPECT_EQ(Make("weak7").Choose(""), ranked_[0]);
+  EXPECT_FALSE(Make("weak7").is_reader());
+}
+
+TEST_F(PlaceChoiceTest, AloneItAsksTheStoreThenTheSeeds) {
+  blackboard_.membership.Write({});
+  PlaceChoice choice = Make("strong0");
+  EXPECT_EQ(choice.Choose(""), kStore);
+  choice.DidFail(kStore);
+  choice.DidFail(kStore);
+  EXPECT_EQ(choice.Choose(""), "seed");
+}
+
+TEST_F(PlaceChoiceTest, TheNextInRankIsAskedWhenTheReaderIsGone) {
+  PlaceChoice choice = Make("weak7");
+  choice.DidFail(ranked_[0]);
+  EXPECT_EQ(choice.Choose(ranked_[0]), ranked_[1]);
+  choice.DidFail(ranked_[1]);
+  EXPECT_EQ(choice.Choose(ranked_[0]), "other");
+  // Somebody who restarts is back soon.
+  time_->Advance(Milliseconds(600));
+  EXPECT_EQ(choice.Choose("other"), ranked_[0]);
+}
+
+// The load of an outage: each of hundreds of followers that turned to the store
+// asked it once a second, some thousand calls in six seconds.
+TEST_F(PlaceChoiceTest, WhileTheStoreIsAwayFollowersLeaveItAlone) {
+  PlaceChoice choice = Make("weak7");
+  std::string current = ranked_[0];
+  for (int step = 0; step < 200; ++step) {
+    const std::string place = choice.Choose(current);
+    ASSERT_NE(place, kStore) << "after " << step;
+    if (place == "other") {
+      // It reads the store itself, and fails to.
+      choice.DidFail(place);
+    } else {
+      choice.DidGrowOld(place);
+    }
+    time_->Advance(Milliseconds(100));
+  }
+  EXPECT_EQ(choice.Choose(current), current);
+}
+
+TEST_F(PlaceChoiceTest, AFollowerThatNobodyAnswersTurnsToTheStore) {
+  PlaceChoice choice = Make("weak7");
+  for (const std::string& place :
+       {ranked_[0], ranked_[1], std::string("other")}) {
+    choice.DidFail(place);
+  }
+  EXPECT_EQ(choice.Choose(ranked_[0]), kStore);
+}
+
+TEST_F(PlaceChoiceTest, TheFirstInRankFindOutThatTheStoreIsBack) {
+  for (const std::string& name : ranked_) {
+    PlaceChoice choice = Make(name);
+    std::string current = name == ranked_[0] ? kStore : ranked_[0];
+    int asked_store = 0;
+    constexpr int kSteps = 100;
+    for (int step = 0; step < kSteps; ++step) {
+      const std::string place = choice.Choose(current);
+      if (place == kStore) {
+        ++asked_store;
+        choice.DidFail(place);
+      } else if (place == "other") {
+        choice.DidFail(place);
+      } else {
+        choice.DidGrowOld(place);
+      }
+      time_->Advance(Milliseconds(100));
+    }
+    // In ten seconds, with pauses that double up to four.
+    EXPECT_GE(asked_store, 3) << name;
+  }
+}
+
+TEST_F(PlaceChoiceTest, OneStoreFailureIsTriedAgainAtOnce) {
+  PlaceChoice choice = Make(ranked_[0]);
+  choice.DidFail(kStore);
+  EXPECT_EQ(choice.Choose(kStore), kStore);
+  EXPECT_EQ(choice.store_failures(), 1);
+  choice.DidFail(kStore);
+  EXPECT_EQ(choice.Choose(kStore), "other");
+  choice.DidAnswer(kStore);
+  EXPECT_EQ(choice.store_failures(), 0);
+  EXPECT_EQ(choice.Choose("other"), kStore);
+}
+
+}  // namespace
+}  // namespace medlarspread::relay
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -71,8 +71,12 @@
       store_wait_ = wait;
       store_watch_ = std::move(done);
     };
+    MakeSource();
+  }
+
+  void MakeSource() {
     source_ = std::make_shared<NewsSource>(
-        NewsSourceSettings{"self", "n1", {}, "self n1 10.0.0.1:80"}, context_,
+        NewsSourceSettings{{"self", "n1", {}}, "self n1 10.0.0.1:80"}, context_,
         base::Clock(), runner_, store_, blackboard_, base::Log());
   }
 
@@ -220,6 +224,66 @@
   EXPECT_EQ(store_calls_, 1);
 }
 
+// The first reading may be old: it serves until it is known whom to follow.
+TEST_F(NewsSourceTest, TheFirstReadingOfAllIsACheapOne) {
+  int cheap = 0;
+  store_.list_stale = [this, &cheap](
+                          const std::string&, const std::string&,
+                          std::function<void(base::Result<store::Page>)> done) {
+    ++cheap;
+    done(store_page_);
+  };
+  MakeSource();
+  ASSERT_TRUE(List().is_ok());
+  EXPECT_EQ(cheap, 1);
+  EXPECT_EQ(store_calls_, 0);
+  // Nobody is to follow what may be old, and nothing goes on from it.
+  EXPECT_FALSE(source_->freshness().has_value());
+  AddMembers("n1");
+  EXPECT_EQ(Watch(7).error().code, ErrorCode::kExpired);
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(asked_, 1);
+  EXPECT_EQ(store_calls_, 0);
+  EXPECT_TRUE(source_->freshness().has_value());
+}
+
+TEST_F(NewsSourceTest, AReaderReadsAnewAfterTheCheapReading) {
+  store_.list_stale = [this](
+                          const std::string&, const std::string&,
+                          std::function<void(base::Result<store::Page>)> done) {
+    done(store_page_);
+  };
+  MakeSource();
+  ASSERT_TRUE(List().is_ok());
+  EXPECT_EQ(Watch(7).error().code, ErrorCode::kExpired);
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(store_calls_, 1);
+  EXPECT_TRUE(source_->freshness()->is_direct);
+}
+
+// While the store is away for everybody, its reader's news are as young as any:
+// nothing is read anew, from nobody.
+TEST_F(NewsSourceTest, StaysWithItsReaderWhileNobodyHasYoungerNews) {
+  AddMembers("n1");
+  blackboard::MembershipView view = *blackboard_.membership.Read();
+  // So many that this daemon does not ask the store itself.
+  for (int number = 200; number < 240; ++number) {
+    const std::string name = "more" + std::to_string(number);
+    view.members[name] = view.members.begin()->second;
+    view.members[name].processor_share = 9.0;
+    view.members[name].address =
+        "127.0.0.1:" + std::to_string(listener_->port());
+  }
+  blackboard_.membership.Write(view);
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  freshness_ = Freshness{Milliseconds(9'000), false};
+  for (int round = 0; round < 3; ++round) {
+    EXPECT_TRUE(Watch(page.value().cursor).is_ok());
+  }
+  EXPECT_EQ(store_calls_, 0);
+}
+
 TEST_F(NewsSourceTest, TurnsToTheStoreWhenTheReaderIsGone) {
   AddMembers("n1");
   listener_->StopAccepting();
