Relay, Platform: Who restarts with all others waits for those it follows

Cause: at the first start of a fleet, and when all restart at once, each daemon found nobody to follow yet, read the store itself and watched it. Change: a daemon that knows nobody reads again, cheaply, once stronger ones have registered; a follower whose peers do not answer gives them 2 s before it asks the store. Calls are logged at level debug. The process test of one reader a domain waited for one watch, which now also holds before the daemons know of one another: it waits until all have registered first, and its bound of calls stays.

--- a/emulator/hosted/hosted_store.cc
+++ b/emulator/hosted/hosted_store.cc
@@ -185,10 +185,19 @@
 
 void HostedStore::Change(const std::string& key, Row row) {
   row.revision = ++revision_;
-  rows_[key] = std::move(row);
+  {
+    const std::lock_guard lock(mutex_);
+    rows_[key] = std::move(row);
+  }
   AnswerWatches();
 }
 
+bool HostedStore::Holds(const std::string& key) const {
+  const std::lock_guard lock(mutex_);
+  const auto row = rows_.find(key);
+  return row != rows_.end() && !row->second.is_removed;
+}
+
 void HostedStore::AnswerWatches() {
   if (is_silent_) {
     return;
--- a/emulator/hosted/hosted_store.h
+++ b/emulator/hosted/hosted_store.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
   // Cuts all watches and forgets the changes up to now.
   void ForgetHistory();
 
+  // Whether somebody has written the key.
+  bool Holds(const std::string& key) const;
+
   // Calls so far, without renewals.
   int calls() const { return calls_; }
   // Watches that wait for a change now.
@@ -66,6 +70,8 @@
 
   const base::TaskRunner runner_;
   std::shared_ptr<http1::CallerListener> listener_;
+  // Guards `rows_` against the controls that read it.
+  mutable std::mutex mutex_;
   std::map<std::string, Row> rows_;
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 1;
--- a/src/membership/lease_registration.cc
+++ b/src/membership/lease_registration.cc
@@ -22,6 +22,13 @@
 
 }  // namespace
 
+base::Duration RegistrationWait(const LeaseRegistrationSettings& settings,
+                                double processor_share) {
+  const double share = std::max(kLeastShare, processor_share);
+  return base::Duration(static_cast<std::int64_t>(
+      static_cast<double>(settings.pace.count()) / share));
+}
+
 LeaseRegistration::LeaseRegistration(
     LeaseRegistrationSettings settings,
     blackboard::Member self,
@@ -46,10 +53,8 @@
 
 void LeaseRegistration::Start() {
   Publish();
-  const double share = std::max(kLeastShare, self_.processor_share);
-  const auto wait = static_cast<std::int64_t>(
-      static_cast<double>(settings_.pace.count()) / share);
-  Again(base::Duration(wait), &LeaseRegistration::ConsiderRegistering);
+  Again(RegistrationWait(settings_, self_.processor_share),
+        &LeaseRegistration::ConsiderRegistering);
   Again(settings_.list_interval, &LeaseRegistration::WriteFollowers);
 }
 
--- a/src/membership/lease_registration.h
+++ b/src/membership/lease_registration.h
@@ -58,6 +58,10 @@
   base::Duration unlisted_kept = base::Milliseconds(10'000);
 };
 
+// How long after its start a daemon on a VM with that part of a core registers.
+base::Duration RegistrationWait(const LeaseRegistrationSettings& settings,
+                                double processor_share);
+
 // Runs on the control thread; the only writer of Blackboard::membership with
 // the opaque interface.
 class LeaseRegistration
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -184,6 +184,10 @@
                             const std::string& body,
                             base::Duration timeout,
                             JsonCallback done) {
+  log_.Write({.level = base::LogLevel::kDebug,
+              .step = Step::kReadStore,
+              .peer = settings_.address,
+              .message = "call " + target});
   auto request = std::make_shared<http1::Request>(method, target, kHttpVersion);
   request->set(http::field::host, settings_.address);
   if (method == http::verb::post) {
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -68,6 +68,7 @@
       control_(std::move(control)),
       store_(std::move(store)),
       log_(std::move(log)),
+      started_(clock_.Now()),
       choice_(settings_.places, std::move(clock), blackboard) {}
 
 store::EventSource NewsSource::source() {
@@ -153,9 +154,14 @@
   if (after.empty()) {
     listing_ = next_place_.value_or(choice_.Choose(place_));
     next_place_.reset();
-    const bool is_first = !std::exchange(has_begun_, true);
-    if (is_first && listing_ == kStore && store_.list_stale) {
+    if (const auto wait = WaitForStaleReading()) {
+      ++stale_readings_;
       listing_ = kStaleStore;
+      control_.After(*wait, [self = shared_from_this(), prefix, after,
+                             done = std::move(done)]() mutable {
+        self->ListStore(prefix, after, std::move(done));
+      });
+      return;
     }
   }
   if (listing_ == kStore || listing_ == kStaleStore) {
@@ -165,6 +171,20 @@
   }
 }
 
+std::optional<base::Duration> NewsSource::WaitForStaleReading() const {
+  if (listing_ != kStore || !store_.list_stale) {
+    return std::nullopt;
+  }
+  if (stale_readings_ == 0) {
+    return base::Duration{};
+  }
+  if (stale_readings_ == 1 && choice_.knows_nobody()) {
+    return std::max(base::Duration{},
+                    started_ + settings_.first_wait - clock_.Now());
+  }
+  return std::nullopt;
+}
+
 void NewsSource::ListStore(const std::string& prefix,
                            const std::string& after,
                            ListCallback done) {
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -4,7 +4,8 @@
 // Steps:
 //   1. The first reading of all comes from the store, and may be seconds old:
 //      it costs a tenth, and is enough to serve callers and to learn whom to
-//      follow.
+//      follow. If it names nobody, as at the first start of a fleet, there is
+//      another such reading once the stronger daemons have registered.
 //   2. Everything is read from the best place, and changes from there on.
 //   3. When another place looks better, it is asked first how old its news are.
 //      Only if they are young, everything is read anew from there.
@@ -35,6 +36,9 @@
   PlaceSettings places;
   // What this daemon says of itself to the one that it follows.
   std::string self_entry;
+  // How long after its start a daemon that knows no others waits for them to
+  // register before it reads the store itself; strong ones come first.
+  base::Duration first_wait{};
 };
 
 // Runs on the control thread.
@@ -75,9 +79,13 @@
   void List(const std::string& prefix,
             const std::string& after,
             ListCallback done);
+  // Reads from `listing_`, which is the store.
   void ListStore(const std::string& prefix,
                  const std::string& after,
                  ListCallback done);
+  // How long to wait before a reading that may be old; absent if it must not
+  // be.
+  std::optional<base::Duration> WaitForStaleReading() const;
   void ListPeer(const std::string& peer, ListCallback done);
   void Watch(const std::string& prefix,
              std::int64_t cursor,
@@ -106,6 +114,7 @@
   const base::TaskRunner control_;
   const store::EventSource store_;
   const base::Log log_;
+  const base::MonotonicTime started_;
   PlaceChoice choice_;
   // The watch of the store that waits, until its first end.
   std::shared_ptr<WatchCallback> watch_;
@@ -117,7 +126,8 @@
   std::string listing_;
   // Set once a place was found to be worth reading from.
   std::optional<std::string> next_place_;
-  bool has_begun_ = false;
+  // Readings that may be old so far.
+  int stale_readings_ = 0;
   // When the store answered, as far as this daemon knows.
   std::optional<base::MonotonicTime> reached_store_;
   std::shared_ptr<http1::ClientConnection> connection_;
--- a/src/relay/place_choice.cc
+++ b/src/relay/place_choice.cc
@@ -31,6 +31,9 @@
 // The first in rank of a domain that ask the store themselves. One of three
 // reaches it unless it is away for all or most.
 constexpr std::size_t kMostDirect = 3;
+// A follower that no peer has answered for this time asks the store itself. All
+// daemons that lost power at once are back within a second of one another.
+constexpr base::Duration kPatience = base::Milliseconds(2'000);
 // A VM with this part of the strongest one's processor share counts as strong.
 constexpr double kStrongPart = 0.5;
 
@@ -69,7 +72,12 @@
                          const blackboard::Blackboard& blackboard)
     : settings_(std::move(settings)),
       clock_(std::move(clock)),
-      blackboard_(blackboard) {}
+      blackboard_(blackboard),
+      answered_(clock_.Now()) {}
+
+bool PlaceChoice::knows_nobody() const {
+  return blackboard_.membership.Read()->members.size() <= 1;
+}
 
 bool PlaceChoice::is_reader() const {
   const auto ranked =
@@ -101,13 +109,10 @@
     places.emplace_back(kStore);
   }
   places.insert(places.end(), others.begin(), others.end());
-  const bool has_answer = std::any_of(
-      places.begin(), places.end(),
-      [this](const std::string& place) { return is_answering(place); });
-  if (!asks_store && !has_answer) {
+  if (!asks_store && clock_.Now() - answered_ >= kPatience) {
     places.emplace_back(kStore);
   }
-  if (view->members.size() <= 1) {
+  if (knows_nobody()) {
     places.insert(places.end(), settings_.seeds.begin(), settings_.seeds.end());
   }
   return places;
@@ -146,7 +151,7 @@
       return place;
     }
   }
-  return kStore;
+  return places.front();
 }
 
 bool PlaceChoice::is_avoided(const std::string& place) const {
@@ -160,10 +165,12 @@
 }
 
 void PlaceChoice::DidAnswer(const std::string& place) {
+  answered_ = clock_.Now();
   rows_.erase(place);
 }
 
 void PlaceChoice::DidGrowOld(const std::string& place) {
+  answered_ = clock_.Now();
   rows_[place] = {clock_.Now() + kOldAvoidance, 0, true};
 }
 
--- a/src/relay/place_choice.h
+++ b/src/relay/place_choice.h
@@ -9,9 +9,10 @@
 //     read the store, so that no two ever wait for each other;
 //   - the second and the third ask those before them, then as the first does;
 //   - all others ask the first two, then readers of other domains. They turn to
-//     the store only if no peer answers at all: while the store is away for
-//     everybody, a hundred of them that ask it learn nothing and cost a call
-//     each, again and again;
+//     the store only if no peer has answered for a while: while the store is
+//     away for everybody, a hundred of them that ask it learn nothing and cost
+//     a call each, again and again; and where all daemons restart at once,
+//     those that they follow are there a moment later;
 //   - a daemon that knows no others yet asks the store, then the addresses in
 //     its settings.
 // Where everything is left alone, a daemon stays where it is, if there somebody
@@ -57,6 +58,8 @@
   // It did not answer.
   void DidFail(const std::string& place);
 
+  // Whether no other daemon is known.
+  bool knows_nobody() const;
   // Whether this daemon reads the store for its failure domain.
   bool is_reader() const;
   bool is_in_own_domain(const std::string& peer) const;
@@ -81,6 +84,8 @@
   const PlaceSettings settings_;
   const base::Clock clock_;
   const blackboard::Blackboard& blackboard_;
+  // When some place answered last, or when this daemon started.
+  base::MonotonicTime answered_;
   // Places that did not answer the last time, or with old news.
   std::map<std::string, Row> rows_;
 };
--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -391,7 +391,11 @@
   for (const Daemon& daemon : daemons) {
     ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
   }
-  // Each but the reader has turned to the reader.
+  // Each knows of all, and each but the reader has turned to the reader.
+  for (const char* name : {"vm1", "vm2", "vm3", "vm4"}) {
+    ASSERT_TRUE(WaitUntil(
+        [&] { return store_->Holds(std::string("daemons/") + name); }));
+  }
   ASSERT_TRUE(WaitUntil([&] { return store_->waiting_watches() == 1; }));
   const int before = store_->calls();
   Configure(6, R"(,{"name":"new","host":"h","prefix":"/new/",)"
