Daemon: Read again before registering, so that followers find their reader

Cause: weak daemons read for the second time when they were due to register, and so did not know yet that stronger ones were there: all 195 registered. Change: the second reading comes after 0.7 of that time.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -40,6 +40,13 @@
   return self;
 }
 
+// A daemon that knew nobody at its start reads again when the stronger ones
+// have registered, and well before it would register itself.
+base::Duration FirstWait(const settings::VmSettings& vm) {
+  constexpr int kPercent = 70;
+  return membership::RegistrationWait({}, vm.processor_share) * kPercent / 100;
+}
+
 std::vector<std::string> ParseAddresses(std::string text) {
   std::erase(text, ' ');
   std::vector<std::string> addresses;
@@ -88,7 +95,7 @@
               {settings.vm.name, settings.vm.failure_domain,
                ParseAddresses(settings.peers.seeds)},
               membership::EncodeNamedEntry(MakeSelf(settings)),
-              membership::RegistrationWait({}, settings.vm.processor_share)},
+              FirstWait(settings.vm)},
           context,
           clock,
           control,
