Upstream: Keep no connection where there are more daemons than places

Change: a daemon whose part of a leaf's connections is below one closes its last one too, after a second without use. Taking a connection no longer reads a row that closing a stale one may have ended. Test: failed to close the last one before.

--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -95,8 +95,7 @@
       queries_({settings_.callers.max_requests,
                 [this] {
                   return admission::ExtraSendBound{
-                      settings_.extra_sends.share,
-                      settings_.extra_sends.slack,
+                      settings_.extra_sends.share, settings_.extra_sends.slack,
                       settings_.extra_sends.window};
                 },
                 base::Ablation(settings_.measuring.without)},
@@ -303,10 +302,10 @@
   return MakeText(http1::Status::ok, metrics_.Render());
 }
 
-int OpaqueDaemon::ConnectionShare(const blackboard::Upstream& upstream) const {
-  const double share = kPlannedConnections * upstream.connections *
-                       queries_.PartOf(upstream.collection);
-  return std::max(1, static_cast<int>(share));
+double OpaqueDaemon::ConnectionShare(
+    const blackboard::Upstream& upstream) const {
+  return kPlannedConnections * upstream.connections *
+         queries_.PartOf(upstream.collection);
 }
 
 void OpaqueDaemon::Record(const burn::RequestRecord& record) {
--- a/src/daemon/opaque_daemon.h
+++ b/src/daemon/opaque_daemon.h
@@ -55,7 +55,7 @@
       std::function<http1::Response()> render);
   http1::Response RenderReadiness() const;
   http1::Response RenderMetrics();
-  int ConnectionShare(const blackboard::Upstream& upstream) const;
+  double ConnectionShare(const blackboard::Upstream& upstream) const;
   query::ForwardService::Ports MakeQueryPorts();
   void Record(const burn::RequestRecord& record);
   void PruneConnections();
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -31,9 +31,11 @@
 // leaf's last. Pauses of a leaf make a daemon open some more, and where all
 // daemons lose power the leaves hold on to every connection of the dead ones
 // for seconds: what is open beyond the need of the moment is missing for the
-// daemons that come back. With it 215 connections of such a restart were reset
-// for want of a place in place of 882 (8 daemons, 30 leaves of 31 connections
-// each).
+// daemons that come back. Where there are more daemons than places at a leaf,
+// the last one is closed too: had each of 195 daemons kept one to a leaf that
+// accepts 125, those that need one would be turned away. With it 215
+// connections of such a restart were reset for want of a place in place of 882
+// (8 daemons, 30 leaves of 31 connections each).
 constexpr base::Duration kSpareIdle = base::Milliseconds(1'000);
 // After this time without a reply beyond the caller's deadline the call ends.
 constexpr base::Duration kDeadlineMargin = base::Milliseconds(50);
@@ -46,7 +48,7 @@
        base::Clock clock,
        base::TaskRunner traffic,
        ForwardCodec codec,
-       std::function<int(const blackboard::Upstream&)> connection_share)
+       std::function<double(const blackboard::Upstream&)> connection_share)
       : context_(context),
         clock_(std::move(clock)),
         traffic_(std::move(traffic)),
@@ -84,7 +86,16 @@
   // The one used last comes first.
   using Connections = std::list<Kept>;
 
+  // The connections to one leaf.
+  struct Leaf {
+    Connections connections;
+    // Whether the last one is kept although nobody needs it.
+    bool keeps_one = true;
+  };
+
   std::shared_ptr<ClientConnection> Take(const blackboard::Upstream& upstream);
+  // Whether one more may be opened.
+  bool HasPlace(const blackboard::Upstream& upstream) const;
   std::shared_ptr<ClientConnection> FindFree(Connections& connections);
   std::shared_ptr<ClientConnection> Open(const blackboard::Upstream& upstream);
   void DidChange(const std::string& leaf, ClientConnection& connection);
@@ -96,10 +107,10 @@
   const base::Clock clock_;
   const base::TaskRunner traffic_;
   const ForwardCodec codec_;
-  const std::function<int(const blackboard::Upstream&)> connection_share_;
+  const std::function<double(const blackboard::Upstream&)> connection_share_;
   // Open or opening connections by the leaf's name, which is new at each of
   // its starts. Invariant: none is closed.
-  std::map<std::string, Connections> connections_;
+  std::map<std::string, Leaf> leaves_;
 };
 
 SentCall ForwardClient::Impl::Send(const blackboard::Upstream& upstream,
@@ -165,14 +176,13 @@
 
 Readiness ForwardClient::Impl::ReadinessOf(
     const blackboard::Upstream& upstream) {
-  const auto row = connections_.find(upstream.name);
-  if (row == connections_.end()) {
+  const auto row = leaves_.find(upstream.name);
+  if (row == leaves_.end()) {
     return Readiness::kMustConnect;
   }
   // NOTE: looking for a free one may close stale ones and so end the row.
-  const auto share = static_cast<std::size_t>(connection_share_(upstream));
-  const bool has_place = row->second.size() < share;
-  const auto free = FindFree(row->second);
+  const bool has_place = HasPlace(upstream);
+  const auto free = FindFree(row->second.connections);
   if (!free) {
     return has_place ? Readiness::kMustConnect : Readiness::kFull;
   }
@@ -187,11 +197,11 @@
 
 void ForwardClient::Impl::Prune(const blackboard::UpstreamsView& view) {
   std::vector<std::shared_ptr<ClientConnection>> unneeded;
-  for (const auto& [leaf, connections] : connections_) {
-    if (view.upstreams.contains(leaf)) {
+  for (const auto& [name, leaf] : leaves_) {
+    if (view.upstreams.contains(name)) {
       continue;
     }
-    for (const Kept& kept : connections) {
+    for (const Kept& kept : leaf.connections) {
       if (kept.connection->is_free()) {
         unneeded.push_back(kept.connection);
       }
@@ -205,12 +215,14 @@
 void ForwardClient::Impl::CloseSpare() {
   std::vector<std::shared_ptr<ClientConnection>> spare;
   const base::MonotonicTime now = clock_.Now();
-  for (const auto& [leaf, connections] : connections_) {
+  for (const auto& [name, leaf] : leaves_) {
+    const Connections& connections = leaf.connections;
+    const std::size_t kept_open = leaf.keeps_one ? 1 : 0;
     std::size_t left = connections.size();
     for (auto kept = connections.rbegin(); kept != connections.rend(); ++kept) {
       const bool is_idle =
           kept->connection->is_free() && now - kept->last_used >= kSpareIdle;
-      if (is_idle && left > 1) {
+      if (is_idle && left > kept_open) {
         spare.push_back(kept->connection);
         --left;
       }
@@ -223,12 +235,22 @@
 
 std::shared_ptr<ClientConnection> ForwardClient::Impl::Take(
     const blackboard::Upstream& upstream) {
-  Connections& connections = connections_[upstream.name];
-  if (auto connection = FindFree(connections)) {
-    return connection;
+  const auto row = leaves_.find(upstream.name);
+  if (row != leaves_.end()) {
+    row->second.keeps_one = connection_share_(upstream) >= 1.0;
+    // NOTE: this may close stale ones and so end the row.
+    if (auto connection = FindFree(row->second.connections)) {
+      return connection;
+    }
   }
-  const auto share = static_cast<std::size_t>(connection_share_(upstream));
-  return connections.size() < share ? Open(upstream) : nullptr;
+  return HasPlace(upstream) ? Open(upstream) : nullptr;
+}
+
+bool ForwardClient::Impl::HasPlace(const blackboard::Upstream& upstream) const {
+  const double share = std::max(1.0, connection_share_(upstream));
+  const auto row = leaves_.find(upstream.name);
+  return row == leaves_.end() ||
+         row->second.connections.size() < static_cast<std::size_t>(share);
 }
 
 // The one used last, so that the others may time out; those that the leaf is
@@ -275,24 +297,27 @@
   };
   auto connection =
       std::make_shared<ClientConnection>(context_, std::move(settings));
-  connections_[upstream.name].push_back({connection, clock_.Now()});
+  Leaf& leaf = leaves_[upstream.name];
+  leaf.keeps_one = connection_share_(upstream) >= 1.0;
+  leaf.connections.push_back({connection, clock_.Now()});
   return connection;
 }
 
 void ForwardClient::Impl::DidChange(const std::string& leaf,
                                     ClientConnection& connection) {
-  const auto row = connections_.find(leaf);
-  if (row == connections_.end()) {
+  const auto row = leaves_.find(leaf);
+  if (row == leaves_.end()) {
     return;
   }
+  Connections& connections = row->second.connections;
   const auto self = connection.shared_from_this();
-  row->second.remove_if(
+  connections.remove_if(
       [&self](const Kept& kept) { return kept.connection == self; });
   if (!connection.is_closed()) {
-    row->second.push_front({self, clock_.Now()});
+    connections.push_front({self, clock_.Now()});
   }
-  if (row->second.empty()) {
-    connections_.erase(row);
+  if (connections.empty()) {
+    leaves_.erase(row);
   }
 }
 
@@ -352,7 +377,7 @@
     base::Clock clock,
     base::TaskRunner traffic,
     ForwardCodec codec,
-    std::function<int(const blackboard::Upstream&)> connection_share)
+    std::function<double(const blackboard::Upstream&)> connection_share)
     : impl_(std::make_shared<Impl>(context,
                                    std::move(clock),
                                    std::move(traffic),
--- a/src/upstream/forward_client.h
+++ b/src/upstream/forward_client.h
@@ -46,14 +46,16 @@
 
 class ForwardClient {
  public:
-  // `connection_share` gives how many connections this daemon may have to a
-  // leaf; at least 1.
+  // `connection_share` gives this daemon's part of the connections that a leaf
+  // accepts. It may have as many, and always one. Where its part is less than
+  // one, it gives the one back as soon as it is not needed: there are more
+  // daemons than places.
   ForwardClient(
       boost::asio::io_context& context,
       base::Clock clock,
       base::TaskRunner traffic,
       ForwardCodec codec,
-      std::function<int(const blackboard::Upstream&)> connection_share);
+      std::function<double(const blackboard::Upstream&)> connection_share);
   ~ForwardClient();
 
   ForwardClient(const ForwardClient&) = delete;
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -41,7 +41,7 @@
     };
     client_ = std::make_unique<ForwardClient>(
         context_, clock_, base::TaskRunner(context_), std::move(codec),
-        [](const blackboard::Upstream&) { return 2; });
+        [this](const blackboard::Upstream&) { return share_; });
   }
 
   SentCall Send(std::optional<ForwardReply>& reply,
@@ -69,6 +69,8 @@
   // Read when the client is made.
   base::Clock clock_;
   boost::asio::io_context context_;
+  // This daemon's part of the leaf's connections.
+  double share_ = 2.0;
   // What was stated to the leaf as the time left.
   std::vector<base::Duration> stated_;
   std::unique_ptr<RawLeaf> raw_;
@@ -189,5 +191,27 @@
   EXPECT_EQ(client_->counters().connections_opened, 3);
 }
 
+// More daemons than places at the leaf: none keeps what it does not need.
+TEST_F(ForwardClientTest, WhereThereAreTooFewPlacesNoneIsKept) {
+  const auto time = std::make_shared<base::ManualTime>(1'000'000, 0);
+  clock_ = base::Clock(time);
+  share_ = 0.6;
+  Open([](int) {
+    return RawLeaf::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                          false};
+  });
+  std::optional<ForwardReply> reply;
+  (void)Send(reply);
+  // One it may have all the same.
+  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kFull);
+  RunUntil([&reply] { return reply.has_value(); });
+  client_->CloseSpare();
+  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kOpen);
+  time->Advance(Milliseconds(1'000));
+  client_->CloseSpare();
+  RunUntil([this] { return raw_->open_connections() == 0; });
+  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kMustConnect);
+}
+
 }  // namespace
 }  // namespace medlarspread::upstream
