--- a/tests/fleet/load_patterns_test.cc
+++ b/tests/fleet/load_patterns_test.cc
@@ -15,10 +15,10 @@
 constexpr std::uint64_t kSeeds = 8;
 
 // The seconds that the pattern is about, over all seeds.
-CallerCounts Play(const char* name) {
+CallerCounts Play(const char* name, std::uint64_t seeds = kSeeds) {
   const Pattern* pattern = FindPattern(name);
   CallerCounts all;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     const FleetReport report = VirtualFleet(pattern->make(seed)).Run();
     EXPECT_EQ(report.violations, std::vector<std::string>{})
         << name << ", seed " << seed;
@@ -86,6 +86,30 @@
   EXPECT_GT(Play("power_loss").mean_credit(), 0.85);
 }
 
+// 195 daemons and nothing to learn: what they tell each other costs nothing.
+TEST(LargeLoadPatternsTest, ALargeFleetInCalmServesAll) {
+  EXPECT_GT(Play("large_calm", 2).mean_credit(), 0.997);
+}
+
+// Each of 195 daemons sends one request in eight seconds. Alone, each finds out
+// by itself that half of the leaves are slow: 0.618.
+TEST(LargeLoadPatternsTest, ALargeFleetLearnsTogetherWhichLeavesAreSlow) {
+  EXPECT_GT(Play("large_slow_single").mean_credit(), 0.93);
+}
+
+// The same of leaves that lose one answer in twelve, for requests that may run
+// once only. Alone 0.925; with three latency targets as the cost of a final
+// failure 0.948.
+TEST(LargeLoadPatternsTest, ALargeFleetLearnsTogetherWhichLeavesLoseAnswers) {
+  EXPECT_GT(Play("large_resets_single").mean_credit(), 0.95);
+}
+
+// A fifth of the daemons stands still for three seconds, aggregators too. Who
+// asked through one of them comes back, and may meet another.
+TEST(LargeLoadPatternsTest, FrozenAggregatorsCostFewAnswers) {
+  EXPECT_GT(Play("large_frozen", 4).mean_credit(), 0.9);
+}
+
 // Deployments that nobody has tuned anything for: no invariant breaks.
 class DrawnFleetTest : public testing::TestWithParam<std::uint64_t> {};
 
