Relay: Go on by the store's revision after a restart or a change of place

Change: a place is asked for what changed since the revision up to which nothing can be missing here (SafeRevision). The event log knows which removals it has heard of; where it does not know enough, everything is read. A reading that may be old counts with the revision of its latest key only. Also: a cheap first reading that the store turned away is made again at once. Tests: a log followed by revision 200 times at random never misses a key; removals before the first reading are unknown; what peers held back.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -135,6 +135,7 @@
           std::move(random),
           control,
           news_->source(),
+          [this](std::int64_t revision) { known_.DidList(revision); },
           [this](const std::vector<store::Event>& events) {
             DidChange(events);
           },
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -21,19 +21,20 @@
   return response;
 }
 
-std::optional<std::int64_t> ParseCursor(std::string_view target) {
-  const std::string_view prefix = kCursorPrefix;
+// The number behind the prefix, if the target is one of that kind.
+std::optional<std::int64_t> ParseNumber(std::string_view target,
+                                        std::string_view prefix) {
   if (!target.starts_with(prefix)) {
     return std::nullopt;
   }
-  std::int64_t cursor = 0;
+  std::int64_t number = 0;
   const char* end = target.data() + target.size();
   const auto parsed =
-      std::from_chars(target.data() + prefix.size(), end, cursor);
+      std::from_chars(target.data() + prefix.size(), end, number);
   if (parsed.ec != std::errc() || parsed.ptr != end) {
     return std::nullopt;
   }
-  return cursor;
+  return number;
 }
 
 }  // namespace
@@ -67,7 +68,11 @@
     respond(Render(log_.Everything()));
     return [] {};
   }
-  const auto cursor = ParseCursor(target);
+  if (const auto revision = ParseNumber(target, kRevisionPrefix)) {
+    respond(RenderKnown(log_.ChangesSinceRevision(*revision)));
+    return [] {};
+  }
+  const auto cursor = ParseNumber(target, kCursorPrefix);
   if (!cursor) {
     respond(MakeResponse(http1::Status::not_found, ""));
     return [] {};
@@ -105,7 +110,11 @@
 }
 
 http1::Response NewsServer::RenderChanges(std::int64_t cursor) const {
-  auto changes = log_.ChangesAfter(cursor);
+  return RenderKnown(log_.ChangesAfter(cursor));
+}
+
+http1::Response NewsServer::RenderKnown(
+    std::optional<std::vector<store::Event>> changes) const {
   if (!changes) {
     return MakeResponse(http1::Status::gone, "");
   }
--- a/src/relay/news_server.h
+++ b/src/relay/news_server.h
@@ -22,6 +22,8 @@
 // Where news are asked for. Without a cursor all keys are meant.
 constexpr const char* kNewsTarget = "/news";
 constexpr const char* kCursorPrefix = "/news?cursor=";
+// Where is asked for what has changed since a revision of the store.
+constexpr const char* kRevisionPrefix = "/news?revision=";
 // Where is asked how old the news are; the answer holds none.
 constexpr const char* kFreshnessTarget = "/freshness";
 
@@ -62,6 +64,9 @@
   };
 
   http1::Response RenderChanges(std::int64_t cursor) const;
+  // The changes, or that they are not all known.
+  http1::Response RenderKnown(
+      std::optional<std::vector<store::Event>> changes) const;
   http1::Response Render(std::vector<store::Event> events) const;
   void Answer(std::uint64_t id);
 
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -36,12 +36,20 @@
 constexpr const char* kStaleStore = "stale";
 
 base::Duration TimeoutOf(const std::string& target) {
-  if (target == kNewsTarget) {
+  if (target == kNewsTarget || target.starts_with(kRevisionPrefix)) {
     return kListTimeout;
   }
   return target == kFreshnessTarget ? kPeerMargin : kNewsWait + kPeerMargin;
 }
 
+std::int64_t LatestRevision(const std::vector<store::Event>& items) {
+  std::int64_t latest = 0;
+  for (const store::Event& item : items) {
+    latest = std::max(latest, item.revision);
+  }
+  return latest;
+}
+
 ErrorCode CodeOf(http1::Status status) {
   switch (status) {
     case http1::Status::gone:
@@ -155,7 +163,7 @@
     listing_ = next_place_.value_or(choice_.Choose(place_));
     next_place_.reset();
     if (const auto wait = WaitForStaleReading()) {
-      ++stale_readings_;
+      has_read_twice_ = has_read_;
       listing_ = kStaleStore;
       control_.After(*wait, [self = shared_from_this(), prefix, after,
                              done = std::move(done)]() mutable {
@@ -175,10 +183,10 @@
   if (listing_ != kStore || !store_.list_stale) {
     return std::nullopt;
   }
-  if (stale_readings_ == 0) {
+  if (!has_read_) {
     return base::Duration{};
   }
-  if (stale_readings_ == 1 && choice_.knows_nobody()) {
+  if (place_ == kStaleStore && !has_read_twice_ && choice_.knows_nobody()) {
     return std::max(base::Duration{},
                     started_ + settings_.first_wait - clock_.Now());
   }
@@ -189,17 +197,27 @@
                            const std::string& after,
                            ListCallback done) {
   const bool is_stale = listing_ == kStaleStore;
+  const bool is_first_page = after.empty();
   const auto& list = is_stale ? store_.list_stale : store_.list;
   list(prefix, after,
-       [self = shared_from_this(), is_stale,
+       [self = shared_from_this(), is_stale, is_first_page,
         done = std::move(done)](base::Result<store::Page> page) {
+         self->has_read_ = self->has_read_ || page.is_ok();
          if (!page.is_ok()) {
            self->DidFail(kStore, page.error());
          } else if (is_stale) {
            self->place_ = kStaleStore;
+           // NOTE: the store's own revision may be ahead of a page that is old,
+           // and what came in between would be taken for known or removed.
+           page.value().revision = LatestRevision(page.value().items);
+           page.value().cursor = page.value().revision;
+           self->safe_revision_.DidHearFromStore(page.value().revision);
          } else {
            self->place_ = kStore;
            self->DidReachStore();
+           if (is_first_page) {
+             self->safe_revision_.DidHearFromStore(page.value().revision);
+           }
          }
          done(std::move(page));
        });
@@ -215,7 +233,10 @@
           return;
         }
         self->place_ = peer;
+        self->has_read_ = true;
         self->reached_store_ = self->clock_.Now() - news.value().age;
+        self->safe_revision_.DidHearFromPeer(news.value().revision,
+                                             self->clock_.Now());
         done(store::Page{std::move(news.value().events), true,
                          news.value().revision, news.value().cursor});
       });
@@ -239,25 +260,67 @@
     WatchPeer(place, cursor, std::move(done));
     return;
   }
-  const auto move_there = [done, place] {
-    done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, place,
-                         "reading the store from another place"));
-  };
-  if (place == kStore || !reached_store_) {
-    control_.Post(move_there);
+  if (place == kStore) {
+    control_.Post([done, place] {
+      done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, place,
+                           "reading the store itself"));
+    });
+    return;
+  }
+  if (!reached_store_) {
+    MoveTo(place, std::move(done));
     return;
   }
   Scout(place, [self = shared_from_this(), place, prefix, cursor, wait,
-                move_there, done](bool should_read) {
-    if (!should_read) {
+                done](bool should_read) {
+    if (should_read) {
+      self->MoveTo(place, done);
+    } else {
       self->Watch(prefix, cursor, wait, done);
-      return;
     }
-    self->next_place_ = place;
-    move_there();
   });
 }
 
+void NewsSource::MoveTo(const std::string& peer, WatchCallback done) {
+  const auto list_instead = [self = shared_from_this(), peer,
+                             done](const std::string& why) {
+    self->next_place_ = peer;
+    done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, peer,
+                         "reading the store from another place: " + why));
+  };
+  const auto revision = safe_revision_.At(clock_.Now());
+  if (!revision) {
+    control_.Post([list_instead] { list_instead("no revision is safe"); });
+    return;
+  }
+  Ask(peer, kRevisionPrefix + std::to_string(*revision),
+      [self = shared_from_this(), peer, list_instead,
+       done](base::Result<News> news) {
+        if (news.is_ok()) {
+          self->place_ = peer;
+          self->DidHear(peer, std::move(news.value()), done);
+          return;
+        }
+        // The peer knows too little, or it is of an earlier version.
+        const auto& code = news.error().code;
+        if (code == ErrorCode::kExpired || code == ErrorCode::kNotFound) {
+          list_instead(news.error().ToString());
+          return;
+        }
+        self->DidFail(peer, news.error());
+        done(news.error());
+      });
+}
+
+void NewsSource::DidHear(const std::string& peer,
+                         News news,
+                         const WatchCallback& done) {
+  (void)Check(peer, news);
+  reached_store_ = clock_.Now() - news.age;
+  safe_revision_.DidHearFromPeer(news.revision, clock_.Now());
+  done(store::Changes{std::move(news.events), news.cursor});
+}
+
 void NewsSource::Scout(const std::string& peer,
                        std::function<void(bool should_read)> done) {
   Ask(peer, kFreshnessTarget,
@@ -290,10 +353,7 @@
                                news.error().ToString()));
           return;
         }
-        (void)self->Check(peer, news.value());
-        self->reached_store_ = self->clock_.Now() - news.value().age;
-        done(store::Changes{std::move(news.value().events),
-                            news.value().cursor});
+        self->DidHear(peer, std::move(news.value()), done);
       });
 }
 
@@ -324,6 +384,7 @@
     return;
   }
   DidReachStore();
+  safe_revision_.DidHearFromStore(changes.value().cursor);
   if (!changes.value().events.empty()) {
     rest_until_ = clock_.Now() + kGather;
   }
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -8,7 +8,10 @@
 //      another such reading once the stronger daemons have registered.
 //   2. Everything is read from the best place, and changes from there on.
 //   3. When another place looks better, it is asked first how old its news are.
-//      Only if they are young, everything is read anew from there.
+//      Only if they are young, news go on from there: a peer tells what changed
+//      since the revision up to which nothing is missing here, so that a change
+//      of place or a restart costs the changes of some seconds and not
+//      everything. Everything is read anew if the peer does not know that much.
 
 #ifndef MEDLARSPREAD_RELAY_NEWS_SOURCE_H_
 #define MEDLARSPREAD_RELAY_NEWS_SOURCE_H_
@@ -28,6 +31,7 @@
 #include "src/relay/news_codec.h"
 #include "src/relay/news_server.h"
 #include "src/relay/place_choice.h"
+#include "src/relay/safe_revision.h"
 #include "src/store/event_source.h"
 
 namespace medlarspread::relay {
@@ -94,6 +98,9 @@
   // Asks the peer how old its news are before it is read from.
   void Scout(const std::string& peer,
              std::function<void(bool should_read)> done);
+  // Goes on with what the peer knows beyond `safe_revision_`.
+  void MoveTo(const std::string& peer, WatchCallback done);
+  void DidHear(const std::string& peer, News news, const WatchCallback& done);
   void WatchPeer(const std::string& peer,
                  std::int64_t cursor,
                  WatchCallback done);
@@ -126,8 +133,11 @@
   std::string listing_;
   // Set once a place was found to be worth reading from.
   std::optional<std::string> next_place_;
-  // Readings that may be old so far.
-  int stale_readings_ = 0;
+  SafeRevision safe_revision_;
+  // Whether anything was read yet.
+  bool has_read_ = false;
+  // Whether the second reading that may be old was made.
+  bool has_read_twice_ = false;
   // When the store answered, as far as this daemon knows.
   std::optional<base::MonotonicTime> reached_store_;
   std::shared_ptr<http1::ClientConnection> connection_;
--- a/src/store/event_log.cc
+++ b/src/store/event_log.cc
@@ -12,6 +12,8 @@
 // A reader in the same failure domain asks every second or less; a release
 // changes some hundred entries in that time.
 constexpr std::size_t kMostChanges = 2'000;
+// A fleet of 8,700 leaves and 1,500 daemons replaces this many in a day or two.
+constexpr std::size_t kMostRemovals = 4'000;
 
 }  // namespace
 
@@ -19,8 +21,10 @@
   for (const Event& event : events) {
     if (event.value) {
       items_[event.key] = event;
+      removals_.erase(event.key);
     } else {
       items_.erase(event.key);
+      removals_[event.key] = event.revision;
     }
     revision_ = std::max(revision_, event.revision);
     changes_.emplace_back(++cursor_, event);
@@ -29,6 +33,47 @@
     forgotten_ = changes_.front().first;
     changes_.pop_front();
   }
+  DropOldRemovals();
+}
+
+void EventLog::DidList(std::int64_t revision) {
+  removals_known_since_ =
+      std::max(removals_known_since_.value_or(revision), revision);
+}
+
+void EventLog::DropOldRemovals() {
+  while (removals_.size() > kMostRemovals) {
+    const auto oldest =
+        std::min_element(removals_.begin(), removals_.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second < right.second;
+                         });
+    DidList(oldest->second);
+    removals_.erase(oldest);
+  }
+}
+
+std::optional<std::vector<Event>> EventLog::ChangesSinceRevision(
+    std::int64_t revision) const {
+  if (!removals_known_since_ || revision < *removals_known_since_) {
+    return std::nullopt;
+  }
+  std::vector<Event> events;
+  for (const auto& [key, event] : items_) {
+    if (event.revision > revision) {
+      events.push_back(event);
+    }
+  }
+  for (const auto& [key, removed_at] : removals_) {
+    if (removed_at > revision) {
+      events.push_back({key, std::nullopt, removed_at});
+    }
+  }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const Event& left, const Event& right) {
+                     return left.revision < right.revision;
+                   });
+  return events;
 }
 
 std::vector<Event> EventLog::Everything() const {
--- a/src/store/event_log.h
+++ b/src/store/event_log.h
@@ -25,11 +25,19 @@
       : forgotten_(first_cursor), cursor_(first_cursor) {}
 
   void Append(const std::vector<Event>& events);
+  // Everything was read as it was at that revision of the store. What came and
+  // went before it was never heard of.
+  void DidList(std::int64_t revision);
 
   // All keys.
   std::vector<Event> Everything() const;
   // The changes after `cursor`; absent if they are no longer all known.
   std::optional<std::vector<Event>> ChangesAfter(std::int64_t cursor) const;
+  // What somebody lacks who knows the store as it was at that revision: the
+  // keys written since, and those removed. Absent if not all removals since
+  // then are known.
+  std::optional<std::vector<Event>> ChangesSinceRevision(
+      std::int64_t revision) const;
 
   // Names the last change.
   std::int64_t cursor() const { return cursor_; }
@@ -37,7 +45,14 @@
   std::int64_t revision() const { return revision_; }
 
  private:
+  void DropOldRemovals();
+
   std::map<std::string, Event> items_;
+  // Keys that are gone and the revisions at which they went.
+  std::map<std::string, std::int64_t> removals_;
+  // All removals at later revisions are in `removals_`; absent before the first
+  // reading.
+  std::optional<std::int64_t> removals_known_since_;
   // By cursor, in the order in which they were appended. That is not always
   // the order of their revisions: a removal may be told of late.
   std::deque<std::pair<std::int64_t, Event>> changes_;
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -45,6 +45,7 @@
                    std::shared_ptr<base::Random> random,
                    base::TaskRunner control,
                    EventSource source,
+                   DidListAt did_list,
                    DidChange did_change,
                    base::Log log)
     : settings_(settings),
@@ -52,6 +53,7 @@
       random_(std::move(random)),
       control_(std::move(control)),
       source_(std::move(source)),
+      did_list_(std::move(did_list)),
       did_change_(std::move(did_change)),
       log_(std::move(log)) {}
 
@@ -123,6 +125,7 @@
                      return left.revision < right.revision;
                    });
   is_complete_ = true;
+  did_list_(list_revision_);
   Apply(events);
   Watch();
 }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -47,12 +47,15 @@
  public:
   // Changes that belong together, in the order of their revisions.
   using DidChange = std::function<void(const std::vector<Event>&)>;
+  // Everything was read, as it was at that revision; its changes follow.
+  using DidListAt = std::function<void(std::int64_t revision)>;
 
   Follower(FollowerSettings settings,
            base::Clock clock,
            std::shared_ptr<base::Random> random,
            base::TaskRunner control,
            EventSource source,
+           DidListAt did_list,
            DidChange did_change,
            base::Log log);
 
@@ -87,6 +90,7 @@
   const std::shared_ptr<base::Random> random_;
   const base::TaskRunner control_;
   const EventSource source_;
+  const DidListAt did_list_;
   const DidChange did_change_;
   const base::Log log_;
 
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -243,7 +243,8 @@
   AddMembers("n1");
   EXPECT_EQ(Watch(7).error().code, ErrorCode::kExpired);
   EXPECT_TRUE(List().is_ok());
-  EXPECT_EQ(asked_, 1);
+  // What has changed, which it does not know, and then everything.
+  EXPECT_EQ(asked_, 2);
   EXPECT_EQ(store_calls_, 0);
   EXPECT_TRUE(source_->freshness().has_value());
 }
@@ -271,7 +272,74 @@
   AddMembers("n1");
   EXPECT_EQ(Watch(7).error().code, ErrorCode::kExpired);
   ASSERT_TRUE(List().is_ok());
-  EXPECT_EQ(asked_, 1);
+  EXPECT_EQ(asked_, 2);
+  EXPECT_EQ(store_calls_, 0);
+}
+
+// While the store turns calls away at the start, nothing is waited for.
+TEST_F(NewsSourceTest, ACheapReadingThatFailedIsMadeAgainAtOnce) {
+  int cheap = 0;
+  store_.list_stale = [this, &cheap](
+                          const std::string&, const std::string&,
+                          std::function<void(base::Result<store::Page>)> done) {
+    ++cheap;
+    done(store_page_);
+  };
+  MakeSource(Milliseconds(60'000));
+  store_page_ = base::MakeError(ErrorCode::kUnavailable, base::Step::kReadStore,
+                                "store", "");
+  EXPECT_FALSE(List().is_ok());
+  store_page_ = store::Page{{{"a", "1", 5}}, true, 9, 9};
+  EXPECT_TRUE(List().is_ok());
+  EXPECT_EQ(cheap, 2);
+}
+
+// After a restart the changes of some seconds are asked for, not everything.
+TEST_F(NewsSourceTest, GoesOnFromTheRevisionOfTheCheapReading) {
+  store_page_ = store::Page{{{"a", "1", 5}, {"b", "1", 7}}, true, 9, 9};
+  store_.list_stale = [this](
+                          const std::string&, const std::string&,
+                          std::function<void(base::Result<store::Page>)> done) {
+    done(store_page_);
+  };
+  MakeSource();
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  // The store's own revision may be ahead of a page that is old.
+  EXPECT_EQ(page.value().revision, 7);
+  AddMembers("n1");
+  log_.DidList(6);
+  log_.Append({{"a", "1", 5}, {"b", "1", 7}});
+  log_.Append({{"a", std::nullopt, 8}, {"c", "1", 9}});
+  const auto changes = Watch(page.value().cursor);
+  ASSERT_TRUE(changes.is_ok()) << changes.error().ToString();
+  EXPECT_EQ(changes.value().events,
+            (std::vector<store::Event>{{"a", std::nullopt, 8}, {"c", "1", 9}}));
+  EXPECT_EQ(store_calls_, 0);
+  // From there it goes on by the peer's cursor.
+  log_.Append({{"d", "1", 10}});
+  server_->DidAppend();
+  const auto more = Watch(changes.value().cursor);
+  ASSERT_TRUE(more.is_ok());
+  EXPECT_EQ(more.value().events, (std::vector<store::Event>{{"d", "1", 10}}));
+}
+
+TEST_F(NewsSourceTest, ReadsAllFromAPeerThatDoesNotKnowEnough) {
+  store_page_ = store::Page{{{"a", "1", 5}}, true, 9, 9};
+  store_.list_stale = [this](
+                          const std::string&, const std::string&,
+                          std::function<void(base::Result<store::Page>)> done) {
+    done(store_page_);
+  };
+  MakeSource();
+  ASSERT_TRUE(List().is_ok());
+  AddMembers("n1");
+  log_.DidList(6);
+  log_.Append({{"c", "1", 6}});
+  EXPECT_EQ(Watch(5).error().code, ErrorCode::kExpired);
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  EXPECT_EQ(page.value().items, (std::vector<store::Event>{{"c", "1", 6}}));
   EXPECT_EQ(store_calls_, 0);
 }
 
--- a/tests/store/event_log_test.cc
+++ b/tests/store/event_log_test.cc
@@ -2,8 +2,14 @@
 
 #include "src/store/event_log.h"
 
+#include <map>
+#include <optional>
+#include <string>
+
 #include <gtest/gtest.h>
 
+#include "src/base/random.h"
+
 namespace medlarspread::store {
 namespace {
 
@@ -42,5 +48,86 @@
   EXPECT_EQ(log.ChangesAfter(4'990)->size(), 10U);
 }
 
+TEST(EventLogTest, TellsWhatIsLackingSinceARevision) {
+  EventLog log(100);
+  log.DidList(10);
+  log.Append({{"a", "1", 5}, {"b", "1", 9}});
+  log.Append({{"c", "1", 12}, {"a", std::nullopt, 13}, {"b", "2", 14}});
+  const auto lacking = log.ChangesSinceRevision(11);
+  ASSERT_TRUE(lacking.has_value());
+  EXPECT_EQ(*lacking,
+            (std::vector<Event>{
+                {"c", "1", 12}, {"a", std::nullopt, 13}, {"b", "2", 14}}));
+  EXPECT_TRUE(log.ChangesSinceRevision(14)->empty());
+}
+
+// What came and went before the first reading was never heard of here, and
+// somebody else may still believe in it.
+TEST(EventLogTest, BeforeTheFirstReadingNotAllRemovalsAreKnown) {
+  EventLog log(100);
+  EXPECT_FALSE(log.ChangesSinceRevision(11).has_value());
+  log.DidList(10);
+  log.Append({{"a", "1", 5}});
+  EXPECT_FALSE(log.ChangesSinceRevision(9).has_value());
+  EXPECT_TRUE(log.ChangesSinceRevision(10).has_value());
+  // Another reading of everything hides what came and went before it, too.
+  log.DidList(20);
+  EXPECT_FALSE(log.ChangesSinceRevision(19).has_value());
+}
+
+TEST(EventLogTest, AKeyThatCameBackIsNoRemoval) {
+  EventLog log(100);
+  log.DidList(1);
+  log.Append({{"a", std::nullopt, 3}, {"a", "2", 4}});
+  EXPECT_EQ(*log.ChangesSinceRevision(2), (std::vector<Event>{{"a", "2", 4}}));
+}
+
+TEST(EventLogTest, OldRemovalsAreForgotten) {
+  EventLog log(0);
+  log.DidList(0);
+  for (int revision = 1; revision <= 5'000; ++revision) {
+    log.Append({{"k" + std::to_string(revision), std::nullopt, revision}});
+  }
+  EXPECT_FALSE(log.ChangesSinceRevision(500).has_value());
+  EXPECT_EQ(log.ChangesSinceRevision(4'990)->size(), 10U);
+}
+
+// Whoever follows by revision ends with what the other has, whenever it asks.
+TEST(EventLogTest, FollowingByRevisionMissesNothing) {
+  base::Random random(20261203);
+  for (int run = 0; run < 200; ++run) {
+    EventLog log(0);
+    log.DidList(0);
+    std::map<std::string, std::string> here;
+    std::int64_t known = 0;
+    for (std::int64_t revision = 1; revision <= 60; ++revision) {
+      const std::string key = "k" + std::to_string(random.Below(6));
+      const bool is_removal = random.Below(3) == 0;
+      log.Append(
+          {{key,
+            is_removal ? std::nullopt : std::optional(std::to_string(revision)),
+            revision}});
+      if (random.Below(4) != 0) {
+        continue;
+      }
+      const auto lacking = log.ChangesSinceRevision(known);
+      ASSERT_TRUE(lacking.has_value());
+      for (const Event& event : *lacking) {
+        if (event.value) {
+          here[event.key] = *event.value;
+        } else {
+          here.erase(event.key);
+        }
+      }
+      known = log.revision();
+      std::map<std::string, std::string> there;
+      for (const Event& event : log.Everything()) {
+        there[event.key] = *event.value;
+      }
+      ASSERT_EQ(here, there) << "run " << run << ", revision " << revision;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace medlarspread::store
--- a/tests/store/follower_test.cc
+++ b/tests/store/follower_test.cc
@@ -34,6 +34,7 @@
         FollowerSettings{}, base::Clock(time_),
         std::make_shared<base::Random>(1), base::TaskRunner(scheduler_),
         std::move(source),
+        [this](std::int64_t revision) { listed_at_.push_back(revision); },
         [this](const std::vector<Event>& events) {
           for (const Event& event : events) {
             told_.push_back(event);
@@ -87,6 +88,8 @@
   std::string list_after_;
   std::int64_t watch_cursor_ = 0;
   std::vector<Event> told_;
+  // Revisions at which everything was read.
+  std::vector<std::int64_t> listed_at_;
   std::map<std::string, std::string> known_;
   std::shared_ptr<Follower> follower_;
 };
