Query: Let the next aggregator take the place of a silent one

Cause: a fifth of the machines frozen for 3 s, twice, lost 128 of 3,403 requests to all shards: an entry found out after 110 ms that its aggregator was silent, two attempts left nothing for a repeat, and the caller's second try met another frozen one as often as not. Change: a peer is probed at once. One that never said that it is at work is told that its part is no longer needed and the next peer gets it, with one leaf less for each shard; two silent peers end it. A daemon starts on a part two turns of its loop after it was read, so that it has heard by then whether the part is still needed; a late tick of the loop shows that the thread stood still, and what it reads next counts as waited for. The virtual fleet's callers now give a frozen daemon up after a third of their time; before, its daemons answered while they were frozen.

--- a/emulator/fleet/virtual_daemon.cc
+++ b/emulator/fleet/virtual_daemon.cc
@@ -350,16 +350,16 @@
     Deliver(delay, [finish, reply = std::move(reply)] { finish(reply); });
   };
   Deliver({}, [this, call, delay, respond, name = peer.name,
-               forwarded = std::move(forwarded)] {
+               sent = world_.clock.Now(), forwarded = std::move(forwarded)] {
     const auto row = world_.daemons.find(name);
     if (row == world_.daemons.end()) {
       return;
     }
     VirtualDaemon* target = row->second;
-    target->Deliver(delay, [call, delay, respond, target, forwarded] {
+    target->Deliver(delay, [this, call, sent, respond, target, forwarded] {
       if (!call->is_finished) {
         call->abandon = target->TakeFromPeer(
-            forwarded, forwarded.time_left - delay,
+            forwarded, forwarded.time_left - (world_.clock.Now() - sent),
             [target, respond](ForwardReply reply) {
               target->Deliver(
                   {}, [respond, reply = std::move(reply)] { respond(reply); });
--- a/emulator/fleet/virtual_daemon.h
+++ b/emulator/fleet/virtual_daemon.h
@@ -60,6 +60,7 @@
   void Kill();
   // Nothing reaches it or leaves it before `end`.
   void Freeze(base::MonotonicTime end) { frozen_until_ = end; }
+  bool is_frozen() const { return world_.clock.Now() < frozen_until_; }
 
   const blackboard::Member& self() const { return self_; }
 
--- a/emulator/fleet/virtual_fleet.cc
+++ b/emulator/fleet/virtual_fleet.cc
@@ -359,7 +359,7 @@
   const base::Duration left = errand->began + plan.deadline - clock_.Now();
   VirtualDaemon* daemon = PickDaemon();
   ++errand->tries;
-  if (daemon == nullptr) {
+  if (daemon == nullptr || daemon->is_frozen()) {
     // Nobody answers: the caller notices after a third of its time.
     (void)runner_.After(left / kLongestPauseShare,
                         [this, errand] { Retry(errand, {}); });
--- a/src/base/loop_lag.cc
+++ b/src/base/loop_lag.cc
@@ -23,6 +23,9 @@
   if (now - state_->measured <= kLongestUse) {
     lag = state_->last;
   }
+  if (state_->tick_due != MonotonicTime{}) {
+    lag = std::max(lag, now - state_->tick_due);
+  }
   if (state_->began != MonotonicTime{}) {
     // The running one has taken this long already.
     return std::max(lag, now - state_->began);
@@ -36,4 +39,15 @@
   return lag;
 }
 
+void LoopLag::ExpectTick(MonotonicTime due) {
+  const MonotonicTime now = clock_.Now();
+  const bool is_late =
+      state_->tick_due != MonotonicTime{} && now > state_->tick_due;
+  if (is_late) {
+    state_->last = now - state_->tick_due;
+    state_->measured = now;
+  }
+  state_->tick_due = due;
+}
+
 }  // namespace medlarspread::base
--- a/src/base/loop_lag.h
+++ b/src/base/loop_lag.h
@@ -26,6 +26,10 @@
 
   // An estimate for work that begins now; starts the next measurement.
   Duration Estimate();
+  // Something that the loop does at regular times is due then. If it is late
+  // the thread stood still, as on a VM that was frozen, and whatever it reads
+  // next has waited. Called when it was done, for the next time.
+  void ExpectTick(MonotonicTime due);
 
  private:
   struct State {
@@ -33,6 +37,8 @@
     MonotonicTime began;
     Duration last{};
     MonotonicTime measured;
+    // When the next tick is due; zero if none is expected.
+    MonotonicTime tick_due;
   };
 
   const Clock clock_;
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -218,11 +218,7 @@
       respond(platform::EncodeInvalid(incoming.error()));
       return [] {};
     }
-    const base::Duration waited = traffic_lag_.Estimate();
-    incoming.value().waited = waited;
-    if (incoming.value().deadline) {
-      *incoming.value().deadline -= waited;
-    }
+    TakeOffWait(incoming.value());
     return queries_.Submit(
         std::move(incoming.value()),
         [respond = std::move(respond)](query::ForwardedAnswer answer) {
@@ -233,6 +229,42 @@
                                                  std::move(listener), clock_);
 }
 
+http1::Abandon OpaqueDaemon::SubmitPart(query::IncomingRequest request,
+                                        http1::Respond respond) {
+  struct Part {
+    bool is_abandoned = false;
+    http1::Abandon abandon = [] {};
+  };
+  const auto part = std::make_shared<Part>();
+  const auto submit = [this, part, request = std::move(request),
+                       respond = std::move(respond)] {
+    if (part->is_abandoned) {
+      return;
+    }
+    part->abandon =
+        queries_.Submit(request, [respond](query::ForwardedAnswer answer) {
+          respond(platform::EncodeAnswer(std::move(answer)));
+        });
+  };
+  // NOTE: in the first turn the connection reads on, in the second it has heard
+  // whether the part is still needed: who waited for a daemon that stood still
+  // has closed it long ago, and no leaf must work for it.
+  boost::asio::post(traffic_context_, [this, submit] {
+    boost::asio::post(traffic_context_, submit);
+  });
+  return [part] {
+    part->is_abandoned = true;
+    part->abandon();
+  };
+}
+
+void OpaqueDaemon::TakeOffWait(query::IncomingRequest& request) {
+  request.waited = traffic_lag_.Estimate();
+  if (request.deadline) {
+    *request.deadline -= request.waited;
+  }
+}
+
 std::shared_ptr<http1::CallerListener> OpaqueDaemon::MakePeers() {
   http1::CallerListener::Settings listener;
   listener.address = settings_.peers.query_address;
@@ -258,11 +290,10 @@
           queries_.CheckPart(probe.request_id, probe.most_missing)));
       return [] {};
     }
-    return queries_.Submit(
-        std::move(*incoming),
-        [respond = std::move(respond)](query::ForwardedAnswer answer) {
-          respond(platform::EncodeAnswer(std::move(answer)));
-        });
+    // A daemon that stood still reads what it was handed long after it was
+    // sent.
+    TakeOffWait(*incoming);
+    return SubmitPart(std::move(*incoming), std::move(respond));
   };
   return std::make_shared<http1::CallerListener>(traffic_context_,
                                                  std::move(listener), clock_);
@@ -324,6 +355,7 @@
 }
 
 void OpaqueDaemon::PruneConnections() {
+  traffic_lag_.ExpectTick(clock_.Now() + kPruneInterval);
   traffic_.After(kPruneInterval, [this] {
     leaves_.Prune(*blackboard_.upstreams.Read());
     if (settings_.measuring.without != base::Mechanism::kSpareConnections) {
--- a/src/daemon/opaque_daemon.h
+++ b/src/daemon/opaque_daemon.h
@@ -50,6 +50,11 @@
   std::shared_ptr<http1::CallerListener> MakeCallers();
   // For requests that other daemons hand over.
   std::shared_ptr<http1::CallerListener> MakePeers();
+  // Starts on a part that another daemon handed over, if it is still needed.
+  http1::Abandon SubmitPart(query::IncomingRequest request,
+                            http1::Respond respond);
+  // Takes what the request has waited for this thread off its time.
+  void TakeOffWait(query::IncomingRequest& request);
   std::shared_ptr<http1::CallerListener> MakePage(
       const std::string& address,
       std::function<http1::Response()> render);
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include "src/platform/peer_codec.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <utility>
@@ -67,6 +68,9 @@
   if (terms.routes_revision > 0) {
     request.set(kRoutesRevision, std::to_string(terms.routes_revision));
     request.set(kPartShards, Join(terms.shards));
+    if (terms.leaves_left_over > 0) {
+      request.set(kLeavesLeftOver, std::to_string(terms.leaves_left_over));
+    }
   } else {
     request.set(kRequestId, call.request_id);
   }
@@ -122,6 +126,9 @@
                               ParseInteger<int>(request[kMostMissing])});
   }
   upstream::Handover terms{*revision, Split(request[kPartShards]), {}};
+  terms.leaves_left_over =
+      std::max(0, ParseInteger<int>(request[kLeavesLeftOver]).value_or(0));
+  request.erase(kLeavesLeftOver);
   request.erase(kRoutesRevision);
   request.erase(kPartShards);
   auto incoming = DecodeRequest(std::move(request));
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -46,7 +46,8 @@
                       : arrived_ + TimeToTarget(route_, request_.waited)),
       first_payment_(request_.leaves_of_others > 0 ? Payment::kFromBudget
                                                    : Payment::kFree),
-      most_leaves_(route_.most_attempts - request_.leaves_of_others),
+      most_leaves_(route_.most_attempts - request_.leaves_of_others -
+                   request_.leaves_left_over),
       shards_(collections.size()),
       least_answers_(
           request_.is_part || !is_gather()
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -110,8 +110,8 @@
       peer_health_,
       [this](ForwardedRequest request, std::vector<std::string> shards,
              FanOutSession::Done done) {
-        return FanOutHere(std::move(request), std::move(shards),
-                          std::move(done));
+        return AsGatherPart(
+            FanOutHere(std::move(request), std::move(shards), std::move(done)));
       },
       log_};
   handover_ = std::make_shared<const HandoverDependencies>(std::move(handover));
@@ -260,9 +260,11 @@
         in_work->parts_for_peers.erase(id);
       });
   std::vector<std::string> shards = std::move(request.handover->shards);
+  const int leaves_left_over = request.handover->leaves_left_over;
   ForwardedRequest forwarded =
       MakeForwarded(std::move(request), std::move(route));
   forwarded.is_part = true;
+  forwarded.leaves_left_over = leaves_left_over;
   const std::string id = forwarded.request_id;
   auto session =
       FanOutHere(std::move(forwarded), std::move(shards),
@@ -373,7 +375,10 @@
     return AsGatherPart(FanOutHere(request, part.shards, std::move(done)));
   }
   return AsGatherPart(std::make_shared<HandoverSession>(
-      handover_, request, part.shards, *peer, std::move(done)));
+      handover_, request, part.shards, *peer, std::move(done),
+      [this, part](const ForwardedRequest& again, FanOutSession::Done ended) {
+        return MakePart(again, part, std::move(ended));
+      }));
 }
 
 std::shared_ptr<FanOutSession> ForwardService::FanOutHere(
--- a/src/query/handover_session.h
+++ b/src/query/handover_session.h
@@ -6,14 +6,17 @@
 //      which fans it out and answers with the part's merged records.
 //   2. A peer that refused it or was not reached has sent nothing: the part is
 //      fanned out here, as if the request had just arrived.
-//   3. A peer that is silent for a while is probed on a connection of its own.
-//      If it answers the probe it is at work on the shards, and the session
-//      waits on. If not, and the request has not even left for it, the part is
-//      fanned out here as in step 2. Else, or if its connection breaks, it is
-//      fanned out here as a repeat, if the route allows more leaves than the
-//      peer may have sent to: each send of it is paid for from the budget of
-//      extra sends, and the first answer counts. Otherwise it has failed, at
-//      once.
+//   3. The peer is probed on a connection of its own, soon after the start and
+//      again when it has been silent for a while. If it answers, the session
+//      waits on.
+//   4. A peer that never said that it is at work is told that its part is no
+//      longer needed, and the next one takes its place, with one leaf less for
+//      each shard if the request had left for the first.
+//   5. A peer that was at work and fell silent, or whose connection broke, may
+//      have sent to leaves: the part is fanned out here as a repeat, if the
+//      route allows more leaves than the peer may have sent to. Each send of it
+//      is paid for from the budget of extra sends, and the first answer counts.
+//      Otherwise it has failed, at once.
 //
 // Invariants: it ends once; a part runs at both daemons only where the request
 // is idempotent, which requests to all shards are.
@@ -34,6 +37,7 @@
 #include "src/base/task_runner.h"
 #include "src/query/fan_out_session.h"
 #include "src/query/forwarded_request.h"
+#include "src/query/gather_session.h"
 #include "src/routing/peer_health.h"
 #include "src/upstream/forward_port.h"
 
@@ -45,21 +49,26 @@
   // Sends to peers; a peer stands in the place of a leaf.
   upstream::ForwardPort peers;
   std::shared_ptr<routing::PeerHealth> health;
-  // Makes a session that fans the shards out here; not started yet.
-  std::function<std::shared_ptr<FanOutSession>(ForwardedRequest,
-                                               std::vector<std::string>,
-                                               FanOutSession::Done)>
+  // Makes the work of fanning the shards out here; not started yet.
+  std::function<GatherPart(ForwardedRequest,
+                           std::vector<std::string>,
+                           FanOutSession::Done)>
       fan_out_here;
   base::Log log;
 };
 
 class HandoverSession : public std::enable_shared_from_this<HandoverSession> {
  public:
+  // Makes the work on the part anew, at another peer or here.
+  using Replace =
+      std::function<GatherPart(const ForwardedRequest&, FanOutSession::Done)>;
+
   HandoverSession(std::shared_ptr<const HandoverDependencies> dependencies,
                   ForwardedRequest request,
                   std::vector<std::string> shards,
                   const blackboard::Member& peer,
-                  FanOutSession::Done done);
+                  FanOutSession::Done done,
+                  Replace replace);
 
   void Start();
   // Reports how many shards are missing now, if the peer can be asked.
@@ -76,11 +85,18 @@
   void DidReply(upstream::ForwardReply reply);
   void DidFail(const upstream::ForwardReply& reply);
   // The peer has been silent: asks whether it lives.
-  void Probe();
+  void Probe(base::Duration wait);
   void DidAnswerProbe(std::optional<int> missing);
   void DidMissProbe();
-  // Fans the request out here; at most once.
+  // Fans the part out here; at most once. A repeat is paid for and uses no
+  // leaves that the peer may have used.
   void FanOutHere(bool is_repeat);
+  // Hands the part to another peer, or fans it out here.
+  void ReplacePeer();
+  // Starts what takes the peer's place.
+  void StartElsewhere(GatherPart work);
+  ForwardedRequest MakeLaterRequest() const;
+  FanOutSession::Done MakeDone();
   void DidFanOut(ForwardedAnswer answer, const FanOutSummary& summary);
   void Finish(ForwardedAnswer answer, const FanOutSummary& summary);
   // A failure, for want of anything better: the peer may have run it.
@@ -104,10 +120,13 @@
   const base::MonotonicTime arrived_;
   upstream::SentCall call_;
   upstream::SentCall probe_;
-  // Set once the request is fanned out here.
-  std::shared_ptr<FanOutSession> here_;
-  bool is_here_running_ = false;
+  const Replace replace_;
+  // Set once the part is worked on here, or by another peer.
+  std::optional<GatherPart> elsewhere_;
+  bool is_elsewhere_running_ = false;
   bool is_peer_running_ = false;
+  // It said that it has the part in work.
+  bool is_peer_at_work_ = false;
   // The peer got the part, or may have, and its connection was lost.
   bool is_peer_unknown_ = false;
   bool is_finished_ = false;
--- a/tests/base/loop_lag_test.cc
+++ b/tests/base/loop_lag_test.cc
@@ -52,5 +52,30 @@
   EXPECT_EQ(lag_.Estimate(), Duration{});
 }
 
+// A frozen VM wakes with requests that are as old as the freeze was long; the
+// tick may run before or after they are read.
+TEST_F(LoopLagTest, ALateTickShowsThatTheThreadStoodStill) {
+  lag_.ExpectTick({2'000'000});
+  time_->Advance(Milliseconds(4'000));
+  EXPECT_EQ(lag_.Estimate(), Milliseconds(3'000));
+  RunAll();
+  lag_.ExpectTick({6'000'000});
+  EXPECT_EQ(lag_.Estimate(), Milliseconds(3'000));
+  RunAll();
+  // It is forgotten a moment later.
+  time_->Advance(Milliseconds(500));
+  EXPECT_EQ(lag_.Estimate(), Duration{});
+}
+
+TEST_F(LoopLagTest, ATickInTimeShowsNothing) {
+  lag_.ExpectTick({2'000'000});
+  time_->Advance(Milliseconds(900));
+  EXPECT_EQ(lag_.Estimate(), Duration{});
+  RunAll();
+  time_->Advance(Milliseconds(100));
+  lag_.ExpectTick({3'000'000});
+  EXPECT_EQ(lag_.Estimate(), Duration{});
+}
+
 }  // namespace
 }  // namespace medlarspread::base
--- a/tests/platform/peer_codec_test.cc
+++ b/tests/platform/peer_codec_test.cc
@@ -52,6 +52,21 @@
   EXPECT_EQ(incoming->handover->shards, (std::vector<std::string>{"s1", "s2"}));
 }
 
+TEST_F(PeerCodecTest, LeavesThatAreLeftOverArriveToo) {
+  for (const int leaves : {0, 1}) {
+    call_.handover->leaves_left_over = leaves;
+    Request request = Encode();
+    EXPECT_EQ(request.count("Medlarspread-Leaves-Left-Over"),
+              static_cast<std::size_t>(leaves));
+    auto decoded = DecodeFromPeer(std::move(request));
+    const auto* incoming =
+        std::get_if<query::IncomingRequest>(&decoded.value());
+    ASSERT_NE(incoming, nullptr);
+    EXPECT_EQ(incoming->handover->leaves_left_over, leaves);
+    EXPECT_EQ(incoming->message->count("Medlarspread-Leaves-Left-Over"), 0U);
+  }
+}
+
 TEST_F(PeerCodecTest, TheLeavesSeeNothingOfTheHandover) {
   auto decoded = DecodeFromPeer(Encode());
   ASSERT_TRUE(decoded.is_ok());
