Routing: Take the patience of callers back out of the cost of a failure

Tried: a failure that can't be repeated costs the route's timeout in place of three latency targets.

--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -141,7 +141,7 @@
   return dependencies_->tracker->Choose(
       dependencies_->index()->LeavesOf(shard.collection),
       {route_.targets.name, route_.targets.latency, route_.is_idempotent,
-       route_.timeout, is_one_optional()},
+       is_one_optional()},
       [&](const blackboard::Upstream& leaf) { return MayUse(shard, leaf); },
       dependencies_->leaves.readiness);
 }
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -48,13 +48,10 @@
 // What a failed send costs, as a multiple of the latency target. Sending again
 // takes time and, when many fail, more than the budget of extra sends holds:
 // then the shard is missing. So a leaf that is farther away but sound is better
-// for as long as its reply is in time. A failure that can't be repeated leaves
-// the caller without an answer for good, where it would have waited for as long
-// as its patience lasts: that is what it costs, and this at the least. With it
-// 57 requests failed where 78 had at three targets, while five of six leaves
-// lost one answer in twelve (of 1,618; virtual fleet of 195 daemons).
+// for as long as its reply is in time. Nothing makes up for a failure that
+// can't be repeated.
 constexpr double kFailureCost = 1.0;
-constexpr double kLeastFinalFailureCost = 3.0;
+constexpr double kFinalFailureCost = 3.0;
 // A leaf is told of to others if fewer replies than this came from it within
 // about so many microseconds: with more, a daemon finds out by itself, and so
 // do the others that are as busy.
@@ -79,12 +76,8 @@
 
 // In microseconds.
 double FailureCost(const LeafNeed& need) {
-  const auto target = static_cast<double>(need.target.count());
-  if (need.is_repeatable) {
-    return kFailureCost * target;
-  }
-  return std::max(kLeastFinalFailureCost * target,
-                  static_cast<double>(need.patience.count()));
+  return (need.is_repeatable ? kFailureCost : kFinalFailureCost) *
+         static_cast<double>(need.target.count());
 }
 
 }  // namespace
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -52,8 +52,6 @@
   base::Duration target{};
   // Whether it may be sent again after a failure that may have run.
   bool is_repeatable = true;
-  // How long the caller waits for an answer at the most.
-  base::Duration patience{};
   // Whether the caller can do without this reply: then it isn't sent to a leaf
   // that would answer late.
   bool is_optional = false;
