Relay, Tests: What the linter found in the new files

A cast in function form, a using that nothing uses, a string literal that was shorter than its stated length (a stray byte went into the test), and a concatenation with temporaries. No behaviour changed.

--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -58,7 +58,8 @@
   }
   const auto follower = request.find(kFollowerField);
   if (follower != request.end()) {
-    did_hear_(std::string(follower->value()));
+    const auto entry = follower->value();
+    did_hear_({entry.data(), entry.size()});
   }
   if (target == kFreshnessTarget) {
     respond(Render({}));
--- a/tests/gossip/report_codec_test.cc
+++ b/tests/gossip/report_codec_test.cc
@@ -9,7 +9,6 @@
 namespace {
 
 using base::Milliseconds;
-using routing::LeafReport;
 
 ReportDatagram MakeDatagram() {
   return {{{"i-1@1796251705697", "lookup", 3, 1, Milliseconds(60)},
--- a/tests/membership/lease_registration_test.cc
+++ b/tests/membership/lease_registration_test.cc
@@ -301,9 +301,9 @@
 }
 
 TEST_F(LeaseRegistrationTest, ALineThatCantBeReadIsLeftOut) {
+  const std::string unreadable("\x00\xff", 2);
   registration_->DidChangeFollowers(
-      "big",
-      std::string("\x00\xff\nsmall-1 n1 10.0.0.2:80 north - 0.1\nx", 40));
+      "big", unreadable + "\nsmall-1 n1 10.0.0.2:80 north - 0.1\nx");
   EXPECT_EQ(Known(), std::vector<std::string>{"small-1"});
 }
 
--- a/tests/platform/configuration_decoder_test.cc
+++ b/tests/platform/configuration_decoder_test.cc
@@ -85,7 +85,10 @@
   for (const auto& [name, value] : whole) {
     const std::string& shown = name == field ? text : value;
     if (!shown.empty()) {
-      entry += (entry.empty() ? "{\"" : ",\"") + name + "\":" + shown;
+      entry += entry.empty() ? "{\"" : ",\"";
+      entry += name;
+      entry += "\":";
+      entry += shown;
     }
   }
   return entry + "}";
