Membership, Relay: List only those of the own failure domain that watch

Whoever asked a reader anything counted as its follower, so that old news made each of six lists grow to the whole fleet, and each change of such a list, 60 KB, went to the whole fleet, which made news older still. Change: a daemon lists those of its own failure domain that wait for news from it. Tests for both failed before.

--- a/src/membership/lease_registration.cc
+++ b/src/membership/lease_registration.cc
@@ -122,7 +122,12 @@
 
 void LeaseRegistration::DidHearFollower(const std::string& entry) {
   const auto member = DecodeNamedEntry(entry);
-  if (member && member->name != self_.name) {
+  // NOTE: one of another failure domain asks here because its own readers are
+  // away. Were it listed, a list would hold the whole fleet, and each change of
+  // it would go to the whole fleet.
+  const bool is_listed_here = member && member->name != self_.name &&
+                              member->failure_domain == self_.failure_domain;
+  if (is_listed_here) {
     followers_.DidHear(*member, clock_.Now());
   }
 }
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -56,11 +56,6 @@
     respond(MakeResponse(http1::Status::service_unavailable, ""));
     return [] {};
   }
-  const auto follower = request.find(kFollowerField);
-  if (follower != request.end()) {
-    const auto entry = follower->value();
-    did_hear_({entry.data(), entry.size()});
-  }
   if (target == kFreshnessTarget) {
     respond(Render({}));
     return [] {};
@@ -73,6 +68,11 @@
     respond(RenderKnown(log_.ChangesSinceRevision(*revision)));
     return [] {};
   }
+  const auto follower = request.find(kFollowerField);
+  if (follower != request.end()) {
+    const auto entry = follower->value();
+    did_hear_({entry.data(), entry.size()});
+  }
   const auto cursor = ParseNumber(target, kCursorPrefix);
   if (!cursor) {
     respond(MakeResponse(http1::Status::not_found, ""));
--- a/src/relay/news_server.h
+++ b/src/relay/news_server.h
@@ -47,7 +47,8 @@
 class NewsServer : public std::enable_shared_from_this<NewsServer> {
  public:
   // `freshness` is absent while this daemon has not read anything yet.
-  // `did_hear` is told what an asker says of itself.
+  // `did_hear` is told what daemons that follow this one say of themselves; who
+  // asks once does not follow yet.
   NewsServer(const store::EventLog& log,
              base::TaskRunner control,
              std::function<std::optional<Freshness>()> freshness,
--- a/tests/membership/lease_registration_test.cc
+++ b/tests/membership/lease_registration_test.cc
@@ -270,7 +270,8 @@
   registration_->DidChange("big", "n1 10.0.0.9:80 north 10.0.0.9:81 0.25");
   for (const char* entry :
        {"", "small", "small n1", "small n1 nowhere x - 1",
-        "vm-1 n1 10.0.0.1:80 north - 0.1", "big n1 10.0.0.9:80 north - 0.25"}) {
+        "vm-1 n1 10.0.0.1:80 north - 0.1", "big n1 10.0.0.9:80 north - 0.25",
+        "elsewhere s1 10.0.0.8:80 south - 0.1"}) {
     registration_->DidHearFollower(entry);
   }
   scheduler_->Advance(Milliseconds(5'000));
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -175,7 +175,11 @@
 
 TEST_F(NewsSourceTest, AFollowerSaysWhoItIs) {
   AddMembers("n1");
-  ASSERT_TRUE(List().is_ok());
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  // Who asks once does not follow yet: in an outage all ask all.
+  EXPECT_EQ(heard_, std::vector<std::string>{});
+  (void)Watch(page.value().cursor);
   EXPECT_EQ(heard_, std::vector<std::string>{"self n1 10.0.0.1:80"});
 }
 
