Query: Leave two leaves to a silent aggregator

By reading, not by a log: an aggregator that is late to answer a probe, and not frozen, may have sent to two leaves when the next one gets the part with one. Change: the next one has what the route allows beyond two. Its test: the code before handed the part on.

--- a/src/query/handover_session.cc
+++ b/src/query/handover_session.cc
@@ -34,10 +34,9 @@
 // allows beyond them is left for a repeat; where nothing is, the caller is told
 // at once, and asks again.
 constexpr int kLeavesOfPeer = 2;
-// A peer that never said that it is at work has not read the request, and drops
-// it when it does, since its connection is closed by then. In case it read it
-// in the moment before it fell silent, one leaf is left to it.
-constexpr int kLeavesLeftOver = 1;
+// The same holds for one that never said that it is at work: its answer to the
+// probe may be late because this daemon's own link is busy.
+constexpr int kLeavesLeftOver = kLeavesOfPeer;
 // With less time left nothing is begun any more.
 constexpr base::Duration kLeastForRepeat = Milliseconds(20);
 
--- a/src/query/handover_session.h
+++ b/src/query/handover_session.h
@@ -10,8 +10,8 @@
 //      again when it has been silent for a while. If it answers, the session
 //      waits on.
 //   4. A peer that never said that it is at work is told that its part is no
-//      longer needed, and the next one takes its place, with one leaf less for
-//      each shard if the request had left for the first.
+//      longer needed, and the next one takes its place, if the route allows
+//      more leaves than the first may have sent to.
 //   5. A peer that was at work and fell silent, or whose connection broke, may
 //      have sent to leaves: the part is fanned out here as a repeat, if the
 //      route allows more leaves than the peer may have sent to. Each send of it
