Query, Daemon, Metrics: Tell who sent each repeat, why, and what paid for it

Nothing told why a leaf got a request again: the answer's line had the number of extra sends only, a failed send named no shard and no leaf, and the counters of leaves' answers stayed 0 for opaque requests.

Now the answer's line lists the repeats (shard, cause, allowance, leaf; eight at the most), counters tell repeats by allowance, and sends that found another leaf at their address are counted. The budget says which source a send was taken from. No policy is changed.

Test: ForwardServiceTest.TellsWhyEachRepeatWasSentAndWhatPaidForIt.

--- a/src/admission/extra_send_budget.cc
+++ b/src/admission/extra_send_budget.cc
@@ -37,17 +37,17 @@
                                  base::MonotonicTime now)
     : limits_(limits), refilled_(now), slack_(kFirstPart * limits.burst) {}
 
-bool ExtraSendBudget::Take(base::MonotonicTime now) {
+std::optional<Allowance> ExtraSendBudget::Take(base::MonotonicTime now) {
   if (Earned(now) >= 1.0) {
     CellOf(now).taken += 1.0;
-    return true;
+    return Allowance::kEarned;
   }
   Refill(now);
   if (slack_ < 1.0) {
-    return false;
+    return std::nullopt;
   }
   slack_ -= 1.0;
-  return true;
+  return Allowance::kSlack;
 }
 
 void ExtraSendBudget::DidRequest(base::MonotonicTime now) {
--- a/src/admission/extra_send_budget.h
+++ b/src/admission/extra_send_budget.h
@@ -19,8 +19,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "src/base/clock.h"
+#include "src/base/name_table.h"
 
 namespace medlarspread::admission {
 
@@ -37,12 +39,20 @@
                          const ExtraSendLimits&) = default;
 };
 
+// What a send was paid for with.
+enum class Allowance { kEarned, kSlack };
+
+inline constexpr base::NameTable<Allowance, 2> kAllowanceNames{{{
+    {Allowance::kEarned, "earned"},
+    {Allowance::kSlack, "slack"},
+}}};
+
 class ExtraSendBudget {
  public:
   ExtraSendBudget(const ExtraSendLimits& limits, base::MonotonicTime now);
 
-  // Takes one send if the budget lasts.
-  bool Take(base::MonotonicTime now);
+  // Takes one send; absent if the budget is used up.
+  std::optional<Allowance> Take(base::MonotonicTime now);
   void DidRequest(base::MonotonicTime now);
   // The daemons that share the bound have changed.
   void set_limits(const ExtraSendLimits& limits);
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -166,12 +166,15 @@
 }
 
 query::ForwardService::Ports OpaqueDaemon::MakeQueryPorts() {
-  return {leaves_.port(), peers_.port(),
+  return {leaves_.port(),
+          peers_.port(),
           [this](const burn::RequestRecord& record) { Record(record); },
           [this](int sends) {
             metrics_.Count(metrics::Counter::kUpstreamSends, sends);
             metrics_.Count(metrics::Counter::kRequestsFannedOutForPeers);
           },
+          [this](const query::ShardAttempt& attempt) { CountRepeat(attempt); },
+          [this](upstream::LeafOutcome outcome) { CountEnd(outcome); },
           [this] { metrics_.Count(metrics::Counter::kRequestsQuarantined); }};
 }
 
@@ -395,6 +398,30 @@
                    record.class_name, record.latency);
 }
 
+void OpaqueDaemon::CountRepeat(const query::ShardAttempt& attempt) {
+  using metrics::Counter;
+  Counter counter = Counter::kResendsUnsent;
+  if (attempt.paid) {
+    counter = *attempt.paid == admission::Allowance::kEarned
+                  ? Counter::kRepeatsEarned
+                  : Counter::kRepeatsSlack;
+  }
+  metrics_.Count(counter);
+}
+
+void OpaqueDaemon::CountEnd(upstream::LeafOutcome outcome) {
+  using metrics::Counter;
+  if (outcome == upstream::LeafOutcome::kAnswered) {
+    metrics_.Count(Counter::kUpstreamAnswers);
+    return;
+  }
+  metrics_.Count(upstream::MayHaveRun(outcome) ? Counter::kUpstreamLosses
+                                               : Counter::kUpstreamRefusals);
+  if (outcome == upstream::LeafOutcome::kReplaced) {
+    metrics_.Count(Counter::kUpstreamReplaced);
+  }
+}
+
 void OpaqueDaemon::PruneConnections() {
   traffic_lag_.ExpectTick(clock_.Now() + kPruneInterval);
   traffic_.After(kPruneInterval, [this] {
--- a/src/daemon/opaque_daemon.h
+++ b/src/daemon/opaque_daemon.h
@@ -64,6 +64,9 @@
   double ConnectionShare(const blackboard::Upstream& upstream) const;
   query::ForwardService::Ports MakeQueryPorts();
   void Record(const burn::RequestRecord& record);
+  // A send to a leaf beyond the first of its shard.
+  void CountRepeat(const query::ShardAttempt& attempt);
+  void CountEnd(upstream::LeafOutcome outcome);
   void PruneConnections();
   std::shared_ptr<gossip::ReportExchange> MakeReports();
   std::shared_ptr<quarantine::Quarantine> MakeQuarantine();
--- a/src/metrics/metric_names.cc
+++ b/src/metrics/metric_names.cc
@@ -32,6 +32,21 @@
       {Counter::kUpstreamLosses,
        {"medlarspread_upstream_losses_total",
         "Shard requests that may have run but gave no usable answer."}},
+      {Counter::kUpstreamReplaced,
+       {"medlarspread_upstream_replaced_total",
+        "Shard requests that found another upstream at the address than the "
+        "one they were for."}},
+      {Counter::kRepeatsEarned,
+       {"medlarspread_repeats_earned_total",
+        "Sends beyond the first of a request to a shard, paid for with what "
+        "requests earned."}},
+      {Counter::kRepeatsSlack,
+       {"medlarspread_repeats_slack_total",
+        "Sends beyond the first of a request to a shard, paid for with this "
+        "VM's part of the slack."}},
+      {Counter::kResendsUnsent,
+       {"medlarspread_resends_unsent_total",
+        "Sends in place of one that did not leave this VM; free."}},
       {Counter::kLeavesEnded,
        {"medlarspread_leaves_ended_total",
         "Upstream processes that ended with requests of this VM in work."}},
--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -86,7 +86,7 @@
     return;
   }
   const bool is_first = shard.sends == 0;
-  if (TrySend(shard, is_first ? first_payment_ : Payment::kFromBudget)) {
+  if (TrySend(shard, is_first ? SendCause::kFirst : SendCause::kWaited)) {
     return;
   }
   const bool has_leaves =
@@ -102,7 +102,23 @@
   Settle(shard, ShardState::kFailed);
 }
 
-bool FanOutSession::TrySend(Shard& shard, Payment payment) {
+bool FanOutSession::is_extra(SendCause cause) const {
+  switch (cause) {
+    case SendCause::kFirst:
+      // Another daemon may have sent it before.
+      return request_.leaves_of_others > 0;
+    case SendCause::kUnsent:
+      return false;
+    case SendCause::kOverdue:
+    case SendCause::kFailed:
+    case SendCause::kRefused:
+    case SendCause::kWaited:
+      return true;
+  }
+  return true;
+}
+
+bool FanOutSession::TrySend(Shard& shard, SendCause cause) {
   if (is_quarantined()) {
     shard.obstacle = SendObstacle::kQuarantined;
     return false;
@@ -113,18 +129,20 @@
     shard.obstacle = WhyNoLeaf(shard);
     return false;
   }
-  if (payment == Payment::kFromBudget) {
-    if (!dependencies_->take_extra_send(shard.collection)) {
+  std::optional<admission::Allowance> paid;
+  if (is_extra(cause)) {
+    paid = dependencies_->take_extra_send(shard.collection);
+    if (!paid) {
       shard.obstacle = SendObstacle::kBudgetUsedUp;
       return false;
     }
     ++extra_sends_;
   }
-  SendTo(shard, *leaf);
+  SendTo(shard, *leaf, cause, paid);
   return true;
 }
 
-bool FanOutSession::TrySendElsewhere(Shard& shard, Payment payment) {
+bool FanOutSession::TrySendElsewhere(Shard& shard, SendCause cause) {
   if (shard.leaves >= most_leaves_) {
     shard.obstacle = SendObstacle::kAttemptsUsedUp;
     return false;
@@ -133,7 +151,7 @@
     shard.obstacle = SendObstacle::kTooLate;
     return false;
   }
-  return TrySend(shard, payment);
+  return TrySend(shard, cause);
 }
 
 SendObstacle FanOutSession::WhyNoLeaf(const Shard& shard) const {
@@ -169,9 +187,14 @@
   return !shard.excluded.contains(leaf.name);
 }
 
-void FanOutSession::SendTo(Shard& shard, const blackboard::Upstream& leaf) {
+void FanOutSession::SendTo(Shard& shard,
+                           const blackboard::Upstream& leaf,
+                           SendCause cause,
+                           std::optional<admission::Allowance> paid) {
   auto attempt = std::make_shared<Attempt>();
   attempt->leaf = leaf;
+  attempt->cause = cause;
+  attempt->paid = paid;
   attempt->sent = dependencies_->clock.Now();
   const base::Duration delay = dependencies_->tracker->SecondSendDelay(
       leaf, route_.targets.name, route_.targets.latency / kFirstDelayShare);
@@ -190,6 +213,9 @@
       [self = shared_from_this(), shard_index, attempt](ForwardReply reply) {
         self->DidReply(shard_index, attempt, std::move(reply));
       });
+  if (cause != SendCause::kFirst || paid) {
+    dependencies_->did_repeat(*attempt);
+  }
   shard.attempts.push_back(std::move(attempt));
 }
 
@@ -224,7 +250,7 @@
     return;
   }
   shard.again_at = {};
-  if (!TrySend(shard, Payment::kFromBudget)) {
+  if (!TrySend(shard, SendCause::kRefused)) {
     Settle(shard, ShardState::kFailed);
   }
 }
@@ -251,7 +277,7 @@
     dependencies_->tracker->DidStall(latest.leaf, route_.targets.name,
                                      now - latest.sent);
     if (route_.is_idempotent && !is_trying_ && has(Mechanism::kSecondSends)) {
-      (void)TrySendElsewhere(shard, Payment::kFromBudget);
+      (void)TrySendElsewhere(shard, SendCause::kOverdue);
     }
   }
 }
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -30,6 +30,9 @@
 // another reason is not slowed down.
 constexpr int kLossesBeforeTrial = 3;
 
+// A line of the log names no more repeats than this.
+constexpr int kMostNamedRepeats = 8;
+
 bool IsCertainlyNotRun(LeafOutcome outcome) {
   return !upstream::MayHaveRun(outcome);
 }
@@ -50,8 +53,6 @@
       target_due_(request_.is_part
                       ? deadline_
                       : arrived_ + TimeToTarget(route_, request_.waited)),
-      first_payment_(request_.leaves_of_others > 0 ? Payment::kFromBudget
-                                                   : Payment::kFree),
       most_leaves_(route_.most_attempts - request_.leaves_of_others -
                    request_.leaves_left_over),
       shards_(collections.size()),
@@ -124,6 +125,7 @@
                              ForwardReply reply) {
   attempt->is_finished = true;
   attempt->call = {};
+  dependencies_->did_end_send(reply.outcome);
   const bool is_in_time = dependencies_->clock.Now() <= target_due_;
   dependencies_->tracker->DidReply(attempt->leaf, route_.targets.name,
                                    attempt->sent, is_in_time, reply);
@@ -164,8 +166,9 @@
 void FanOutSession::DidFail(Shard& shard,
                             const std::string& leaf,
                             ForwardReply reply) {
-  dependencies_->log.DidFail(reply.error, "a send to a leaf failed",
-                             request_.request_id);
+  dependencies_->log.DidFail(
+      reply.error, "a send of " + shard.collection + " to " + leaf + " failed",
+      request_.request_id);
   last_error_ = reply.error;
   const bool did_not_run = IsCertainlyNotRun(reply.outcome);
   may_have_run_ = may_have_run_ || !did_not_run;
@@ -184,12 +187,12 @@
   }
   const bool may_repeat =
       !is_given_up_ && (route_.is_idempotent || did_not_run);
-  const Payment payment = never_left ? Payment::kFree : Payment::kFromBudget;
+  const SendCause cause = never_left ? SendCause::kUnsent : SendCause::kFailed;
   if (may_repeat && must_wait_for_trial()) {
     shard.is_waiting = true;
     return;
   }
-  if (may_repeat && TrySendElsewhere(shard, payment)) {
+  if (may_repeat && TrySendElsewhere(shard, cause)) {
     return;
   }
   if (may_repeat && PlanRepeat(shard)) {
@@ -439,7 +442,7 @@
            " sends=" + std::to_string(sends_) + " extra=" +
            std::to_string(extra_sends_) + " lost=" + std::to_string(lost_) +
            " fingerprint=" + quarantine::ToText(request_.fingerprint) +
-           DescribeMissing()});
+           DescribeMissing() + DescribeRepeats()});
 }
 
 std::string FanOutSession::DescribeMissing() const {
@@ -458,6 +461,30 @@
   return text;
 }
 
+std::string FanOutSession::DescribeRepeats() const {
+  std::string text;
+  int unnamed = 0;
+  int named = 0;
+  for (const Shard& shard : shards_) {
+    for (const auto& attempt : shard.attempts) {
+      if (attempt->cause == SendCause::kFirst && !attempt->paid) {
+        continue;
+      }
+      if (named == kMostNamedRepeats) {
+        ++unnamed;
+        continue;
+      }
+      ++named;
+      text += (text.empty() ? " repeats=" : ",") + shard.collection + "/" +
+              kSendCauseNames.NameOf(attempt->cause) + "/" +
+              (attempt->paid ? admission::kAllowanceNames.NameOf(*attempt->paid)
+                             : "free") +
+              "/" + attempt->leaf.name;
+    }
+  }
+  return unnamed == 0 ? text : text + ",+" + std::to_string(unnamed);
+}
+
 bool FanOutSession::is_gather() const {
   return std::holds_alternative<blackboard::AllShards>(route_.destination);
 }
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -30,6 +30,7 @@
 #define MEDLARSPREAD_QUERY_FAN_OUT_SESSION_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,10 +61,15 @@
   // The leaves as they are known now; never null.
   std::function<std::shared_ptr<const routing::LeafIndex>()> index;
   // Takes a send beyond the first of a request to the collection from the
-  // budget; false if it is used up.
-  std::function<bool(const std::string& collection)> take_extra_send;
+  // budget; absent if it is used up.
+  std::function<std::optional<admission::Allowance>(
+      const std::string& collection)>
+      take_extra_send;
   // Tells the budget of a request's first send to the collection.
   std::function<void(const std::string& collection)> did_request;
+  // A send beyond the first of its shard went out, and a send to a leaf ended.
+  std::function<void(const ShardAttempt&)> did_repeat;
+  std::function<void(upstream::LeafOutcome)> did_end_send;
   std::shared_ptr<quarantine::Quarantine> quarantine;
   base::Log log;
   base::Ablation ablation = {};
@@ -107,8 +113,6 @@
   bool Abandon();
 
  private:
-  // Whether a send is paid for from the collection's budget.
-  enum class Payment { kFree, kFromBudget };
   // Why nobody waits for a send any more: that its reply comes too late says
   // something of the leaf.
   enum class CancelReason { kNotNeeded, kTooLate };
@@ -121,12 +125,17 @@
   void SendAll();
   // Sends what was held back for want of room, or refuses it after a while.
   void LookForRoom(base::MonotonicTime now);
-  void SendTo(Shard& shard, const blackboard::Upstream& leaf);
+  void SendTo(Shard& shard,
+              const blackboard::Upstream& leaf,
+              SendCause cause,
+              std::optional<admission::Allowance> paid);
   // Sends the shard to a leaf that it was not sent to yet; false if none may
   // take it or the budget is used up, which the shard then notes.
-  bool TrySend(Shard& shard, Payment payment);
+  bool TrySend(Shard& shard, SendCause cause);
   // The same for a further leaf, if the route and the time allow one.
-  bool TrySendElsewhere(Shard& shard, Payment payment);
+  bool TrySendElsewhere(Shard& shard, SendCause cause);
+  // Whether a send may reach a leaf beyond the first one of its request.
+  bool is_extra(SendCause cause) const;
   // Why NextLeaf() finds none.
   SendObstacle WhyNoLeaf(const Shard& shard) const;
   // Sends a shard that found no leaf so far, or gives it up after a while.
@@ -175,6 +184,8 @@
   // The shards without an answer, each with its sends and what kept it from
   // more.
   std::string DescribeMissing() const;
+  // The sends beyond the first of each shard: cause, what paid, leaf.
+  std::string DescribeRepeats() const;
 
   // When a caller that is refused should come back: a part of its target, so
   // that it can still be answered in time.
@@ -197,7 +208,6 @@
   const base::MonotonicTime deadline_;
   // From then on an answer with `least_answers_` goes out.
   base::MonotonicTime target_due_;
-  const Payment first_payment_;
   // Leaves that a shard may be sent to.
   const int most_leaves_;
   std::vector<Shard> shards_;
--- a/src/query/fan_out_shard.h
+++ b/src/query/fan_out_shard.h
@@ -5,10 +5,12 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "src/admission/extra_send_budget.h"
 #include "src/base/clock.h"
 #include "src/base/name_table.h"
 #include "src/blackboard/views.h"
@@ -45,9 +47,37 @@
     {SendObstacle::kQuarantined, "quarantined"},
 }}};
 
+// Why a shard is sent to a leaf.
+enum class SendCause {
+  // Nothing was sent for it yet.
+  kFirst,
+  // The send before did not leave this daemon, so this one takes its place.
+  kUnsent,
+  // The reply is overdue at the leaf that has it.
+  kOverdue,
+  // The leaf that had it failed.
+  kFailed,
+  // A leaf that refused for want of room is asked again.
+  kRefused,
+  // It had to wait for a leaf, or for the trial of a suspect to end.
+  kWaited,
+};
+
+inline constexpr base::NameTable<SendCause, 6> kSendCauseNames{{{
+    {SendCause::kFirst, "first"},
+    {SendCause::kUnsent, "unsent"},
+    {SendCause::kOverdue, "overdue"},
+    {SendCause::kFailed, "failed"},
+    {SendCause::kRefused, "refused"},
+    {SendCause::kWaited, "waited"},
+}}};
+
 // One send to one leaf.
 struct ShardAttempt {
   blackboard::Upstream leaf;
+  SendCause cause = SendCause::kFirst;
+  // Absent if it was free.
+  std::optional<admission::Allowance> paid;
   base::MonotonicTime sent;
   // When a connection for a second send is opened, so that it is there in
   // time.
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -91,6 +91,8 @@
       [this](const std::string& collection) {
         BudgetOf(collection).DidRequest(clock_.Now());
       },
+      ports_.did_repeat,
+      ports_.did_end_send,
       quarantine_,
       log_,
       options_.ablation};
--- a/src/query/forward_service.h
+++ b/src/query/forward_service.h
@@ -60,6 +60,12 @@
     std::function<void(const burn::RequestRecord&)> record;
     // A request of another daemon took so many sends; it is recorded there.
     std::function<void(int sends)> did_fan_out_for_peer;
+    // A send beyond the first of its shard went out, and a send to a leaf
+    // ended.
+    std::function<void(const ShardAttempt&)> did_repeat =
+        [](const ShardAttempt&) {};
+    std::function<void(upstream::LeafOutcome)> did_end_send =
+        [](upstream::LeafOutcome) {};
     // A request was refused since it ends the leaves that run it.
     std::function<void()> did_quarantine = [] {};
   };
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -2,7 +2,9 @@
 
 #include "src/query/forward_service.h"
 
+#include <map>
 #include <optional>
+#include <sstream>
 
 #include <gtest/gtest.h>
 
@@ -104,6 +106,9 @@
   admission::ExtraSendBound extra_sends_{0.5, 200.0};
   FakeLeaves peers_;
   int fanned_out_for_peers_ = 0;
+  std::vector<ShardAttempt> repeats_;
+  std::map<LeafOutcome, int> ends_;
+  std::ostringstream log_;
   // What the port of a leaf whose connection was lost shows.
   http1::PortState port_state_ = http1::PortState::kListening;
   const std::shared_ptr<quarantine::Quarantine> quarantine_ =
@@ -137,8 +142,10 @@
        [this](const burn::RequestRecord& record) {
          records_.push_back(record);
        },
-       [this](int) { ++fanned_out_for_peers_; }},
-      base::Log()};
+       [this](int) { ++fanned_out_for_peers_; },
+       [this](const ShardAttempt& attempt) { repeats_.push_back(attempt); },
+       [this](LeafOutcome outcome) { ++ends_[outcome]; }},
+      base::Log(base::LogSettings{}, log_)};
   std::optional<ForwardedAnswer> answer_;
 };
 
@@ -254,6 +261,36 @@
   EXPECT_EQ(leaves_.sent().size() - before, 20U);
 }
 
+TEST_F(ForwardServiceTest, TellsWhyEachRepeatWasSentAndWhatPaidForIt) {
+  // Nothing is earned, and the slack holds one send.
+  extra_sends_ = {0.0, 2.5};
+  constexpr int kUntilFull = 20'000;
+  Submit();
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    leaves_.Answer(shard, "");
+  }
+  Advance(kUntilFull);
+  Submit();
+  EXPECT_TRUE(repeats_.empty());
+  leaves_.Fail(4, LeafOutcome::kUnreachable);
+  leaves_.Fail(5, LeafOutcome::kReplaced);
+  ASSERT_EQ(repeats_.size(), 2U);
+  EXPECT_EQ(repeats_[0].cause, SendCause::kUnsent);
+  EXPECT_FALSE(repeats_[0].paid.has_value());
+  EXPECT_EQ(repeats_[1].cause, SendCause::kFailed);
+  EXPECT_EQ(repeats_[1].paid, admission::Allowance::kSlack);
+  EXPECT_EQ(ends_[LeafOutcome::kReplaced], 1);
+  EXPECT_EQ(ends_[LeafOutcome::kAnswered], 4);
+  for (const std::size_t send : {6U, 7U, 8U, 9U}) {
+    leaves_.Answer(send, "");
+  }
+  const std::string log = log_.str();
+  EXPECT_NE(log.find("repeats=shard0/unsent/free/" + repeats_[0].leaf.name +
+                     ",shard1/failed/slack/" + repeats_[1].leaf.name),
+            std::string::npos)
+      << log;
+}
+
 TEST_F(ForwardServiceTest, NeverSendsToMoreLeavesThanTheRouteAllows) {
   SetRoute(OneCollection{"single"}, true, 2);
   Submit();
