--- a/emulator/fleet/fleet_plan.h
+++ b/emulator/fleet/fleet_plan.h
@@ -84,9 +84,12 @@
   kNoDatagrams,
   // The store takes nothing and tells nothing.
   kStoreAway,
+  // Leaves end for good. At the end of the trouble a leaf of `tenant` starts at
+  // the address of each. No daemon is told of either.
+  kAddressReused,
 };
 
-inline constexpr base::NameTable<TroubleKind, 10> kTroubleKindNames{{{
+inline constexpr base::NameTable<TroubleKind, 11> kTroubleKindNames{{{
     {TroubleKind::kSlow, "slow"},
     {TroubleKind::kResets, "resets"},
     {TroubleKind::kDark, "dark"},
@@ -97,6 +100,7 @@
     {TroubleKind::kCrash, "crash"},
     {TroubleKind::kNoDatagrams, "no_datagrams"},
     {TroubleKind::kStoreAway, "store_away"},
+    {TroubleKind::kAddressReused, "address_reused"},
 }}};
 
 struct Trouble {
@@ -108,6 +112,8 @@
   double share = 1.0;
   // Only leaves of this collection; all if it is empty.
   std::string collection;
+  // Of kAddressReused.
+  std::string tenant = {};
 };
 
 // A request that ends every leaf that runs it. A caller sends it, and once more
--- a/emulator/fleet/virtual_daemon.cc
+++ b/emulator/fleet/virtual_daemon.cc
@@ -358,9 +358,9 @@
   }
   call->timer.Cancel();
   const std::string& leaf = call->leaf->upstream().name;
-  const bool keeps_connection = outcome == LeafOutcome::kAnswered ||
-                                outcome == LeafOutcome::kShed ||
-                                outcome == LeafOutcome::kFailed;
+  const bool keeps_connection =
+      outcome == LeafOutcome::kAnswered || outcome == LeafOutcome::kShed ||
+      outcome == LeafOutcome::kReplaced || outcome == LeafOutcome::kFailed;
   if (keeps_connection) {
     Link& link = LinkTo(leaf);
     link.free +=
--- a/emulator/fleet/virtual_fleet.cc
+++ b/emulator/fleet/virtual_fleet.cc
@@ -17,8 +17,6 @@
 // Callers honour a time to come back up to this part of the time they have
 // left.
 constexpr int kLongestPauseShare = 3;
-// Parts of the window in which extra sends are counted.
-constexpr std::int64_t kWindowParts = 20;
 constexpr std::size_t kMostViolations = 20;
 // After so many a deadly request has shown itself.
 constexpr int kCrashesToKnow = 3;
@@ -332,6 +330,9 @@
       case TroubleKind::kCrash:
         leaf->Crash(trouble.end - trouble.begin);
         break;
+      case TroubleKind::kAddressReused:
+        leaf->Crash(plan_.length);
+        break;
       case TroubleKind::kPowerLoss:
       case TroubleKind::kBurst:
       case TroubleKind::kFrozenDaemons:
@@ -368,7 +369,11 @@
     return;
   }
   for (const auto& leaf : drawn_[&trouble]) {
-    leaf->faults() = {};
+    if (trouble.kind == TroubleKind::kAddressReused) {
+      leaf->GiveAddressTo(trouble.tenant);
+    } else {
+      leaf->faults() = {};
+    }
   }
 }
 
@@ -559,52 +564,25 @@
 
 void VirtualFleet::CountArrival(const std::string& request_id,
                                 const std::string& leaf) {
-  const std::string& collection = world_.leaves.at(leaf)->upstream().collection;
-  const std::int64_t part = (clock_.Now() - start()).count() /
-                            (plan_.extra_sends.window.count() / kWindowParts);
   if (const DeadlyRequest* deadly = world_.deadly(request_id)) {
     DeadlyCounts& counts = deadly_[deadly];
     if (counts.known_at && clock_.Now() > *counts.known_at) {
       counts.tries_after.insert(request_id);
     }
   }
-  Arrivals& arrivals = arrivals_[collection][part];
   ++report_.sends;
-  // Leaves count the requests that callers sent, whether they arrived or not;
-  // here every request that reached a leaf counts, which is stricter.
-  if (++sent_to_[request_id][collection] == 1) {
-    ++arrivals.requests;
-  } else {
-    ++arrivals.extra;
-    ++report_.extra_sends;
-  }
+  const bool is_first = arrivals_.DidArrive(
+      request_id, world_.leaves.at(leaf)->collection_at_address(),
+      clock_.Now());
+  report_.extra_sends += is_first ? 0 : 1;
 }
 
+// Leaves count the requests that callers sent, whether they arrived or not;
+// here every request that reached a leaf counts, which is stricter.
 void VirtualFleet::CheckExtraSends() {
-  const auto sum = [](const std::map<std::int64_t, Arrivals>& parts,
-                      std::int64_t first) {
-    Arrivals all;
-    for (auto row = parts.lower_bound(first);
-         row != parts.end() && row->first < first + kWindowParts; ++row) {
-      all.requests += row->second.requests;
-      all.extra += row->second.extra;
-    }
-    return all;
-  };
-  for (const auto& [collection, parts] : arrivals_) {
-    for (const auto& [first, ignored] : parts) {
-      const int requests =
-          std::max({sum(parts, first).requests,
-                    sum(parts, first - kWindowParts / 2).requests,
-                    sum(parts, first - kWindowParts).requests});
-      const admission::ExtraSendBound checked =
-          plan_.checked_extra_sends.value_or(plan_.extra_sends);
-      const double bound = checked.share * requests + checked.slack;
-      if (sum(parts, first).extra > bound) {
-        Violate(collection + " got more extra sends in a window than " +
-                std::to_string(bound));
-      }
-    }
+  for (const std::string& excess : arrivals_.FindExcess(
+           plan_.checked_extra_sends.value_or(plan_.extra_sends))) {
+    Violate(excess);
   }
 }
 
--- a/emulator/fleet/virtual_fleet.h
+++ b/emulator/fleet/virtual_fleet.h
@@ -21,6 +21,7 @@
 
 #include "emulator/fleet/fleet_plan.h"
 #include "emulator/fleet/virtual_daemon.h"
+#include "emulator/support/arrival_record.h"
 
 namespace medlarspread::emulator {
 
@@ -97,11 +98,6 @@
     std::set<std::string> tries_after;
   };
 
-  struct Arrivals {
-    int requests = 0;
-    int extra = 0;
-  };
-
   void AddLeaf(const std::string& collection,
                int region,
                int domain,
@@ -158,12 +154,10 @@
   // By request.
   std::map<std::string, const DeadlyRequest*> deadly_of_;
   int requests_ = 0;
-  // By request: the class, and what reached leaves.
+  // By request: the class, and how often leaves ran it.
   std::map<std::string, int> class_of_;
   std::map<std::string, int> runs_;
-  std::map<std::string, std::map<std::string, int>> sent_to_;
-  // By collection, then in parts of the window of extra sends.
-  std::map<std::string, std::map<std::int64_t, Arrivals>> arrivals_;
+  ArrivalRecord arrivals_;
   FleetReport report_;
 };
 
--- a/emulator/fleet/virtual_leaf.cc
+++ b/emulator/fleet/virtual_leaf.cc
@@ -31,6 +31,10 @@
     job.done(LeafOutcome::kLost);
     return number;
   }
+  if (!tenant_.empty()) {
+    job.done(LeafOutcome::kReplaced);
+    return number;
+  }
   if (faults_.is_dark) {
     return number;
   }
@@ -119,12 +123,20 @@
   for (const auto& [number, job] : queue) {
     job.done(LeafOutcome::kLost);
   }
-  (void)runner_.After(down, [self = shared_from_this()] {
-    self->is_down_ = false;
-    ++self->starts_;
+  (void)runner_.After(down, [self = shared_from_this(), start = starts_] {
+    if (start == self->starts_) {
+      self->is_down_ = false;
+      ++self->starts_;
+    }
   });
 }
 
+void VirtualLeaf::GiveAddressTo(const std::string& collection) {
+  tenant_ = collection;
+  is_down_ = false;
+  ++starts_;
+}
+
 void VirtualLeaf::End(std::uint64_t number, LeafOutcome outcome) {
   auto row = running_.extract(number);
   if (row.empty()) {
--- a/emulator/fleet/virtual_leaf.h
+++ b/emulator/fleet/virtual_leaf.h
@@ -63,6 +63,13 @@
   // refused until it is back.
   void Crash(base::Duration down);
   bool is_down() const { return is_down_; }
+  // The process has ended for good, and one of another collection starts at its
+  // address. It tells whoever asks for this one that it is another.
+  void GiveAddressTo(const std::string& collection);
+  // Which collection has the address now.
+  const std::string& collection_at_address() const {
+    return tenant_.empty() ? upstream_.collection : tenant_;
+  }
   // How often the process has started; names its present start.
   int starts() const { return starts_; }
 
@@ -94,6 +101,8 @@
   int connections_ = 0;
   int starts_ = 1;
   bool is_down_ = false;
+  // The collection that has the address now; empty while this leaf has it.
+  std::string tenant_;
   // Connections beyond the cap.
   int resets_ = 0;
 };
