--- a/emulator/fleet/virtual_leaf.cc
+++ b/emulator/fleet/virtual_leaf.cc
@@ -123,11 +123,9 @@
   for (const auto& [number, job] : queue) {
     job.done(LeafOutcome::kLost);
   }
-  (void)runner_.After(down, [self = shared_from_this(), start = starts_] {
-    if (start == self->starts_) {
-      self->is_down_ = false;
-      ++self->starts_;
-    }
+  (void)runner_.After(down, [self = shared_from_this()] {
+    self->is_down_ = false;
+    ++self->starts_;
   });
 }
 
