Routing, Query: Send nothing more to a leaf whose address another one has

What callers saw: late answers to requests to all shards while the store was away. What leaves saw: one shard got up to a quarter more sends beyond the first of their request than is allowed.

Cause: the word of a leaf that it is another one than the request is for was taken for a passing failure of the leaf that had ended. A moment later that one had room again, and where its fellows were slow or had no connection free most first sends went there. They are free for the one shard and repeats for the other, so no allowance bounded them.

Change: a leaf here is one start of a process, so the word is final for it: it is never chosen again, whatever the others look like, and one request in 30 s asks in case the word was wrong. The belief is logged when it changes. With all leaves of too many shards replaced a request is refused before anything is sent.

Ruled out on the way: lowering the share, which would take second sends away and leave these, since they are not paid for.

--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -127,8 +127,13 @@
   attempt->call = {};
   dependencies_->did_end_send(reply.outcome);
   const bool is_in_time = dependencies_->clock.Now() <= target_due_;
+  const bool was_replaced = dependencies_->tracker->is_replaced(attempt->leaf);
   dependencies_->tracker->DidReply(attempt->leaf, route_.targets.name,
                                    attempt->sent, is_in_time, reply);
+  const bool is_replaced = dependencies_->tracker->is_replaced(attempt->leaf);
+  if (is_replaced != was_replaced) {
+    LogReplaced(attempt->leaf, is_replaced);
+  }
   if (reply.outcome == LeafOutcome::kAnswered) {
     DidSurvive();
   } else if (reply.outcome == LeafOutcome::kLost) {
@@ -445,6 +450,20 @@
            DescribeMissing() + DescribeRepeats()});
 }
 
+void FanOutSession::LogReplaced(const blackboard::Upstream& leaf,
+                                bool is_replaced) const {
+  dependencies_->log.Write(
+      {.level = base::LogLevel::kWarning,
+       .step = Step::kReadUpstream,
+       .peer = leaf.address,
+       .request_id = request_.request_id,
+       .message = "leaf " + leaf.name + " of " + leaf.collection +
+                  (is_replaced ? " is gone: another leaf has its address; "
+                                 "it gets no more requests"
+                               : " answers after all; it gets requests "
+                                 "again")});
+}
+
 std::string FanOutSession::DescribeMissing() const {
   std::string text;
   for (const Shard& shard : shards_) {
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -181,6 +181,8 @@
   base::MonotonicTime NextDue() const;
   void Finish(ForwardedAnswer answer);
   void LogAnswer(const ForwardedAnswer& answer) const;
+  // What this daemon believes of the leaf has changed.
+  void LogReplaced(const blackboard::Upstream& leaf, bool is_replaced) const;
   // The shards without an answer, each with its sends and what kept it from
   // more.
   std::string DescribeMissing() const;
--- a/src/routing/leaf_tracker.cc
+++ b/src/routing/leaf_tracker.cc
@@ -41,6 +41,10 @@
 constexpr int kMostStallDoublings = 3;
 constexpr base::Duration kFirstAvoidance = base::Milliseconds(150);
 constexpr int kMostAvoidanceDoublings = 4;
+// How often all requests together ask a leaf whose address another one has
+// taken over. Its entry goes when its lease ends, so this serves only a leaf
+// that was said to be replaced by mistake.
+constexpr base::Duration kReplacedInterval = base::Milliseconds(30'000);
 // How much one reply counts in a leaf's share of failures, and after how many
 // microseconds about a third of the share is left.
 constexpr double kFailureWeight = 0.3;
@@ -101,7 +105,8 @@
   double best_time = 0.0;
   for (const blackboard::Upstream* leaf : leaves) {
     if (leaf->state == UpstreamState::kDraining ||
-        leaf->state == UpstreamState::kUnreachable || !may_use(*leaf)) {
+        leaf->state == UpstreamState::kUnreachable || !may_use(*leaf) ||
+        MustNotSend(*leaf, now)) {
       continue;
     }
     if (need.is_optional && ablation_.has(Mechanism::kLeafPace) &&
@@ -148,6 +153,9 @@
   Row& row = rows_[leaf.name];
   row.in_flight.insert(now);
   row.pace.DidSend(now);
+  if (row.ask_again_at) {
+    row.ask_again_at = now + kReplacedInterval;
+  }
 }
 
 void LeafTracker::DidReply(const blackboard::Upstream& leaf,
@@ -171,19 +179,22 @@
       row.stalls_in_a_row = 0;
       row.avoid_until = {};
       row.stalled_until = {};
+      row.ask_again_at.reset();
       Learn(leaf, class_name, reply.service_time);
       return;
     case LeafOutcome::kShed:
     case LeafOutcome::kCold:
     case LeafOutcome::kDraining:
     case LeafOutcome::kWrongSnapshot:
-    case LeafOutcome::kReplaced:
     case LeafOutcome::kFailed:
     case LeafOutcome::kMismatch:
     case LeafOutcome::kUnreachable:
     case LeafOutcome::kLost:
       DidFail(row, reply.retry_after);
       return;
+    case LeafOutcome::kReplaced:
+      row.ask_again_at = clock_.Now() + kReplacedInterval;
+      return;
     case LeafOutcome::kTimeout:
       DidStall(leaf, class_name, reply.service_time);
       return;
@@ -239,6 +250,18 @@
   });
 }
 
+bool LeafTracker::is_replaced(const blackboard::Upstream& leaf) const {
+  const auto row = rows_.find(leaf.name);
+  return row != rows_.end() && row->second.ask_again_at.has_value();
+}
+
+bool LeafTracker::MustNotSend(const blackboard::Upstream& leaf,
+                              base::MonotonicTime now) const {
+  const auto row = rows_.find(leaf.name);
+  return row != rows_.end() && row->second.ask_again_at &&
+         now < *row->second.ask_again_at;
+}
+
 bool LeafTracker::IsInTime(const blackboard::Upstream& leaf,
                            base::MonotonicTime now) const {
   const auto row = rows_.find(leaf.name);
--- a/src/routing/leaf_tracker.h
+++ b/src/routing/leaf_tracker.h
@@ -13,6 +13,11 @@
 // What other daemons say changes no more than the same figures, so that it can
 // make leaves look dearer than they are but never leave a collection without.
 //
+// A leaf whose address has been taken over by another one gets nothing more,
+// however the others look: the request would reach a leaf that nobody counts it
+// for. Each leaf here is one start of a process, so that is final. Only in case
+// the word was wrong one request asks again, now and then.
+//
 // Not thread-safe; used on the traffic thread.
 
 #ifndef MEDLARSPREAD_ROUTING_LEAF_TRACKER_H_
@@ -20,6 +25,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -113,6 +119,9 @@
   // What others found of a leaf.
   void DidHear(const LeafReport& report);
 
+  // Whether another leaf has the address of this one, as far as is known.
+  bool is_replaced(const blackboard::Upstream& leaf) const;
+
   // Forgets the leaves that are no longer in `view`.
   void Prune(const blackboard::UpstreamsView& view);
 
@@ -130,6 +139,8 @@
     int stalls_in_a_row = 0;
     base::MonotonicTime avoid_until;
     base::MonotonicTime stalled_until;
+    // Set while the leaf counts as replaced: when one request may ask again.
+    std::optional<base::MonotonicTime> ask_again_at;
     LeafPace pace;
     // When the request that is waited for without need was sent.
     std::optional<base::MonotonicTime> late_reply;
@@ -179,6 +190,9 @@
              const std::string& class_name,
              base::Duration time);
   void DidFail(Row& row, base::Duration retry_after);
+  // Whether the leaf counts as replaced and is not due to be asked again.
+  bool MustNotSend(const blackboard::Upstream& leaf,
+                   base::MonotonicTime now) const;
 
   const Place place_;
   const base::Clock clock_;
--- a/tests/fleet/address_reuse_test.cc
+++ b/tests/fleet/address_reuse_test.cc
@@ -6,6 +6,17 @@
 // went on with its entry. Two seconds later a leaf of another shard started at
 // its address. The other leaves of the first shard were slow, or had no
 // connection free, and the one that had ended was tried again and again.
+//
+// What caused it: "another leaf has this address" was taken for a passing
+// failure. The leaf had room again a moment later, and its quick refusals made
+// it look better than leaves that answer late. Such a send is the first of its
+// request to the one shard, so nothing pays for it, and one more of it to the
+// other shard, whose leaf it reaches.
+//
+// What proved it: the leaf at that address turned away as many sends as the
+// shard got too many, from the second of its start to that in which the entry
+// of the old leaf went. In virtual time the same brings the same about, and
+// without the sends to leaves that were replaced nothing is left of it.
 
 #include <cstdint>
 
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -291,6 +291,22 @@
       << log;
 }
 
+TEST_F(ForwardServiceTest, NothingIsSentWhereTheLeavesOfShardsWereReplaced) {
+  // Each shard's three leaves say so, one after the other.
+  Submit();
+  for (std::size_t send = 0; send < leaves_.sent().size(); ++send) {
+    leaves_.Fail(send, LeafOutcome::kReplaced);
+  }
+  EXPECT_TRUE(answer_.has_value());
+  const std::size_t before = leaves_.sent().size();
+  Submit();
+  Advance(100);
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+  EXPECT_EQ(leaves_.sent().size(), before);
+  EXPECT_NE(log_.str().find("leaf shard0-s1 of shard0 is gone"),
+            std::string::npos);
+}
+
 TEST_F(ForwardServiceTest, NeverSendsToMoreLeavesThanTheRouteAllows) {
   SetRoute(OneCollection{"single"}, true, 2);
   Submit();
--- a/tests/routing/leaf_tracker_test.cc
+++ b/tests/routing/leaf_tracker_test.cc
@@ -338,5 +338,34 @@
   EXPECT_EQ(reports[0].work, Milliseconds(150));
 }
 
+TEST_F(LeafTrackerTest, ALeafThatWasReplacedGetsNothingMore) {
+  Serve(near_, 1, LeafOutcome::kReplaced);
+  EXPECT_EQ(Choose(), &far_);
+  // Not even where there is no other leaf.
+  EXPECT_EQ(Choose({"far"}), nullptr);
+  time_->Advance(Milliseconds(20'000));
+  EXPECT_EQ(Choose({"far"}), nullptr);
+  EXPECT_TRUE(tracker_.is_replaced(near_));
+}
+
+// The word may have been wrong: one request in half a minute finds out.
+TEST_F(LeafTrackerTest, ALeafThatWasReplacedIsAskedAgainByOneRequest) {
+  Serve(near_, 1, LeafOutcome::kReplaced);
+  time_->Advance(Milliseconds(30'000));
+  EXPECT_EQ(Choose({"far"}), &near_);
+  tracker_.DidSend(near_, clock_.Now());
+  EXPECT_EQ(Choose({"far"}), nullptr);
+  time_->Advance(Milliseconds(30'000));
+  Serve(near_, 1);
+  EXPECT_FALSE(tracker_.is_replaced(near_));
+  EXPECT_EQ(Choose({"far"}), &near_);
+}
+
+TEST_F(LeafTrackerTest, AnotherStartOfALeafIsNotReplaced) {
+  Serve(near_, 1, LeafOutcome::kReplaced);
+  near_.name = "near, its next start";
+  EXPECT_EQ(Choose({"far"}), &near_);
+}
+
 }  // namespace
 }  // namespace medlarspread::routing
