Query, Platform: Count a part that leaves rejected as sent

What callers saw: nothing but a refusal.

Cause: an aggregator whose leaves all rejected a part answers "not run", which is true. The entry took "not run" for "not sent" and fanned the part out as if it had just arrived: first sends, free, and earning once more.

Change: a refusal says whether leaves got the part. If they did, the entry refuses at once; the aggregator has tried all that the entry could try.

--- a/emulator/fleet/virtual_daemon.cc
+++ b/emulator/fleet/virtual_daemon.cc
@@ -32,8 +32,9 @@
     reply.shard_proofs = std::move(gathered->proofs);
     return reply;
   }
-  if (std::holds_alternative<query::Refused>(answer)) {
+  if (const auto* refused = std::get_if<query::Refused>(&answer)) {
     reply.outcome = LeafOutcome::kShed;
+    reply.did_reach_leaves = refused->did_reach_leaves;
   }
   reply.error =
       base::MakeError(base::ErrorCode::kUnavailable, base::Step::kReadUpstream,
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -287,7 +287,7 @@
     }
     part->abandon =
         queries_.Submit(request, [respond](query::ForwardedAnswer answer) {
-          respond(platform::EncodeAnswer(std::move(answer)));
+          respond(platform::EncodePartAnswer(std::move(answer)));
         });
   };
   // NOTE: in the first turn the connection reads on, in the second it has heard
--- a/src/platform/header_names.h
+++ b/src/platform/header_names.h
@@ -26,6 +26,9 @@
 constexpr const char* kPartShards = "Medlarspread-Part-Shards";
 // Between daemons only: how many of them may be missing from now on.
 constexpr const char* kMostMissing = "Medlarspread-Most-Missing";
+// Between daemons only: present in a refusal if leaves got the part, and each
+// of them rejected it.
+constexpr const char* kDidReachLeaves = "Medlarspread-Did-Reach-Leaves";
 // Between daemons: leaves of each shard that are left to another daemon.
 constexpr const char* kLeavesLeftOver = "Medlarspread-Leaves-Left-Over";
 // Seconds, which may have a fraction.
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -100,6 +100,7 @@
   reply.outcome = OutcomeOf(response.result());
   reply.shard_proofs = Split(response[kShardProofs]);
   reply.missing_shards = ParseInteger<int>(response[kMissingShards]);
+  reply.did_reach_leaves = response.count(kDidReachLeaves) > 0;
   if (reply.outcome != LeafOutcome::kAnswered) {
     const bool is_timeout = response.result() == Status::gateway_timeout;
     reply.error = base::MakeError(
@@ -139,6 +140,16 @@
   return FromPeer(std::move(incoming.value()));
 }
 
+Response EncodePartAnswer(query::ForwardedAnswer answer) {
+  const auto* refused = std::get_if<query::Refused>(&answer);
+  const bool did_reach_leaves = refused != nullptr && refused->did_reach_leaves;
+  Response response = EncodeAnswer(std::move(answer));
+  if (did_reach_leaves) {
+    response.set(kDidReachLeaves, "1");
+  }
+  return response;
+}
+
 Response EncodeProbeAnswer(std::optional<int> missing) {
   Response response(Status::no_content, kHttpVersion);
   if (missing) {
--- a/src/platform/peer_codec.h
+++ b/src/platform/peer_codec.h
@@ -31,6 +31,9 @@
 // For the daemon that takes over. Fails if the request can't be read.
 base::Result<FromPeer> DecodeFromPeer(http1::Request request);
 
+// The answer to a part that a peer handed over.
+http1::Response EncodePartAnswer(query::ForwardedAnswer answer);
+
 // `missing` is how many shards of the part are missing; absent if there is no
 // such part in work.
 http1::Response EncodeProbeAnswer(std::optional<int> missing);
--- a/src/query/caller_answer.h
+++ b/src/query/caller_answer.h
@@ -57,6 +57,8 @@
   // When to submit the request again at the earliest.
   base::Duration retry_after{};
   RefusalKind kind = RefusalKind::kUnavailable;
+  // Leaves got the request, and each of them rejected it.
+  bool did_reach_leaves = false;
 };
 
 // The request may have run; its result can't be told.
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -374,8 +374,11 @@
         RefusalKind::kQuarantined});
     return;
   }
+  const bool did_reach_leaves =
+      std::any_of(shards_.begin(), shards_.end(),
+                  [](const Shard& shard) { return shard.sends > 0; });
   Finish(Refused{request_.request_id, last_error_, retry_after(),
-                 RefusalKind::kUnavailable});
+                 RefusalKind::kUnavailable, did_reach_leaves});
 }
 
 MonotonicTime FanOutSession::NextDue() const {
--- a/src/query/handover_session.cc
+++ b/src/query/handover_session.cc
@@ -6,6 +6,8 @@
 #include <cassert>
 #include <utility>
 
+#include "src/base/overloaded.h"
+
 namespace medlarspread::query {
 
 namespace {
@@ -144,6 +146,14 @@
     FinishUnknown();
     return;
   }
+  // Its leaves have rejected the part, wherever it tried: sent from here it
+  // would be a repeat, and no first send.
+  if (reply.did_reach_leaves) {
+    Finish(Refused{request_.request_id, last_error_, reply.retry_after,
+                   RefusalKind::kOverload, true},
+           MakeSummary(0));
+    return;
+  }
   FanOutHere(!did_not_run);
 }
 
@@ -318,9 +328,19 @@
   if (is_elsewhere_running_) {
     elsewhere_->abandon();
   }
-  LogOutcome(std::holds_alternative<Unknown>(answer)
-                 ? "may have run: " + last_error_.ToString()
-                 : (elsewhere_ ? "ended elsewhere" : "answered by the peer"));
+  LogOutcome(std::visit(
+      base::Overloaded{[this](const Unknown&) {
+                         return "may have run: " + last_error_.ToString();
+                       },
+                       [this](const Refused&) {
+                         return "refused, not run: " + last_error_.ToString();
+                       },
+                       [this](const auto&) {
+                         return std::string(elsewhere_
+                                                ? "ended elsewhere"
+                                                : "answered by the peer");
+                       }},
+      answer));
   report_ = nullptr;
   const auto done = std::exchange(done_, nullptr);
   done(std::move(answer), summary);
--- a/src/query/handover_session.h
+++ b/src/query/handover_session.h
@@ -4,8 +4,10 @@
 // Steps:
 //   1. The request and the names of the part's shards are sent to the peer,
 //      which fans it out and answers with the part's merged records.
-//   2. A peer that refused it or was not reached has sent nothing: the part is
-//      fanned out here, as if the request had just arrived.
+//   2. A peer that refused it before it sent anything, or was not reached: the
+//      part is fanned out here, as if the request had just arrived. If its
+//      leaves have rejected the part, so is the caller: the peer has tried all
+//      that this daemon could try.
 //   3. The peer is probed on a connection of its own, soon after the start and
 //      again when it has been silent for a while. If it answers, the session
 //      waits on.
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -57,6 +57,8 @@
   // A peer's answer to a probe: how many shards of the part are missing now;
   // absent if it has no such part in work.
   std::optional<int> missing_shards = {};
+  // Of a peer's refusal: leaves got the part, and each of them rejected it.
+  bool did_reach_leaves = false;
   // The proofs of the shards that are in a peer's answer.
   std::vector<std::string> shard_proofs;
   // Set unless answered; carries the step and the leaf's address.
--- a/tests/platform/peer_codec_test.cc
+++ b/tests/platform/peer_codec_test.cc
@@ -121,6 +121,16 @@
             base::ErrorCode::kTimeout);
 }
 
+TEST_F(PeerCodecTest, ARefusalSaysWhetherLeavesGotThePart) {
+  for (const bool did_reach_leaves : {false, true}) {
+    query::Refused refused;
+    refused.did_reach_leaves = did_reach_leaves;
+    const auto reply = Decode(EncodePartAnswer(refused));
+    EXPECT_EQ(reply.outcome, LeafOutcome::kShed);
+    EXPECT_EQ(reply.did_reach_leaves, did_reach_leaves);
+  }
+}
+
 TEST_F(PeerCodecTest, APartWithoutARequestIsRefused) {
   Request request(boost::beast::http::verb::get, "/a", 11);
   request.set("Medlarspread-Routes-Revision", "7");
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -897,6 +897,18 @@
   EXPECT_EQ(peers_.sent().size(), 2U);
 }
 
+// Its sends have reached leaves already: the same from here would be repeats
+// that nothing pays for.
+TEST_F(HandoverTest, APartThatThePeersLeavesRejectedIsRefused) {
+  Submit();
+  upstream::ForwardReply reply;
+  reply.outcome = LeafOutcome::kShed;
+  reply.did_reach_leaves = true;
+  peers_.End(0, std::move(reply));
+  EXPECT_TRUE(leaves_.sent().empty());
+  EXPECT_NE(AnswerAs<Refused>(), nullptr);
+}
+
 TEST_F(HandoverTest, RefusedEverywhereIsRefused) {
   Submit();
   peers_.Fail(0, LeafOutcome::kShed);
