Query: Pay for the sends of whoever takes the place of a silent aggregator

Cause: a silent aggregator's part went to the next one with fewer leaves for each shard, but its sends counted as first sends, and its requests as new ones that earn, although the first may be at work and only its word be late.

Change: what another daemon may have sent is handed on as one figure (leaves_of_others), in place of two that differed in just this; with it every send is paid for, here and at the next aggregator. Where the route allows no more leaves than were used the caller is told at once, as before; that figure now also counts the leaves of all daemons before. The name on the wire stays.

--- a/src/platform/header_names.h
+++ b/src/platform/header_names.h
@@ -29,8 +29,10 @@
 // Between daemons only: present in a refusal if leaves got the part, and each
 // of them rejected it.
 constexpr const char* kDidReachLeaves = "Medlarspread-Did-Reach-Leaves";
-// Between daemons: leaves of each shard that are left to another daemon.
-constexpr const char* kLeavesLeftOver = "Medlarspread-Leaves-Left-Over";
+// Between daemons only: leaves of each shard that another daemon may have sent
+// it to, and which are so left over to that one. (Peers of an earlier version
+// know it by this name.)
+constexpr const char* kLeavesOfOthers = "Medlarspread-Leaves-Left-Over";
 // Seconds, which may have a fraction.
 constexpr const char* kRetryAfter = "Retry-After";
 
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -68,8 +68,8 @@
   if (terms.routes_revision > 0) {
     request.set(kRoutesRevision, std::to_string(terms.routes_revision));
     request.set(kPartShards, Join(terms.shards));
-    if (terms.leaves_left_over > 0) {
-      request.set(kLeavesLeftOver, std::to_string(terms.leaves_left_over));
+    if (terms.leaves_of_others > 0) {
+      request.set(kLeavesOfOthers, std::to_string(terms.leaves_of_others));
     }
   } else {
     request.set(kRequestId, call.request_id);
@@ -127,9 +127,9 @@
                               ParseInteger<int>(request[kMostMissing])});
   }
   upstream::Handover terms{*revision, Split(request[kPartShards]), {}};
-  terms.leaves_left_over =
-      std::max(0, ParseInteger<int>(request[kLeavesLeftOver]).value_or(0));
-  request.erase(kLeavesLeftOver);
+  terms.leaves_of_others =
+      std::max(0, ParseInteger<int>(request[kLeavesOfOthers]).value_or(0));
+  request.erase(kLeavesOfOthers);
   request.erase(kRoutesRevision);
   request.erase(kPartShards);
   auto incoming = DecodeRequest(std::move(request));
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -53,8 +53,7 @@
       target_due_(request_.is_part
                       ? deadline_
                       : arrived_ + TimeToTarget(route_, request_.waited)),
-      most_leaves_(route_.most_attempts - request_.leaves_of_others -
-                   request_.leaves_left_over),
+      most_leaves_(route_.most_attempts - request_.leaves_of_others),
       shards_(collections.size()),
       least_answers_(
           request_.is_part || !is_gather()
--- a/src/query/forward_service.cc
+++ b/src/query/forward_service.cc
@@ -226,11 +226,11 @@
         in_work->parts_for_peers.erase(id);
       });
   std::vector<std::string> shards = std::move(request.handover->shards);
-  const int leaves_left_over = request.handover->leaves_left_over;
+  const int leaves_of_others = request.handover->leaves_of_others;
   ForwardedRequest forwarded =
       MakeForwarded(std::move(request), std::move(route));
   forwarded.is_part = true;
-  forwarded.leaves_left_over = leaves_left_over;
+  forwarded.leaves_of_others = leaves_of_others;
   const std::string id = forwarded.request_id;
   auto session =
       FanOutHere(std::move(forwarded), std::move(shards),
--- a/src/query/forwarded_request.h
+++ b/src/query/forwarded_request.h
@@ -28,9 +28,6 @@
   // Leaves of each shard that another daemon may have sent it to already. If
   // there are any, every send of this one is an extra send.
   int leaves_of_others = 0;
-  // Leaves of each shard that are left to a daemon that has not begun, in case
-  // it does after all.
-  int leaves_left_over = 0;
   // It may reach one leaf although it is convicted, and others if that one
   // answers.
   bool is_retrial = false;
--- a/src/query/handover_session.cc
+++ b/src/query/handover_session.cc
@@ -34,11 +34,10 @@
 // The leaves that a peer that was at work may have sent a shard to before it
 // fell silent: the first, and one more when that was late. Only what the route
 // allows beyond them is left for a repeat; where nothing is, the caller is told
-// at once, and asks again.
+// at once, and asks again. The same holds for a peer that never said that it is
+// at work: its answer to the probe may be late because this daemon's own link
+// is busy.
 constexpr int kLeavesOfPeer = 2;
-// The same holds for one that never said that it is at work: its answer to the
-// probe may be late because this daemon's own link is busy.
-constexpr int kLeavesLeftOver = kLeavesOfPeer;
 // With less time left nothing is begun any more.
 constexpr base::Duration kLeastForRepeat = Milliseconds(20);
 
@@ -76,7 +75,7 @@
 void HandoverSession::Start() {
   is_peer_running_ = true;
   upstream::Handover terms{request_.routes_revision, shards_, {}};
-  terms.leaves_left_over = request_.leaves_left_over;
+  terms.leaves_of_others = request_.leaves_of_others;
   call_ = dependencies_->peers.send(
       peer_,
       {request_.request_id, request_.message, time_left() - kWayThere, terms},
@@ -236,8 +235,10 @@
   is_peer_running_ = false;
   is_peer_unknown_ = has_left;
   ForwardedRequest request = MakeLaterRequest();
-  request.leaves_left_over += has_left ? kLeavesLeftOver : 0;
-  if (request.route->most_attempts <= request.leaves_left_over ||
+  // The peer may be at work and only its word be late: whoever comes next pays
+  // for its sends.
+  request.leaves_of_others += has_left ? kLeavesOfPeer : 0;
+  if (request.route->most_attempts <= request.leaves_of_others ||
       time_left() < kLeastForRepeat) {
     FinishUnknown();
     return;
@@ -251,14 +252,15 @@
 }
 
 void HandoverSession::FanOutHere(bool is_repeat) {
-  const bool may_repeat = request_.route->most_attempts > kLeavesOfPeer;
+  ForwardedRequest request = MakeLaterRequest();
+  request.leaves_of_others += is_repeat ? kLeavesOfPeer : 0;
+  const bool may_repeat =
+      request.route->most_attempts > request.leaves_of_others;
   const bool is_too_late = time_left() < kLeastForRepeat;
   if (is_repeat && (!may_repeat || is_too_late)) {
     FinishUnknown();
     return;
   }
-  ForwardedRequest request = MakeLaterRequest();
-  request.leaves_of_others = is_repeat ? kLeavesOfPeer : 0;
   StartElsewhere(
       dependencies_->fan_out_here(std::move(request), shards_, MakeDone()));
 }
--- a/src/query/handover_session.h
+++ b/src/query/handover_session.h
@@ -13,7 +13,8 @@
 //      waits on.
 //   4. A peer that never said that it is at work is told that its part is no
 //      longer needed, and the next one takes its place, if the route allows
-//      more leaves than the first may have sent to.
+//      more leaves than the first may have sent to. The next one's sends are
+//      repeats, since the first may be at work and only its word be late.
 //   5. A peer that was at work and fell silent, or whose connection broke, may
 //      have sent to leaves: the part is fanned out here as a repeat, if the
 //      route allows more leaves than the peer may have sent to. Each send of it
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -29,9 +29,9 @@
   // Set once the part should be answered as soon as no more than so many of its
   // shards are missing.
   std::optional<int> most_missing;
-  // Leaves of each shard that must be left to another daemon, which was handed
-  // the part before and may have begun.
-  int leaves_left_over = 0;
+  // Leaves of each shard that another daemon, which was handed the part before,
+  // may have sent it to.
+  int leaves_of_others = 0;
 };
 
 struct ForwardCall {
--- a/tests/platform/peer_codec_test.cc
+++ b/tests/platform/peer_codec_test.cc
@@ -52,9 +52,9 @@
   EXPECT_EQ(incoming->handover->shards, (std::vector<std::string>{"s1", "s2"}));
 }
 
-TEST_F(PeerCodecTest, LeavesThatAreLeftOverArriveToo) {
+TEST_F(PeerCodecTest, LeavesOfOthersArriveToo) {
   for (const int leaves : {0, 1}) {
-    call_.handover->leaves_left_over = leaves;
+    call_.handover->leaves_of_others = leaves;
     Request request = Encode();
     EXPECT_EQ(request.count("Medlarspread-Leaves-Left-Over"),
               static_cast<std::size_t>(leaves));
@@ -62,7 +62,7 @@
     const auto* incoming =
         std::get_if<query::IncomingRequest>(&decoded.value());
     ASSERT_NE(incoming, nullptr);
-    EXPECT_EQ(incoming->handover->leaves_left_over, leaves);
+    EXPECT_EQ(incoming->handover->leaves_of_others, leaves);
     EXPECT_EQ(incoming->message->count("Medlarspread-Leaves-Left-Over"), 0U);
   }
 }
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -1030,7 +1030,7 @@
   EXPECT_TRUE(peers_.sent()[0].is_cancelled);
   ASSERT_EQ(peers_.sent().size(), 3U);
   EXPECT_NE(peers_.sent()[2].leaf.name, peers_.sent()[0].leaf.name);
-  EXPECT_EQ(peers_.sent()[2].call.handover->leaves_left_over, 2);
+  EXPECT_EQ(peers_.sent()[2].call.handover->leaves_of_others, 2);
   EXPECT_TRUE(leaves_.sent().empty());
   AnswerPeer(2, 4);
   EXPECT_NE(AnswerAs<Gathered>(), nullptr);
@@ -1123,7 +1123,7 @@
     request.host = "h.example";
     request.deadline = Milliseconds(800);
     request.handover =
-        upstream::Handover{revision, std::move(shards), {}, leaves_left_over_};
+        upstream::Handover{revision, std::move(shards), {}, leaves_of_others_};
     request.message = std::make_shared<const http1::Request>(
         boost::beast::http::verb::get, "/a/1", 11);
     answer_.reset();
@@ -1132,7 +1132,7 @@
     });
   }
 
-  int leaves_left_over_ = 0;
+  int leaves_of_others_ = 0;
 };
 
 TEST_F(TakeoverTest, FansAPartOutAndLeavesTheRecordToItsOwner) {
@@ -1189,7 +1189,7 @@
 }
 
 TEST_F(TakeoverTest, LeavesLeavesToTheDaemonThatHadThePartBefore) {
-  leaves_left_over_ = 2;
+  leaves_of_others_ = 2;
   SubmitFromPeer(revision_);
   leaves_.Fail(0, LeafOutcome::kLost);
   Advance(60);
@@ -1197,6 +1197,16 @@
   EXPECT_EQ(leaves_.sent().size(), 2U);
 }
 
+TEST_F(TakeoverTest, PaysForWhatAnotherDaemonMayHaveSent) {
+  extra_sends_ = {0.0, 0.0};
+  leaves_of_others_ = 2;
+  SubmitFromPeer(revision_);
+  EXPECT_TRUE(leaves_.sent().empty());
+  leaves_of_others_ = 0;
+  SubmitFromPeer(revision_);
+  EXPECT_EQ(leaves_.sent().size(), 2U);
+}
+
 TEST_F(TakeoverTest, RefusesShardsThatAreNotTheRoutes) {
   SubmitFromPeer(revision_, {"shard0", "single"});
   EXPECT_TRUE(leaves_.sent().empty());
