Query: Let a request earn where its first send is made

Cause: a part earned where it arrived. One that an aggregator refused for want of room, before it sent anything, earned there and once more at the entry that sent it: the allowance of two daemons from one request.

Change: a request earns for a shard with its first free send, once. A request that is refused before it is sent earns nothing.

Test: TakeoverTest.APartThatIsNeverSentEarnsNothing, red before.

--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -201,6 +201,12 @@
   attempt->prepare = attempt->sent + delay * kPreparePercent / 100;
   attempt->overdue = attempt->sent + delay;
   attempt->is_trial = is_trying_;
+  // A request earns where its first send is made, and once: a part may come to
+  // several daemons, of which one sends it.
+  if (cause == SendCause::kFirst && !paid &&
+      !std::exchange(shard.has_earned, true)) {
+    dependencies_->did_request(shard.collection);
+  }
   shard.excluded.insert(leaf.name);
   shard.leaves += shard.refused.erase(leaf.name) > 0 ? 0 : 1;
   ++shard.sends;
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -70,11 +70,6 @@
     ConcludeFailed();
     return;
   }
-  if (request_.leaves_of_others == 0) {
-    for (const Shard& shard : shards_) {
-      dependencies_->did_request(shard.collection);
-    }
-  }
   is_trying_ = dependencies_->quarantine->StandingOf(request_.fingerprint) !=
                quarantine::Standing::kClear;
   if (is_gather() && !request_.is_part && !is_trying_ && !HasRoom()) {
--- a/src/query/fan_out_shard.h
+++ b/src/query/fan_out_shard.h
@@ -101,6 +101,8 @@
   // Leaves that refused for want of room: they may be sent to again, and are
   // no further leaves then.
   std::set<std::string> refused;
+  // The request counts for what the collection's budget earns.
+  bool has_earned = false;
   // Leaves that the shard reached, or may have.
   int leaves = 0;
   int sends = 0;
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -1207,6 +1207,24 @@
   EXPECT_EQ(leaves_.sent().size(), 2U);
 }
 
+// Otherwise it earns at two daemons, of which one sends it.
+TEST_F(TakeoverTest, APartThatIsNeverSentEarnsNothing) {
+  extra_sends_ = {0.25, 0.0};
+  for (const auto& [name, leaf] : leaves_view_.upstreams) {
+    leaves_.full().insert(name);
+  }
+  constexpr int kRequests = 20;
+  for (int request = 0; request < kRequests; ++request) {
+    SubmitFromPeer(revision_);
+    Advance(30);
+    EXPECT_NE(AnswerAs<Refused>(), nullptr);
+  }
+  leaves_.full().clear();
+  leaves_of_others_ = 2;
+  SubmitFromPeer(revision_);
+  EXPECT_TRUE(leaves_.sent().empty());
+}
+
 TEST_F(TakeoverTest, RefusesShardsThatAreNotTheRoutes) {
   SubmitFromPeer(revision_, {"shard0", "single"});
   EXPECT_TRUE(leaves_.sent().empty());
