Tests: Check in each soak what leaves bear, and take an address over

The soak counts each arrival at a leaf, rejected ones too, for the service that has the address, and checks the bound on repeats at the end of every run: in windows that begin at any arrival, as in the virtual fleet. Daemons are told the bound that is checked (it is the default).

A new kind of run: the store is silent, a leaf ends, a leaf of another service starts at its address, its fellows are slow.

--- a/emulator/hosted/hosted_leaf.cc
+++ b/emulator/hosted/hosted_leaf.cc
@@ -73,6 +73,9 @@
 
 http1::Abandon HostedLeaf::Handle(const http1::Request& request,
                                   http1::Respond respond) {
+  if (did_arrive_) {
+    did_arrive_(std::string(request[kRequestId]));
+  }
   if (request["Medlarspread-Expect-Instance"] != id_) {
     respond(MakeRefusal(Status::misdirected_request));
     return [] {};
--- a/emulator/hosted/hosted_leaf.h
+++ b/emulator/hosted/hosted_leaf.h
@@ -59,6 +59,11 @@
   void set_did_end(std::function<void()> did_end) {
     did_end_ = std::move(did_end);
   }
+  // Called with the identifier of each request that reaches it, rejected or
+  // not, on the thread of the context.
+  void set_did_arrive(std::function<void(const std::string&)> did_arrive) {
+    did_arrive_ = std::move(did_arrive);
+  }
   // Its port refuses connections and those that are open end.
   void End();
 
@@ -78,6 +83,7 @@
   const std::string zone_;
   std::shared_ptr<http1::CallerListener> listener_;
   std::function<void()> did_end_;
+  std::function<void(const std::string&)> did_arrive_;
   std::atomic<LeafMood> mood_ = LeafMood::kAnswer;
   std::atomic<base::Duration> work_ = base::Milliseconds(2);
   std::atomic<std::int64_t> started_wall_ms_ = 0;
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -35,6 +36,8 @@
 
   std::string address() const;
   void set_fault(LinkFault fault);
+  // Another process has the address now: new connections go there.
+  void set_target(std::string target) { target_ = std::move(target); }
   // The target's process has ended: new connections are refused.
   void Close();
 
@@ -44,7 +47,7 @@
   void Accept();
 
   boost::asio::io_context& context_;
-  const std::string target_;
+  std::string target_;
   boost::asio::ip::tcp::acceptor acceptor_;
   LinkFault fault_ = LinkFault::kNone;
   std::set<std::shared_ptr<Link>> links_;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -16,6 +16,7 @@
 
 #include "emulator/hosted/hosted_leaf.h"
 #include "emulator/hosted/hosted_store.h"
+#include "emulator/support/arrival_record.h"
 #include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/http1/client_connection.h"
@@ -54,6 +55,18 @@
 constexpr base::Duration kKnownAfter = base::Milliseconds(4'000);
 constexpr int kMostTriesOnceKnown = 3;
 const std::vector<std::string> kServices = {"s1", "s2", "s3"};
+// A leaf of the one service ends, and one of the other starts at its address.
+constexpr const char* kServiceThatLosesALeaf = "s2";
+constexpr const char* kServiceOfTenant = "s3";
+constexpr base::Duration kReuseBegin = base::Milliseconds(4'000);
+constexpr base::Duration kAddressFree = base::Milliseconds(1'000);
+// From the end of the leaf until its entry goes.
+constexpr base::Duration kEntryStands = base::Milliseconds(7'000);
+constexpr base::Duration kWork = base::Milliseconds(2);
+constexpr base::Duration kSlowWork = base::Milliseconds(120);
+// What daemons are told that leaves bear beyond the first sends.
+constexpr admission::ExtraSendBound kExtraSends{0.2, 50.0,
+                                                base::Milliseconds(10'000)};
 
 struct Leaf {
   std::unique_ptr<HostedLeaf> leaf;
@@ -126,6 +139,12 @@
   void TryDeadly(int tries_left);
   void DidEndLeaf(Leaf& leaf);
   void CheckDeadly();
+  void ReuseAddress();
+  void StartTenant(FaultProxy& proxy);
+  void EndReuse(const Leaf& leaf);
+  void SetWork(const std::string& service, base::Duration work);
+  // Every arrival at the leaf counts for its service.
+  void CountArrivals(HostedLeaf& leaf, const std::string& service);
   void SendRequests();
   void Send(Sent sent, const std::string& path);
   void DidEnd(const Sent& sent, http1::ExchangeResult result);
@@ -145,6 +164,9 @@
   HostedStore store_{context_};
   FaultProxy store_proxy_{context_, store_.address()};
   std::vector<std::unique_ptr<Leaf>> leaves_;
+  // Leaves that no entry names.
+  std::vector<std::unique_ptr<HostedLeaf>> tenants_;
+  emulator::ArrivalRecord arrivals_;
   std::vector<Daemon> daemons_;
   int revision_ = 0;
   int next_leaf_ = 0;
@@ -190,6 +212,7 @@
   leaf->leaf = std::make_unique<HostedLeaf>(
       context_, service + "-" + std::to_string(next_leaf_++), service, zone);
   leaf->proxy = std::make_unique<FaultProxy>(context_, leaf->leaf->address());
+  CountArrivals(*leaf->leaf, service);
   WriteEntry(*leaf, "ready");
   leaf->leaf->set_did_end([this, ended = leaf.get()] { DidEndLeaf(*ended); });
   leaves_.push_back(std::move(leaf));
@@ -232,6 +255,8 @@
                       << "\nregion = r\nfailure_domain = " << domain
                       << "\nregions = n1=r, n2=r\nprocessor_share = "
                       << (is_small ? "0.1" : "1")
+                      << "\n[extra_sends]\nshare = " << kExtraSends.share
+                      << "\nslack = " << kExtraSends.slack
                       << "\n[callers]\n"
                          "interface = opaque\naddress = 127.0.0.1:0\n"
                          "readiness_address = 127.0.0.1:0\n"
@@ -276,10 +301,16 @@
   if (options_.has_deadly_request) {
     Later(kDeadlyGap, [this] { TryDeadly(2); });
   }
+  if (options_.has_reused_address) {
+    Later(kReuseBegin, [this] { ReuseAddress(); });
+  }
   // What is in flight at the end may take its whole deadline.
   context_.run_for(options_.length + std::chrono::milliseconds(2'500));
   CheckRuns();
   CheckDeadly();
+  for (const std::string& excess : arrivals_.FindExcess(kExtraSends)) {
+    Violate(excess);
+  }
   return report_;
 }
 
@@ -481,6 +512,57 @@
   }
 }
 
+void World::CountArrivals(HostedLeaf& leaf, const std::string& service) {
+  leaf.set_did_arrive([this, service](const std::string& request_id) {
+    (void)arrivals_.DidArrive(request_id, service, now());
+  });
+}
+
+void World::SetWork(const std::string& service, base::Duration work) {
+  for (const auto& leaf : leaves_) {
+    if (leaf->service == service) {
+      leaf->leaf->set_work(work);
+    }
+  }
+}
+
+void World::ReuseAddress() {
+  last_disturbance_ = now() + kEntryStands;
+  store_proxy_.set_fault(LinkFault::kSilent);
+  const auto ended =
+      std::find_if(leaves_.begin(), leaves_.end(), [](const auto& leaf) {
+        return leaf->service == kServiceThatLosesALeaf && !leaf->is_ended &&
+               leaf->draining_since == base::MonotonicTime{};
+      });
+  SetWork(kServiceThatLosesALeaf, kSlowWork);
+  Leaf& leaf = **ended;
+  leaf.is_ended = true;
+  leaf.proxy->set_fault(LinkFault::kReset);
+  leaf.leaf->End();
+  Later(kAddressFree, [this, &leaf] { StartTenant(*leaf.proxy); });
+  Later(kEntryStands, [this, &leaf] { EndReuse(leaf); });
+}
+
+void World::StartTenant(FaultProxy& proxy) {
+  auto tenant = std::make_unique<HostedLeaf>(
+      context_, "tenant-" + std::to_string(tenants_.size()), kServiceOfTenant,
+      "n1");
+  tenant->set_did_arrive([this](const std::string& request_id) {
+    ++report_.arrivals_at_reused_address;
+    (void)arrivals_.DidArrive(request_id, kServiceOfTenant, now());
+  });
+  proxy.set_target(tenant->address());
+  proxy.set_fault(LinkFault::kNone);
+  tenants_.push_back(std::move(tenant));
+}
+
+void World::EndReuse(const Leaf& leaf) {
+  store_proxy_.set_fault(LinkFault::kNone);
+  SetWork(kServiceThatLosesALeaf, kWork);
+  store_.Remove("servers/" + leaf.leaf->id());
+  AddLeaf(leaf.service, "n1");
+}
+
 void World::SendRequests() {
   for (std::size_t index = 0; index < daemons_.size(); ++index) {
     Daemon& daemon = daemons_[index];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,9 @@
   // One caller sends a request again and again that ends every leaf that runs
   // it.
   bool has_deadly_request = false;
+  // While the store is away a leaf ends, and one of another service starts at
+  // its address; its fellows are slow.
+  bool has_reused_address = false;
 };
 
 struct SoakReport {
@@ -37,6 +40,8 @@
   int faults = 0;
   // Leaves that ended under the deadly request.
   int leaves_ended = 0;
+  // Requests that reached the leaf at an address that was taken over.
+  int arrivals_at_reused_address = 0;
 };
 
 SoakReport RunSoak(const SoakOptions& options);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -1,5 +1,5 @@
 // Runs the soak by hand: medlarspread_soak DAEMON FIRST_SEED SEEDS [SECONDS]
-// [deadly]
+// [deadly] [reused]
 
 #include <cstdlib>
 #include <iostream>
@@ -10,7 +10,7 @@
 int main(int count, char** arguments) {
   if (count < 4) {
     std::cerr << "usage: medlarspread_soak DAEMON FIRST_SEED SEEDS [SECONDS] "
-                 "[deadly]\n";
+                 "[deadly] [reused]\n";
     return 2;
   }
   medlarspread::soak::SoakOptions options;
@@ -21,8 +21,11 @@
     options.length =
         std::chrono::seconds(std::strtoll(arguments[4], nullptr, 10));
   }
-  options.has_deadly_request =
-      count > 5 && std::string_view(arguments[5]) == "deadly";
+  for (int index = 5; index < count; ++index) {
+    const std::string_view word(arguments[index]);
+    options.has_deadly_request = options.has_deadly_request || word == "deadly";
+    options.has_reused_address = options.has_reused_address || word == "reused";
+  }
   bool is_clean = true;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     options.seed = seed;
@@ -31,7 +34,9 @@
               << report.answered << " answered, " << report.refused
               << " refused, " << report.unknown << " unknown, " << report.faults
               << " faults, " << report.leaves_ended << " leaves ended, "
-              << report.violations.size() << " violations\n";
+              << report.arrivals_at_reused_address
+              << " arrivals at a reused address, " << report.violations.size()
+              << " violations\n";
     for (const std::string& violation : report.violations) {
       std::cout << "  " << violation << "\n";
       is_clean = false;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -46,5 +46,28 @@
                          DeadlyRequestSoakTest,
                          testing::Values(1, 2));
 
+// What leaves bear is checked in every run; here with an address that another
+// service's leaf takes over.
+class ReusedAddressSoakTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(ReusedAddressSoakTest, TheNewLeafGetsFewRequestsOfTheOldOne) {
+  SoakOptions options;
+  options.daemon_program = DAEMON_PROGRAM;
+  options.seed = GetParam();
+  options.has_reused_address = true;
+  const SoakReport report = RunSoak(options);
+  for (const std::string& violation : report.violations) {
+    ADD_FAILURE() << violation;
+  }
+  EXPECT_GT(report.answered, 50);
+  // Those that were on their way when a daemon, or one that takes its place,
+  // hears for the first time that the leaf has been replaced.
+  EXPECT_LE(report.arrivals_at_reused_address, 12);
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds,
+                         ReusedAddressSoakTest,
+                         testing::Values(1, 2));
+
 }  // namespace
 }  // namespace medlarspread::soak
