Query: Send few overdue shards elsewhere until one has answered

Change: until a shard of a request has answered, two overdue shards are sent to a second leaf; once one has, all that are overdue. An innocent request loses a round trip where none of its leaves answers at all.

--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -32,6 +32,14 @@
 // Until the times of a class are known, a second send follows after this part
 // of its latency target.
 constexpr int kFirstDelayShare = 3;
+// Until a shard has answered, so many others are sent to a second leaf when
+// they are overdue; once one has, all that are. Where none answers the request
+// may be ending its leaves, which shows only when the first connection breaks:
+// by then each shard would have lost two. And where the leaves near by are all
+// late, the first answer from elsewhere shows it, one round trip later.
+constexpr int kSecondSendsBeforeAnswer = 2;
+// How often it is looked whether one has.
+constexpr base::Duration kAnswerInterval = Milliseconds(5);
 // A connection for a second send is opened after this part of its delay. To
 // another region it takes 22 ms to open, as long as the delay itself.
 constexpr int kPreparePercent = 55;
@@ -279,15 +287,26 @@
     if (now < latest.overdue) {
       continue;
     }
+    if (!std::exchange(latest.is_known_late, true)) {
+      dependencies_->tracker->DidStall(latest.leaf, route_.targets.name,
+                                       now - latest.sent);
+    }
+    if (must_await_answer()) {
+      latest.overdue = now + kAnswerInterval;
+      continue;
+    }
     latest.was_overdue = true;
-    dependencies_->tracker->DidStall(latest.leaf, route_.targets.name,
-                                     now - latest.sent);
     if (route_.is_idempotent && !is_trying_ && has(Mechanism::kSecondSends)) {
-      (void)TrySendElsewhere(shard, SendCause::kOverdue);
+      second_sends_ += TrySendElsewhere(shard, SendCause::kOverdue) ? 1 : 0;
     }
   }
 }
 
+bool FanOutSession::must_await_answer() const {
+  return is_gather() && answered_ == 0 &&
+         second_sends_ >= kSecondSendsBeforeAnswer;
+}
+
 void FanOutSession::PrepareSecondSend(const Shard& shard) {
   if (!route_.is_idempotent || !MaySendElsewhere(shard) ||
       !has(Mechanism::kPreparedConnections)) {
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -9,7 +9,8 @@
 //      takes long, it is refused before anything was sent.
 //   2. A shard whose reply is overdue is sent to a second leaf, if the request
 //      is idempotent, the route's attempts allow it and the collection's
-//      budget pays for it. The first reply counts.
+//      budget pays for it. The first reply counts. Before any shard has
+//      answered, only a few are.
 //   3. A failed send is replaced by one to another leaf under the same
 //      conditions. A request that is not idempotent is sent again only if it
 //      certainly did not run.
@@ -171,6 +172,8 @@
   // Second sends, waiting shards, the target and the deadline: all that is due.
   void Wake();
   void SecondSends(base::MonotonicTime now);
+  // Whether a shard has to answer before more second sends go out.
+  bool must_await_answer() const;
   void PrepareSecondSend(const Shard& shard);
   // The leaf that the shard would be sent to next; null if there is none.
   const blackboard::Upstream* NextLeaf(const Shard& shard) const;
@@ -218,6 +221,8 @@
   int settled_ = 0;
   int sends_ = 0;
   int extra_sends_ = 0;
+  // To another leaf, since the reply was overdue.
+  int second_sends_ = 0;
   int refusals_ = 0;
   // Sends whose connection ended before an answer: each may be a leaf that
   // ended.
--- a/src/query/fan_out_shard.h
+++ b/src/query/fan_out_shard.h
@@ -88,6 +88,9 @@
   bool is_finished = false;
   bool was_prepared = false;
   bool was_overdue = false;
+  // The leaf is known to be late with it, whether a second send went out or
+  // not.
+  bool is_known_late = false;
   // It was sent alone, to see whether its leaf lives through it.
   bool is_trial = false;
 };
