Query: Give each try of a suspect request an order of its own

Seen in the log: a suspect is tried at one leaf at a time, in the order of the route's shards. Each daemon, and each retry, so ended a leaf of the first shard, then of the second; with two shards without a leaf no answer was complete enough.

Change: the shards of a suspect are tried in an order drawn from the try's identifier.

Test: QuarantineTest.TheTriesOfASuspectBeginAtDifferentShards.

--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -4,8 +4,11 @@
 #include "src/query/fan_out_session.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
+#include "src/base/rendezvous.h"
+
 namespace medlarspread::query {
 
 namespace {
@@ -56,7 +59,9 @@
   const MonotonicTime now = dependencies_->clock.Now();
   for (Shard& shard : shards_) {
     shard.is_waiting = true;
-    SendWaiting(shard, now);
+  }
+  for (Shard* shard : InOrderOfSends()) {
+    SendWaiting(*shard, now);
   }
   ConcludeIfDue();
   if (!is_finished_) {
@@ -64,6 +69,31 @@
   }
 }
 
+// NOTE: trials in the order of the route would all end leaves of its first
+// shards, at every daemon, until those have none left.
+std::vector<FanOutShard*> FanOutSession::InOrderOfSends() {
+  std::vector<Shard*> order;
+  for (Shard& shard : shards_) {
+    order.push_back(&shard);
+  }
+  if (!is_trying_) {
+    return order;
+  }
+  std::map<std::string, Shard*> by_collection;
+  std::vector<std::string> collections;
+  for (Shard* shard : order) {
+    by_collection[shard->collection] = shard;
+    collections.push_back(shard->collection);
+  }
+  collections =
+      base::RankByRendezvous(request_.request_id, std::move(collections));
+  std::transform(collections.begin(), collections.end(), order.begin(),
+                 [&by_collection](const std::string& collection) {
+                   return by_collection.at(collection);
+                 });
+  return order;
+}
+
 bool FanOutSession::HasRoom() const {
   const auto with_room = std::count_if(
       shards_.begin(), shards_.end(),
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -266,12 +266,12 @@
     LookForRoom(now);
     return;
   }
-  for (Shard& shard : shards_) {
-    if (shard.state == ShardState::kOpen && shard.is_waiting) {
-      SendWaiting(shard, now);
+  for (Shard* shard : InOrderOfSends()) {
+    if (shard->state == ShardState::kOpen && shard->is_waiting) {
+      SendWaiting(*shard, now);
     }
-    if (shard.state == ShardState::kOpen && !must_wait_for_trial()) {
-      SendAgain(shard, now);
+    if (shard->state == ShardState::kOpen && !must_wait_for_trial()) {
+      SendAgain(*shard, now);
     }
   }
   SecondSends(now);
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -124,6 +124,9 @@
   // Whether enough shards for an answer could be sent now.
   bool HasRoom() const;
   void SendAll();
+  // The shards in the order in which they are to be sent. Each try of a suspect
+  // has one of its own.
+  std::vector<Shard*> InOrderOfSends();
   // Sends what was held back for want of room, or refuses it after a while.
   void LookForRoom(base::MonotonicTime now);
   void SendTo(Shard& shard,
--- a/tests/query/forward_service_test.cc
+++ b/tests/query/forward_service_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <sstream>
 
 #include <gtest/gtest.h>
@@ -68,9 +69,10 @@
     blackboard_.routes.Write({++revision_, {route}, {}, {}});
   }
 
-  ForwardService::Abandon Submit(const std::string& target = "/a/1") {
+  ForwardService::Abandon Submit(const std::string& target = "/a/1",
+                                 const std::string& request_id = "id-1") {
     IncomingRequest request;
-    request.request_id = "id-1";
+    request.request_id = request_id;
     request.host = "h.example";
     request.deadline = Milliseconds(800);
     request.message = std::make_shared<const http1::Request>(
@@ -1347,6 +1349,21 @@
   EXPECT_EQ(leaves_.sent().size(), 1U);
 }
 
+// Otherwise the tries at all daemons would end the leaves of one shard.
+TEST_F(QuarantineTest, TheTriesOfASuspectBeginAtDifferentShards) {
+  MakeSuspect();
+  std::set<std::string> collections;
+  constexpr int kTries = 12;
+  for (int index = 0; index < kTries; ++index) {
+    const std::size_t before = leaves_.sent().size();
+    const auto abandon = Submit("/a/1", "id-" + std::to_string(index));
+    ASSERT_EQ(leaves_.sent().size(), before + 1);
+    collections.insert(leaves_.sent().back().leaf.collection);
+    abandon();
+  }
+  EXPECT_EQ(collections.size(), 4U);
+}
+
 TEST_F(QuarantineTest, AConvictedRequestIsRefusedAtOnce) {
   SetStored(blackboard::QuarantineState::kConvicted);
   Submit();
