--- a/emulator/support/arrival_record.cc
+++ b/emulator/support/arrival_record.cc
@@ -20,7 +20,8 @@
     const admission::ExtraSendBound& bound) const {
   constexpr double kMicrosecondsPerSecond = 1e6;
   std::vector<std::string> found;
-  for (const auto& [collection, row] : rows_) {
+  for (const auto& [collection, seen] : rows_) {
+    const Row& row = seen;
     double worst = 0.0;
     std::ostringstream text;
     for (const base::MonotonicTime begin : row.extras) {
--- /dev/null
+++ b/src/query/fan_out_log.cc
@@ -0,0 +1,87 @@
+// What the log says of a fanned-out request: its answer, with the shards that
+// are missing and the sends that were repeats, and leaves that were replaced.
+
+#include "src/query/fan_out_session.h"
+
+namespace medlarspread::query {
+
+namespace {
+
+using base::Step;
+
+// A line of the log names no more repeats than this.
+constexpr int kMostNamedRepeats = 8;
+
+}  // namespace
+
+void FanOutSession::LogAnswer(const ForwardedAnswer& answer) const {
+  dependencies_->log.Write(
+      {.level = base::LogLevel::kInfo,
+       .step = Step::kForward,
+       .request_id = request_.request_id,
+       .message =
+           Describe(answer) + "; route=" + route_.targets.name +
+           " revision=" + std::to_string(request_.routes_revision) + " ms=" +
+           std::to_string((dependencies_->clock.Now() - arrived_).count() /
+                          1000) +
+           " sends=" + std::to_string(sends_) + " extra=" +
+           std::to_string(extra_sends_) + " lost=" + std::to_string(lost_) +
+           " fingerprint=" + quarantine::ToText(request_.fingerprint) +
+           DescribeMissing() + DescribeRepeats()});
+}
+
+void FanOutSession::LogReplaced(const blackboard::Upstream& leaf,
+                                bool is_replaced) const {
+  dependencies_->log.Write(
+      {.level = base::LogLevel::kWarning,
+       .step = Step::kReadUpstream,
+       .peer = leaf.address,
+       .request_id = request_.request_id,
+       .message = "leaf " + leaf.name + " of " + leaf.collection +
+                  (is_replaced ? " is gone: another leaf has its address; "
+                                 "it gets no more requests"
+                               : " answers after all; it gets requests "
+                                 "again")});
+}
+
+std::string FanOutSession::DescribeMissing() const {
+  std::string text;
+  for (const Shard& shard : shards_) {
+    if (shard.state == ShardState::kAnswered) {
+      continue;
+    }
+    text += (text.empty() ? " missing=" : ",") + shard.collection +
+            "/sends:" + std::to_string(shard.sends) +
+            "/obstacle:" + kSendObstacleNames.NameOf(shard.obstacle);
+    if (!shard.attempts.empty()) {
+      text += "/last:" + shard.attempts.back()->leaf.name;
+    }
+  }
+  return text;
+}
+
+std::string FanOutSession::DescribeRepeats() const {
+  std::string text;
+  int unnamed = 0;
+  int named = 0;
+  for (const Shard& shard : shards_) {
+    for (const auto& attempt : shard.attempts) {
+      if (attempt->cause == SendCause::kFirst && !attempt->paid) {
+        continue;
+      }
+      if (named == kMostNamedRepeats) {
+        ++unnamed;
+        continue;
+      }
+      ++named;
+      text += (text.empty() ? " repeats=" : ",") + shard.collection + "/" +
+              kSendCauseNames.NameOf(attempt->cause) + "/" +
+              (attempt->paid ? admission::kAllowanceNames.NameOf(*attempt->paid)
+                             : "free") +
+              "/" + attempt->leaf.name;
+    }
+  }
+  return unnamed == 0 ? text : text + ",+" + std::to_string(unnamed);
+}
+
+}  // namespace medlarspread::query
