--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -11,6 +11,7 @@
 
 #include "emulator/hosted/hosted_leaf.h"
 #include "emulator/hosted/hosted_store.h"
+#include "tests/support/free_port.h"
 #include "tests/support/http_call.h"
 #include "tests/support/process_group.h"
 
@@ -114,14 +115,6 @@
     return daemon;
   }
 
-  // Peers are told this address, so the daemon can't leave it to the system.
-  static int FreePort() {
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(
-        context, {boost::asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-  }
-
   static int StatusOf(const std::string& address, const std::string& path) {
     return static_cast<int>(
         AwaitCall({.address = address, .path = path}).status);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -21,6 +21,7 @@
 #include "src/base/task_runner.h"
 #include "src/http1/client_connection.h"
 #include "tests/soak/fault_proxy.h"
+#include "tests/support/free_port.h"
 #include "tests/support/process_group.h"
 
 namespace medlarspread::soak {
@@ -100,17 +101,6 @@
   std::size_t daemon = 0;
 };
 
-// Two different ports. Peers are told these addresses, so a daemon can't leave
-// them to the system.
-std::pair<int, int> FreePorts() {
-  using boost::asio::ip::tcp;
-  boost::asio::io_context context;
-  const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
-  const tcp::acceptor first(context, any);
-  const tcp::acceptor second(context, any);
-  return {first.local_endpoint().port(), second.local_endpoint().port()};
-}
-
 class World {
  public:
   explicit World(const SoakOptions& options);
@@ -247,7 +237,9 @@
   Daemon daemon;
   daemon.name = "vm" + std::to_string(index);
   const std::filesystem::path file = folder_ / (daemon.name + ".ini");
-  const auto [peer_port, query_port] = FreePorts();
+  // Peers are told these addresses, so a daemon can't leave them to the system.
+  const int peer_port = tests::FreePort();
+  const int query_port = tests::FreePort();
   // Two domains; the last daemon is small and hands requests to the first.
   const bool is_small = index + 1 == static_cast<std::size_t>(options_.daemons);
   const std::string domain = index % 2 == 0 ? "n1" : "n2";
