Tests: Take an address over only where a leaf is left to lose it

In a run of the soak that also has a deadly request all leaves of the service may have ended by then; the search for one was taken to find one.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -519,13 +519,16 @@
 }
 
 void World::ReuseAddress() {
-  last_disturbance_ = now() + kEntryStands;
-  store_proxy_.set_fault(LinkFault::kSilent);
   const auto ended =
       std::find_if(leaves_.begin(), leaves_.end(), [](const auto& leaf) {
         return leaf->service == kServiceThatLosesALeaf && !leaf->is_ended &&
                leaf->draining_since == base::MonotonicTime{};
       });
+  if (ended == leaves_.end()) {
+    return;
+  }
+  last_disturbance_ = now() + kEntryStands;
+  store_proxy_.set_fault(LinkFault::kSilent);
   SetWork(kServiceThatLosesALeaf, kSlowWork);
   Leaf& leaf = **ended;
   leaf.is_ended = true;
