Store, Relay, Targets, Metrics: Tell which version came from where in the store

What the record of the lost changes can't tell: in which era and at which revision of the store a version was written, who passed it on, how old it was, and which changes a daemon dropped.

- Store-Era of each answer goes with pages, changes and events, between daemons too (new fields; earlier versions skip them).
Nothing is decided by it.
- 'routes of revision N are in force' names position, place and age; an older version that is left out has a line.
- 'read N keys at revision R of era E'; one line an answer for changes that are left out as older.
- Gauges: the store's era, and the revision up to which it is known.

--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -6,6 +6,7 @@
 
 #include "src/blackboard/cell.h"
 #include "src/blackboard/views.h"
+#include "src/store/position.h"
 
 namespace medlarspread::blackboard {
 
@@ -17,6 +18,8 @@
   // Written by targets::TargetsController. The revision never decreases.
   Cell<TargetsView> targets;
   Cell<RoutesView> routes;
+  // Written by daemon::StoreControllers: up to where the store is known.
+  Cell<store::Position> store;
   // Written by quarantine::VerdictController.
   Cell<QuarantineView> quarantine;
   // Written by burn::BurnController.
--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -371,6 +371,9 @@
   metrics_.Set(metrics::Gauge::kRequestsInFlight, queries_.in_flight());
   metrics_.Set(metrics::Gauge::kTargetsRevision,
                blackboard_.routes.Read()->revision);
+  const auto store = blackboard_.store.Read();
+  metrics_.Set(metrics::Gauge::kStoreEra, store->era);
+  metrics_.Set(metrics::Gauge::kStoreRevision, store->revision);
   metrics_.Set(
       metrics::Gauge::kLiveVms,
       static_cast<std::int64_t>(blackboard_.membership.Read()->members.size()));
--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -190,6 +190,7 @@
   registration_->Publish();
   CheckReadiness();
   known_.Append(events);
+  blackboard_.store.Write({known_.era(), known_.revision()});
   news_server_->DidAppend();
 }
 
@@ -220,7 +221,11 @@
                            "in force"});
     return;
   }
-  if (routes_.DidRead(platform::DecodeConfiguration(*event.value))) {
+  const auto freshness = news_->freshness();
+  const targets::RoutesOrigin origin{
+      event.position(), news_->DescribePlace(),
+      freshness ? std::optional(freshness->age) : std::nullopt};
+  if (routes_.DidRead(platform::DecodeConfiguration(*event.value), origin)) {
     leaves_.SetConnections(blackboard_.routes.Read()->connections);
   }
 }
--- a/src/metrics/metric_names.cc
+++ b/src/metrics/metric_names.cc
@@ -106,6 +106,13 @@
       {Gauge::kTargetsRevision,
        {"medlarspread_targets_revision",
         "Revision of the targets in force on this VM."}},
+      {Gauge::kStoreEra,
+       {"medlarspread_store_era",
+        "How often the store had been restored from a copy, as far as this VM "
+        "knows it."}},
+      {Gauge::kStoreRevision,
+       {"medlarspread_store_revision",
+        "Revision up to which this VM knows the store."}},
   };
   return rows;
 }
--- a/src/metrics/metric_names.h
+++ b/src/metrics/metric_names.h
@@ -44,6 +44,8 @@
   kShardRequestsQueued,
   kLiveVms,
   kTargetsRevision,
+  kStoreEra,
+  kStoreRevision,
 };
 
 // Latencies, in seconds when exposed.
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2681,6 +2681,10 @@
 void StoreEvent::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void StoreEvent::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreEvent& obj)
 {
   obj.printTo(out);
@@ -2733,6 +2737,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2763,6 +2775,10 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2773,6 +2789,7 @@
   swap(a.key, b.key);
   swap(a.value, b.value);
   swap(a.revision, b.revision);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -2780,18 +2797,21 @@
   key = other92.key;
   value = other92.value;
   revision = other92.revision;
+  era = other92.era;
   __isset = other92.__isset;
 }
 StoreEvent::StoreEvent(StoreEvent&& other93) noexcept {
   key = std::move(other93.key);
   value = std::move(other93.value);
   revision = other93.revision;
+  era = other93.era;
   __isset = other93.__isset;
 }
 StoreEvent& StoreEvent::operator=(const StoreEvent& other94) {
   key = other94.key;
   value = other94.value;
   revision = other94.revision;
+  era = other94.era;
   __isset = other94.__isset;
   return *this;
 }
@@ -2799,6 +2819,7 @@
   key = std::move(other95.key);
   value = std::move(other95.value);
   revision = other95.revision;
+  era = other95.era;
   __isset = other95.__isset;
   return *this;
 }
@@ -2808,6 +2829,7 @@
   out << "key=" << to_string(key);
   out << ", " << "value="; (__isset.value ? (out << to_string(value)) : (out << "<null>"));
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -2835,6 +2857,10 @@
 void StoreNews::__set_is_direct(const bool val) {
   this->is_direct = val;
 }
+
+void StoreNews::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
 {
   obj.printTo(out);
@@ -2915,6 +2941,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2960,6 +2994,10 @@
   xfer += oprot->writeBool(this->is_direct);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2972,6 +3010,7 @@
   swap(a.cursor, b.cursor);
   swap(a.age_ms, b.age_ms);
   swap(a.is_direct, b.is_direct);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -2981,6 +3020,7 @@
   cursor = other102.cursor;
   age_ms = other102.age_ms;
   is_direct = other102.is_direct;
+  era = other102.era;
   __isset = other102.__isset;
 }
 StoreNews::StoreNews(StoreNews&& other103) noexcept {
@@ -2989,6 +3029,7 @@
   cursor = other103.cursor;
   age_ms = other103.age_ms;
   is_direct = other103.is_direct;
+  era = other103.era;
   __isset = other103.__isset;
 }
 StoreNews& StoreNews::operator=(const StoreNews& other104) {
@@ -2997,6 +3038,7 @@
   cursor = other104.cursor;
   age_ms = other104.age_ms;
   is_direct = other104.is_direct;
+  era = other104.era;
   __isset = other104.__isset;
   return *this;
 }
@@ -3006,6 +3048,7 @@
   cursor = other105.cursor;
   age_ms = other105.age_ms;
   is_direct = other105.is_direct;
+  era = other105.era;
   __isset = other105.__isset;
   return *this;
 }
@@ -3017,6 +3060,7 @@
   out << ", " << "cursor=" << to_string(cursor);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "is_direct=" << to_string(is_direct);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -1019,10 +1019,11 @@
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj);
 
 typedef struct _StoreEvent__isset {
-  _StoreEvent__isset() : key(false), value(false), revision(false) {}
+  _StoreEvent__isset() : key(false), value(false), revision(false), era(false) {}
   bool key :1;
   bool value :1;
   bool revision :1;
+  bool era :1;
 } _StoreEvent__isset;
 
 class StoreEvent : public virtual ::apache::thrift::TBase {
@@ -1035,13 +1036,15 @@
   StoreEvent() noexcept
              : key(),
                value(),
-               revision(0) {
+               revision(0),
+               era(0) {
   }
 
   virtual ~StoreEvent() noexcept;
   std::string key;
   std::string value;
   int64_t revision;
+  int64_t era;
 
   _StoreEvent__isset __isset;
 
@@ -1051,6 +1054,8 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const StoreEvent & rhs) const
   {
     if (!(key == rhs.key))
@@ -1061,6 +1066,8 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const StoreEvent &rhs) const {
@@ -1080,12 +1087,13 @@
 std::ostream& operator<<(std::ostream& out, const StoreEvent& obj);
 
 typedef struct _StoreNews__isset {
-  _StoreNews__isset() : events(false), revision(false), cursor(false), age_ms(false), is_direct(false) {}
+  _StoreNews__isset() : events(false), revision(false), cursor(false), age_ms(false), is_direct(false), era(false) {}
   bool events :1;
   bool revision :1;
   bool cursor :1;
   bool age_ms :1;
   bool is_direct :1;
+  bool era :1;
 } _StoreNews__isset;
 
 class StoreNews : public virtual ::apache::thrift::TBase {
@@ -1099,7 +1107,8 @@
             : revision(0),
               cursor(0),
               age_ms(0),
-              is_direct(0) {
+              is_direct(0),
+              era(0) {
   }
 
   virtual ~StoreNews() noexcept;
@@ -1108,6 +1117,7 @@
   int64_t cursor;
   int32_t age_ms;
   bool is_direct;
+  int64_t era;
 
   _StoreNews__isset __isset;
 
@@ -1121,6 +1131,8 @@
 
   void __set_is_direct(const bool val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const StoreNews & rhs) const
   {
     if (!(events == rhs.events))
@@ -1133,6 +1145,8 @@
       return false;
     if (!(is_direct == rhs.is_direct))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const StoreNews &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -158,6 +158,8 @@
   1: string key;
   2: optional binary value;
   3: i64 revision;
+  // The era of the store in which it was written or read; 0 if it is not known.
+  4: i64 era;
 }
 
 // What a daemon that follows the store passes on to one that does not. It
@@ -174,6 +176,8 @@
   4: i32 age_ms;
   // Whether the sender reads the store itself.
   5: bool is_direct;
+  // The era of the store that `revision` belongs to; 0 if it is not known.
+  6: i64 era;
 }
 
 // How requests of one class of work ended at one leaf, as one daemon or several
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -2,6 +2,7 @@
 
 #include "src/platform/store_calls.h"
 
+#include <charconv>
 #include <chrono>
 #include <list>
 #include <utility>
@@ -30,9 +31,17 @@
 using store::ReadString;
 using web::json::value;
 
-using JsonCallback = std::function<void(Result<std::shared_ptr<value>>)>;
+// The body of an answer, and the era of the store that gave it.
+struct Answer {
+  std::shared_ptr<value> body;
+  std::int64_t era = 0;
+};
+
+using AnswerCallback = std::function<void(Result<Answer>)>;
 
 constexpr int kHttpVersion = 11;
+// Rises by one each time the store comes back from a copy.
+constexpr const char* kEraField = "Store-Era";
 // A silent store is found out within this time, also by a watch that waits.
 constexpr base::Duration kSilence = base::Milliseconds(2'000);
 
@@ -71,30 +80,41 @@
   }
 }
 
+// Zero if the answer does not name its era.
+std::int64_t DecodeEra(const Response& response) {
+  const auto field = response.find(kEraField);
+  std::int64_t era = 0;
+  if (field != response.end()) {
+    const auto text = field->value();
+    (void)std::from_chars(text.data(), text.data() + text.size(), era);
+  }
+  return era;
+}
+
 // An item as it was written, or a removal; absent if it names no key.
-std::optional<store::Event> DecodeEvent(const value& row) {
+std::optional<store::Event> DecodeEvent(const value& row, std::int64_t era) {
   const auto key = ReadString(row, "key");
   const auto revision = ReadInteger(row, "rev");
   if (!key || !revision) {
     return std::nullopt;
   }
-  store::Event event{*key, std::nullopt, *revision};
+  store::Event event{*key, std::nullopt, *revision, era};
   if (!store::HasField(row, "removed")) {
     event.value = DecodeBytes(row);
   }
   return event;
 }
 
-std::optional<std::vector<store::Event>> DecodeEvents(const value& body,
+std::optional<std::vector<store::Event>> DecodeEvents(const Answer& answer,
                                                       const char* field,
                                                       const base::Log& log) {
-  const value* rows = store::FindArray(body, field);
+  const value* rows = store::FindArray(*answer.body, field);
   if (rows == nullptr) {
     return std::nullopt;
   }
   std::vector<store::Event> events;
   for (const value& row : rows->as_array()) {
-    if (auto event = DecodeEvent(row)) {
+    if (auto event = DecodeEvent(row, answer.era)) {
       events.push_back(std::move(*event));
     }
   }
@@ -134,17 +154,16 @@
             const std::string& target,
             const std::string& body,
             base::Duration timeout,
-            JsonCallback done);
+            AnswerCallback done);
 
-  Result<store::Page> DecodePage(
-      const Result<std::shared_ptr<value>>& body) const;
+  Result<store::Page> DecodePage(const Result<Answer>& answer) const;
 
   const StoreCallsSettings& settings() const { return settings_; }
   const base::Log& log() const { return log_; }
 
  private:
   std::shared_ptr<http1::ClientConnection> Connect();
-  Result<std::shared_ptr<value>> Decode(const Response& response) const;
+  Result<Answer> Decode(const Response& response) const;
 
   boost::asio::io_context& context_;
   const base::TaskRunner control_;
@@ -183,7 +202,7 @@
                             const std::string& target,
                             const std::string& body,
                             base::Duration timeout,
-                            JsonCallback done) {
+                            AnswerCallback done) {
   log_.Write({.level = base::LogLevel::kDebug,
               .step = Step::kReadStore,
               .peer = settings_.address,
@@ -211,8 +230,7 @@
   http1::Start(Connect(), control_, std::move(exchange));
 }
 
-Result<std::shared_ptr<value>> StoreCalls::Impl::Decode(
-    const Response& response) const {
+Result<Answer> StoreCalls::Impl::Decode(const Response& response) const {
   if (response.result() != Status::ok) {
     return base::MakeError(CodeOf(response.result()), Step::kReadStore,
                            settings_.address,
@@ -222,25 +240,27 @@
   if (!body) {
     // A call that answers nothing has an empty body.
     if (response.body().empty()) {
-      return std::make_shared<value>(value::object());
+      return Answer{std::make_shared<value>(value::object()),
+                    DecodeEra(response)};
     }
     return Malformed(settings_.address);
   }
-  return std::shared_ptr<value>(std::move(body));
+  return Answer{std::move(body), DecodeEra(response)};
 }
 
 Result<store::Page> StoreCalls::Impl::DecodePage(
-    const Result<std::shared_ptr<value>>& body) const {
-  if (!body.is_ok()) {
-    return body.error();
+    const Result<Answer>& answer) const {
+  if (!answer.is_ok()) {
+    return answer.error();
   }
-  auto items = DecodeEvents(*body.value(), "items", log_);
-  const auto revision = ReadInteger(*body.value(), "current_rev");
+  const value& body = *answer.value().body;
+  auto items = DecodeEvents(answer.value(), "items", log_);
+  const auto revision = ReadInteger(body, "current_rev");
   if (!items || !revision) {
     return Malformed(settings_.address);
   }
-  return store::Page{std::move(*items), !ReadFlag(*body.value(), "truncated"),
-                     *revision, *revision};
+  return store::Page{std::move(*items), !ReadFlag(body, "truncated"), *revision,
+                     *revision, answer.value().era};
 }
 
 StoreCalls::StoreCalls(boost::asio::io_context& context,
@@ -266,8 +286,8 @@
                  "/kv-range?prefix=" + encode(prefix) +
                      (after.empty() ? "" : "&after=" + encode(after)) + options,
                  "", impl->settings().timeout,
-                 [impl, done](const Result<std::shared_ptr<value>>& body) {
-                   done(impl->DecodePage(body));
+                 [impl, done](const Result<Answer>& answer) {
+                   done(impl->DecodePage(answer));
                  });
     };
   };
@@ -276,38 +296,41 @@
   source.watch = [impl = impl_, encode](const std::string& prefix,
                                         std::int64_t after, base::Duration wait,
                                         auto done) {
-    impl->Call(
-        http::verb::get,
-        "/kv-watch?prefix=" + encode(prefix) +
-            "&after=" + std::to_string(after) +
-            "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
-        "", wait + impl->settings().timeout,
-        [impl, done](const Result<std::shared_ptr<value>>& body) {
-          if (!body.is_ok()) {
-            done(body.error());
-            return;
-          }
-          auto events = DecodeEvents(*body.value(), "events", impl->log());
-          const auto revision = ReadInteger(*body.value(), "current_rev");
-          if (!events || !revision) {
-            done(Malformed(impl->settings().address));
-            return;
-          }
-          done(store::Changes{std::move(*events), *revision});
-        });
+    impl->Call(http::verb::get,
+               "/kv-watch?prefix=" + encode(prefix) +
+                   "&after=" + std::to_string(after) +
+                   "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
+               "", wait + impl->settings().timeout,
+               [impl, done](const Result<Answer>& answer) {
+                 if (!answer.is_ok()) {
+                   done(answer.error());
+                   return;
+                 }
+                 auto events =
+                     DecodeEvents(answer.value(), "events", impl->log());
+                 const auto revision =
+                     ReadInteger(*answer.value().body, "current_rev");
+                 if (!events || !revision) {
+                   done(Malformed(impl->settings().address));
+                   return;
+                 }
+                 done(store::Changes{std::move(*events), *revision,
+                                     answer.value().era});
+               });
   };
   source.open_lease = [impl = impl_](base::Duration time_to_live, auto done) {
     auto body = value::object();
     body["ttl_ms"] = value::number(ToWholeMilliseconds(time_to_live));
     impl->Call(http::verb::post, "/kv-lease", body.serialize(),
                impl->settings().timeout,
-               [impl, done](const Result<std::shared_ptr<value>>& answer) {
+               [impl, done](const Result<Answer>& answer) {
                  if (!answer.is_ok()) {
                    done(answer.error());
                    return;
                  }
-                 const auto id = ReadInteger(*answer.value(), "lease");
-                 const auto time = ReadInteger(*answer.value(), "ttl_ms");
+                 const value& body = *answer.value().body;
+                 const auto id = ReadInteger(body, "lease");
+                 const auto time = ReadInteger(body, "ttl_ms");
                  if (!id || !time) {
                    done(Malformed(impl->settings().address));
                    return;
@@ -316,7 +339,7 @@
                });
   };
   const auto to_status = [](auto done) {
-    return [done](const Result<std::shared_ptr<value>>& answer) {
+    return [done](const Result<Answer>& answer) {
       if (answer.is_ok()) {
         done(base::Status(base::Done{}));
       } else {
--- a/src/relay/news_codec.cc
+++ b/src/relay/news_codec.cc
@@ -27,12 +27,14 @@
     peer::wire::StoreEvent row;
     row.key = event.key;
     row.revision = event.revision;
+    row.era = event.era;
     if (event.value) {
       row.__set_value(*event.value);
     }
     message.events.push_back(std::move(row));
   }
-  message.revision = news.revision;
+  message.revision = news.position.revision;
+  message.era = news.position.era;
   message.cursor = news.cursor;
   message.age_ms = static_cast<std::int32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(news.age).count());
@@ -58,13 +60,13 @@
   }
   News news;
   for (peer::wire::StoreEvent& row : message.events) {
-    store::Event event{std::move(row.key), std::nullopt, row.revision};
+    store::Event event{std::move(row.key), std::nullopt, row.revision, row.era};
     if (row.__isset.value) {
       event.value = std::move(row.value);
     }
     news.events.push_back(std::move(event));
   }
-  news.revision = message.revision;
+  news.position = {message.era, message.revision};
   news.cursor = message.cursor;
   news.age = base::Milliseconds(message.age_ms);
   news.is_direct = message.is_direct;
--- a/src/relay/news_codec.h
+++ b/src/relay/news_codec.h
@@ -14,7 +14,8 @@
 
 struct News {
   std::vector<store::Event> events;
-  std::int64_t revision = 0;
+  // Everything up to this position of the store is known.
+  store::Position position;
   std::int64_t cursor = 0;
   // Since the store last answered the first daemon of the chain.
   base::Duration age{};
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -124,10 +124,12 @@
 
 http1::Response NewsServer::Render(std::vector<store::Event> events) const {
   const Freshness freshness = freshness_().value_or(Freshness{});
-  return MakeResponse(
-      http1::Status::ok,
-      EncodeNews({std::move(events), log_.revision(), log_.cursor(),
-                  freshness.age, freshness.is_direct}));
+  return MakeResponse(http1::Status::ok,
+                      EncodeNews({std::move(events),
+                                  {log_.era(), log_.revision()},
+                                  log_.cursor(),
+                                  freshness.age,
+                                  freshness.is_direct}));
 }
 
 }  // namespace medlarspread::relay
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -130,6 +130,13 @@
                    place_ == kStore && choice_.store_failures() == 0};
 }
 
+std::string NewsSource::DescribePlace() const {
+  if (place_ == kStore) {
+    return "the store";
+  }
+  return place_ == kStaleStore ? "the store, perhaps old" : place_;
+}
+
 void NewsSource::DidFail(const std::string& place, const base::Error& error) {
   choice_.DidFail(place);
   log_.DidFail(error, place == kStore ? "no news from the store"
@@ -235,10 +242,11 @@
         self->place_ = peer;
         self->has_read_ = true;
         self->reached_store_ = self->clock_.Now() - news.value().age;
-        self->safe_revision_.DidHearFromPeer(news.value().revision,
+        const store::Position& position = news.value().position;
+        self->safe_revision_.DidHearFromPeer(position.revision,
                                              self->clock_.Now());
         done(store::Page{std::move(news.value().events), true,
-                         news.value().revision, news.value().cursor});
+                         position.revision, news.value().cursor, position.era});
       });
 }
 
@@ -317,8 +325,8 @@
                          const WatchCallback& done) {
   (void)Check(peer, news);
   reached_store_ = clock_.Now() - news.age;
-  safe_revision_.DidHearFromPeer(news.revision, clock_.Now());
-  done(store::Changes{std::move(news.events), news.cursor});
+  safe_revision_.DidHearFromPeer(news.position.revision, clock_.Now());
+  done(store::Changes{std::move(news.events), news.cursor, news.position.era});
 }
 
 void NewsSource::Scout(const std::string& peer,
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -71,6 +71,9 @@
   void DidFailToRenew(const base::Error& error);
   // Absent if no place has answered yet.
   std::optional<Freshness> freshness() const;
+  // Where the last reading came from, for logs: "the store", "the store,
+  // perhaps old", or the address of a peer.
+  std::string DescribePlace() const;
 
  private:
   using ListCallback = std::function<void(base::Result<store::Page>)>;
--- a/src/store/event_log.cc
+++ b/src/store/event_log.cc
@@ -27,6 +27,7 @@
       removals_[event.key] = event.revision;
     }
     revision_ = std::max(revision_, event.revision);
+    era_ = std::max(era_, event.era);
     changes_.emplace_back(++cursor_, event);
   }
   while (changes_.size() > kMostChanges) {
--- a/src/store/event_log.h
+++ b/src/store/event_log.h
@@ -43,6 +43,8 @@
   std::int64_t cursor() const { return cursor_; }
   // The highest revision of the store among all changes.
   std::int64_t revision() const { return revision_; }
+  // The latest era among all changes.
+  std::int64_t era() const { return era_; }
 
  private:
   void DropOldRemovals();
@@ -60,6 +62,7 @@
   std::int64_t forgotten_;
   std::int64_t cursor_;
   std::int64_t revision_ = 0;
+  std::int64_t era_ = 0;
 };
 
 }  // namespace medlarspread::store
--- a/src/store/event_source.h
+++ b/src/store/event_source.h
@@ -16,6 +16,7 @@
 
 #include "src/base/clock.h"
 #include "src/base/result.h"
+#include "src/store/position.h"
 
 namespace medlarspread::store {
 
@@ -26,6 +27,10 @@
   std::optional<std::string> value;
   // Of this change; the store counts all changes with one counter.
   std::int64_t revision = 0;
+  // The era of the answer that told of it; see Position.
+  std::int64_t era = 0;
+
+  Position position() const { return {era, revision}; }
 
   friend bool operator==(const Event&, const Event&) = default;
 };
@@ -39,6 +44,10 @@
   std::int64_t revision = 0;
   // From where to watch for what changes after the page.
   std::int64_t cursor = 0;
+  // In which the page was read.
+  std::int64_t era = 0;
+
+  Position position() const { return {era, revision}; }
 };
 
 // All changes under a prefix since a cursor.
@@ -46,6 +55,8 @@
   std::vector<Event> events;
   // From where to watch on.
   std::int64_t cursor = 0;
+  // In which the store, or the sender, was when it answered.
+  std::int64_t era = 0;
 };
 
 struct Lease {
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -93,6 +93,7 @@
   DidSucceed();
   if (list_revision_ == 0) {
     list_revision_ = page.value().revision;
+    list_era_ = page.value().era;
     cursor_ = page.value().cursor;
   }
   for (const Event& item : page.value().items) {
@@ -116,6 +117,7 @@
       events.push_back({key, std::nullopt, list_revision_});
     }
   }
+  LogReading(listed_.size());
   for (auto& [key, event] : listed_) {
     events.push_back(std::move(event));
   }
@@ -168,12 +170,16 @@
 
 void Follower::Apply(const std::vector<Event>& events) {
   std::vector<Event> news;
+  std::vector<Event> left_out;
   const bool is_holding = clock_.Now() < hold_until_;
   for (const Event& event : events) {
     Row& row = rows_[event.key];
     const bool is_removal = !event.value.has_value();
     if (event.revision < row.revision ||
         (event.revision == row.revision && row.is_removed == is_removal)) {
+      if (event.revision < row.revision) {
+        left_out.push_back(event);
+      }
       continue;
     }
     row = {event.revision, is_removal};
@@ -184,11 +190,33 @@
     }
     news.push_back(event);
   }
+  LogLeftOut(left_out);
   if (!news.empty()) {
     did_change_(news);
   }
 }
 
+void Follower::LogReading(std::size_t keys) const {
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = Step::kReadStore,
+              .message = "read " + std::to_string(keys) + " keys at " +
+                         ToString(Position{list_era_, list_revision_})});
+}
+
+void Follower::LogLeftOut(const std::vector<Event>& events) const {
+  if (events.empty()) {
+    return;
+  }
+  const Event& last = events.back();
+  log_.Write({.level = base::LogLevel::kWarning,
+              .step = Step::kWatchStore,
+              .message = "left out " + std::to_string(events.size()) +
+                         " changes as older than what is known, the last of " +
+                         last.key + " at " + ToString(last.position()) +
+                         ", known at " +
+                         std::to_string(rows_.at(last.key).revision)});
+}
+
 void Follower::HoldRemoval(Event event) {
   if (held_.empty()) {
     control_.After(hold_until_ - clock_.Now(),
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -78,6 +78,9 @@
   void DidWatch(base::MonotonicTime began,
                 const base::Result<Changes>& changes);
   void Apply(const std::vector<Event>& events);
+  void LogReading(std::size_t keys) const;
+  // One line for all changes of one answer that were left out.
+  void LogLeftOut(const std::vector<Event>& events) const;
   void HoldRemoval(Event event);
   void ReleaseRemovals();
   void DidSucceed();
@@ -101,6 +104,7 @@
   // The reading of pages that is under way.
   std::map<std::string, Event> listed_;
   std::int64_t list_revision_ = 0;
+  std::int64_t list_era_ = 0;
   // From where the watch goes on.
   std::int64_t cursor_ = 0;
   bool is_complete_ = false;
--- a/src/targets/route_controller.cc
+++ b/src/targets/route_controller.cc
@@ -7,20 +7,40 @@
 
 namespace medlarspread::targets {
 
+namespace {
+
+std::string Describe(const RoutesOrigin& origin) {
+  const std::string age =
+      origin.age ? std::to_string(origin.age->count() / 1000) + " ms old"
+                 : "of unknown age";
+  return ToString(origin.position) + ", from " + origin.place + ", " + age;
+}
+
+}  // namespace
+
 RouteController::RouteController(blackboard::Blackboard& blackboard,
                                  base::Log log)
     : blackboard_(blackboard), log_(std::move(log)) {}
 
-bool RouteController::DidRead(base::Result<blackboard::RoutesView> routes) {
+bool RouteController::DidRead(base::Result<blackboard::RoutesView> routes,
+                              const RoutesOrigin& origin) {
   const auto known = blackboard_.routes.Read();
   if (!routes.is_ok()) {
     log_.DidFail(routes.error(), "routes that can't be read are left out; " +
                                      std::to_string(known->revision) +
-                                     " stays in force");
+                                     " stays in force; " + Describe(origin));
     return false;
   }
   const std::int64_t revision = routes.value().revision;
-  if (revision <= known->revision) {
+  if (revision == known->revision) {
+    return false;
+  }
+  if (revision < known->revision) {
+    log_.Write({.level = base::LogLevel::kInfo,
+                .step = base::Step::kTargets,
+                .message = "routes of revision " + std::to_string(revision) +
+                           " are left out, " + std::to_string(known->revision) +
+                           " is in force; " + Describe(origin)});
     return false;
   }
   log_.Write({.level = base::LogLevel::kInfo,
@@ -29,7 +49,7 @@
                          " are in force after " +
                          std::to_string(known->revision) + "; " +
                          std::to_string(routes.value().routes.size()) +
-                         " routes"});
+                         " routes; " + Describe(origin)});
   blackboard_.routes.Write(std::move(routes.value()));
   return true;
 }
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -21,20 +21,22 @@
 
 TEST(NewsCodecTest, RoundTrip) {
   const News news{{{"a", std::string("\0x", 2), 5}, {"b", std::nullopt, 6}},
-                  6,
+                  {2, 6},
                   42,
                   Milliseconds(70),
                   true};
   const auto decoded = DecodeNews(EncodeNews(news), "peer");
   ASSERT_TRUE(decoded.is_ok());
   EXPECT_EQ(decoded.value().events, news.events);
+  EXPECT_EQ(decoded.value().position, news.position);
   EXPECT_EQ(decoded.value().cursor, 42);
   EXPECT_EQ(decoded.value().age, Milliseconds(70));
   EXPECT_TRUE(decoded.value().is_direct);
 }
 
 TEST(NewsCodecTest, BytesCutShortAreMalformed) {
-  const std::string bytes = EncodeNews({{{"a", "value", 5}}, 6, 42, {}, true});
+  const std::string bytes =
+      EncodeNews({{{"a", "value", 5}}, {2, 6}, 42, {}, true});
   for (std::size_t size = 0; size + 1 < bytes.size(); ++size) {
     EXPECT_FALSE(DecodeNews(bytes.substr(0, size), "peer").is_ok()) << size;
   }
