Emulator, Tests: Restore the store from a copy; changes written then are lost; fails

Callers were sent by routes that a change had replaced. The stand-in of the store can now take a copy and come back from it: revisions and leases are given out again, watches from a revision that it does not have get 410, connections are cut, and Store-Era, in all answers, has risen. Renewals of leases that it does not know are answered with 404.

--- a/emulator/hosted/hosted_store.cc
+++ b/emulator/hosted/hosted_store.cc
@@ -18,14 +18,6 @@
 
 constexpr int kHttpVersion = 11;
 
-Response MakeJson(Status status, const std::string& body) {
-  Response response(status, kHttpVersion);
-  response.set(boost::beast::http::field::content_type, "application/json");
-  response.body() = body;
-  response.prepare_payload();
-  return response;
-}
-
 // The parameters of the query of a target.
 std::map<std::string, std::string> ParametersOf(const std::string& target) {
   std::map<std::string, std::string> parameters;
@@ -72,9 +64,35 @@
   runner_.Post([this, key] { Change(key, {"", 0, true}); });
 }
 
+void HostedStore::TakeCopy() {
+  runner_.Post([this] { copy_ = content_; });
+}
+
+void HostedStore::RestoreCopy() {
+  runner_.Post([this] {
+    {
+      const std::lock_guard lock(mutex_);
+      content_ = copy_;
+    }
+    ++era_;
+    watches_.clear();
+    waiting_ = 0;
+    listener_->CloseAll();
+  });
+}
+
+Response HostedStore::MakeJson(Status status, const std::string& body) const {
+  Response response(status, kHttpVersion);
+  response.set(boost::beast::http::field::content_type, "application/json");
+  response.set("Store-Era", std::to_string(era_));
+  response.body() = body;
+  response.prepare_payload();
+  return response;
+}
+
 void HostedStore::ForgetHistory() {
   runner_.Post([this] {
-    forgotten_ = revision_;
+    content_.forgotten = content_.revision;
     auto watches = std::exchange(watches_, {});
     for (const auto& [id, watch] : watches) {
       watch.respond(MakeJson(Status::gone, "{}"));
@@ -89,7 +107,7 @@
     return [] {};
   }
   if (target.starts_with("/kv-keep/")) {
-    respond(MakeJson(Status::ok, R"({"ttl_ms":60000})"));
+    KeepLease(target, respond);
     return [] {};
   }
   ++calls_;
@@ -99,9 +117,7 @@
   if (target.starts_with("/kv-range?")) {
     Range(target, respond);
   } else if (target == "/kv-lease") {
-    respond(MakeJson(Status::ok, R"({"lease":)" +
-                                     std::to_string(next_lease_++) +
-                                     R"(,"ttl_ms":60000})"));
+    OpenLease(respond);
   } else if (target == "/kv-txn") {
     Transact(request.body(), respond);
   } else {
@@ -110,19 +126,34 @@
   return [] {};
 }
 
+void HostedStore::OpenLease(const http1::Respond& respond) {
+  const std::int64_t lease = content_.next_lease++;
+  content_.leases.insert(lease);
+  respond(MakeJson(Status::ok, R"({"lease":)" + std::to_string(lease) +
+                                   R"(,"ttl_ms":60000})"));
+}
+
+void HostedStore::KeepLease(const std::string& target,
+                            const http1::Respond& respond) {
+  const std::int64_t lease = std::stoll(target.substr(target.rfind('/') + 1));
+  respond(content_.leases.contains(lease)
+              ? MakeJson(Status::ok, R"({"ttl_ms":60000})")
+              : MakeJson(Status::not_found, "{}"));
+}
+
 void HostedStore::Range(const std::string& target,
                         const http1::Respond& respond) {
   const std::string prefix = ParametersOf(target)["prefix"];
   respond(MakeJson(Status::ok, R"({"items":)" + RowsAfter(prefix, 0, false) +
                                    R"(,"truncated":false,"current_rev":)" +
-                                   std::to_string(revision_) + "}"));
+                                   std::to_string(content_.revision) + "}"));
 }
 
 http1::Abandon HostedStore::StartWatch(const std::string& target,
                                        http1::Respond respond) {
   auto parameters = ParametersOf(target);
   const std::int64_t after = std::stoll(parameters["after"]);
-  if (after < forgotten_) {
+  if (after < content_.forgotten || after > content_.revision) {
     respond(MakeJson(Status::gone, "{}"));
     return [] {};
   }
@@ -134,9 +165,9 @@
         auto node = watches_.extract(id);
         waiting_ = static_cast<int>(watches_.size());
         if (!node.empty() && !is_silent_) {
-          node.mapped().respond(
-              MakeJson(Status::ok, R"({"events":[],"current_rev":)" +
-                                       std::to_string(revision_) + "}"));
+          node.mapped().respond(MakeJson(
+              Status::ok, R"({"events":[],"current_rev":)" +
+                              std::to_string(content_.revision) + "}"));
         }
       });
   AnswerWatches();
@@ -156,7 +187,8 @@
     Change(write.at("key").as_string(),
            {std::string(bytes.begin(), bytes.end()), 0, false});
   }
-  respond(MakeJson(Status::ok, R"({"rev":)" + std::to_string(revision_) + "}"));
+  respond(MakeJson(Status::ok,
+                   R"({"rev":)" + std::to_string(content_.revision) + "}"));
 }
 
 std::string HostedStore::RowsAfter(const std::string& prefix,
@@ -164,7 +196,7 @@
                                    bool with_removed) const {
   auto rows = value::array();
   std::size_t count = 0;
-  for (const auto& [key, row] : rows_) {
+  for (const auto& [key, row] : content_.rows) {
     if (!key.starts_with(prefix) || row.revision <= after ||
         (row.is_removed && !with_removed)) {
       continue;
@@ -184,18 +216,18 @@
 }
 
 void HostedStore::Change(const std::string& key, Row row) {
-  row.revision = ++revision_;
+  row.revision = ++content_.revision;
   {
     const std::lock_guard lock(mutex_);
-    rows_[key] = std::move(row);
+    content_.rows[key] = std::move(row);
   }
   AnswerWatches();
 }
 
 bool HostedStore::Holds(const std::string& key) const {
   const std::lock_guard lock(mutex_);
-  const auto row = rows_.find(key);
-  return row != rows_.end() && !row->second.is_removed;
+  const auto row = content_.rows.find(key);
+  return row != content_.rows.end() && !row->second.is_removed;
 }
 
 void HostedStore::AnswerWatches() {
@@ -212,10 +244,10 @@
     auto node = watches_.extract(id);
     waiting_ = static_cast<int>(watches_.size());
     const Watch& watch = node.mapped();
-    watch.respond(
-        MakeJson(Status::ok,
-                 R"({"events":)" + RowsAfter(watch.prefix, watch.after, true) +
-                     R"(,"current_rev":)" + std::to_string(revision_) + "}"));
+    watch.respond(MakeJson(
+        Status::ok,
+        R"({"events":)" + RowsAfter(watch.prefix, watch.after, true) +
+            R"(,"current_rev":)" + std::to_string(content_.revision) + "}"));
   }
 }
 
--- a/emulator/hosted/hosted_store.h
+++ b/emulator/hosted/hosted_store.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,12 @@
   void set_silent(bool is_silent) { is_silent_ = is_silent; }
   // Cuts all watches and forgets the changes up to now.
   void ForgetHistory();
+  // Keeps a copy of everything as it is now, leases included.
+  void TakeCopy();
+  // Comes back as it was at the last copy, in a new era: what was written since
+  // is lost, and its revisions and leases are given out again. All connections
+  // are cut.
+  void RestoreCopy();
 
   // Whether somebody has written the key.
   bool Holds(const std::string& key) const;
@@ -51,6 +58,14 @@
     bool is_removed = false;
     bool is_unreadable = false;
   };
+  // What a copy holds.
+  struct Content {
+    std::map<std::string, Row> rows;
+    std::int64_t revision = 1;
+    std::int64_t forgotten = 0;
+    std::int64_t next_lease = 1;
+    std::set<std::int64_t> leases;
+  };
   struct Watch {
     std::string prefix;
     std::int64_t after = 0;
@@ -58,6 +73,10 @@
   };
 
   http1::Abandon Handle(const http1::Request& request, http1::Respond respond);
+  // Every answer names the era.
+  http1::Response MakeJson(http1::Status status, const std::string& body) const;
+  void OpenLease(const http1::Respond& respond);
+  void KeepLease(const std::string& target, const http1::Respond& respond);
   void Range(const std::string& target, const http1::Respond& respond);
   http1::Abandon StartWatch(const std::string& target, http1::Respond respond);
   void Transact(const std::string& body, const http1::Respond& respond);
@@ -70,14 +89,13 @@
 
   const base::TaskRunner runner_;
   std::shared_ptr<http1::CallerListener> listener_;
-  // Guards `rows_` against the controls that read it.
+  // Guards `content_.rows` against the controls that read it.
   mutable std::mutex mutex_;
-  std::map<std::string, Row> rows_;
+  Content content_;
+  Content copy_;
+  std::int64_t era_ = 1;
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 1;
-  std::int64_t revision_ = 1;
-  std::int64_t forgotten_ = 0;
-  std::int64_t next_lease_ = 1;
   std::atomic<bool> is_silent_ = false;
   std::atomic<int> calls_ = 0;
   std::atomic<int> waiting_ = 0;
--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -26,6 +26,8 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+// A change has to be in force this long after the store took it.
+constexpr std::chrono::milliseconds kInForceBound(3'000);
 
 class OpaqueTest : public testing::Test {
  protected:
@@ -77,6 +79,14 @@
             R"({"name":"s2","max_conns":40},{"name":"s3","max_conns":40}]})");
   }
 
+  // A route of that prefix to one service, for Configure().
+  static std::string RouteTo(const std::string& service,
+                             const std::string& prefix) {
+    return R"(,{"name":"one","host":"h","prefix":")" + prefix +
+           R"(","kind":"idempotent","timeout_ms":900,"service":")" + service +
+           R"(","attempts":2})";
+  }
+
   struct Daemon {
     Process* process = nullptr;
     std::string caller;
@@ -311,6 +321,46 @@
   }));
 }
 
+// Guards against a configuration that no daemon takes because it was written
+// with a lower revision, after the store was restored from an older copy.
+TEST_F(OpaqueTest, AChangeAfterTheStoreWasRestoredIsInForceInTime) {
+  Configure(3);
+  std::vector<Daemon> daemons;
+  for (const char* name : {"vm1", "vm2", "vm3"}) {
+    daemons.push_back(Start(name));
+  }
+  for (const Daemon& daemon : daemons) {
+    ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  }
+  ASSERT_TRUE(WaitUntil([&] { return store_->waiting_watches() == 1; }));
+  store_->TakeCopy();
+  // Changes that will be lost, the configuration's among them.
+  for (int change = 0; change < 40; ++change) {
+    store_->Put("other", std::to_string(change));
+  }
+  Configure(5, RouteTo("s1", "/old/"));
+  for (const Daemon& daemon : daemons) {
+    ASSERT_TRUE(WaitUntil([&] {
+      return AwaitCall(MakeCall(daemon, "/old/1", "o")).status == http::kOk;
+    }));
+  }
+  store_->RestoreCopy();
+  // The operator writes again what was lost, and then a change.
+  Configure(5, RouteTo("s1", "/old/"));
+  Configure(8, RouteTo("s2", "/new/"));
+  const auto written = std::chrono::steady_clock::now();
+  for (const Daemon& daemon : daemons) {
+    EXPECT_TRUE(WaitUntil(
+        [&] {
+          return AwaitCall(MakeCall(daemon, "/new/1", "n")).status == http::kOk;
+        },
+        kInForceBound));
+  }
+  RecordProperty("in_force_after_ms",
+                 std::to_string((std::chrono::steady_clock::now() - written) /
+                                std::chrono::milliseconds(1)));
+}
+
 // Keys that no leaf wrote, some over the entry of a leaf: that leaf is out of
 // use, all others hold, and what changes later is still learnt.
 TEST_F(OpaqueTest, EntriesOfAnotherWriterNameNoLeafAndHoldNothingUp) {
--- a/tests/store/follower_test.cc
+++ b/tests/store/follower_test.cc
@@ -64,11 +64,18 @@
   void AnswerList(std::vector<Event> items,
                   std::int64_t revision,
                   bool is_last = true) {
-    std::exchange(list_,
-                  nullptr)(Page{std::move(items), is_last, revision, revision});
+    std::exchange(list_, nullptr)(
+        Page{InEra(std::move(items)), is_last, revision, revision, era_});
   }
   void AnswerWatch(std::vector<Event> events, std::int64_t cursor) {
-    std::exchange(watch_, nullptr)(Changes{std::move(events), cursor});
+    std::exchange(watch_,
+                  nullptr)(Changes{InEra(std::move(events)), cursor, era_});
+  }
+  std::vector<Event> InEra(std::vector<Event> events) const {
+    for (Event& event : events) {
+      event.era = era_;
+    }
+    return events;
   }
   void FailWatch(ErrorCode code) {
     std::exchange(watch_, nullptr)(Failure(code));
@@ -83,6 +90,8 @@
       std::make_shared<base::ManualScheduler>(time_);
   std::function<void(base::Result<Page>)> list_;
   std::function<void(base::Result<Changes>)> watch_;
+  // In which the store answers.
+  std::int64_t era_ = 1;
   int lists_ = 0;
   int watches_ = 0;
   std::string list_after_;
@@ -184,6 +193,30 @@
   EXPECT_FALSE(known_.contains("a"));
 }
 
+// Guards against changes that are dropped because a store that was restored
+// from a copy gives out lower revisions than before.
+TEST_F(FollowerTest, AfterARestoreAChangeWithALowerRevisionCounts) {
+  AnswerList({Write("a", "1", 90), Write("b", "1", 95)}, 100);
+  FailWatch(ErrorCode::kExpired);
+  era_ = 2;
+  AnswerList({Write("a", "1", 40)}, 60);
+  AnswerWatch({Write("a", "2", 61), Write("b", "2", 62)}, 62);
+  EXPECT_EQ(known_["a"], "2");
+  EXPECT_EQ(known_["b"], "2");
+}
+
+// Guards against keys that are believed in for ever because the write that the
+// restored store has lost has a higher revision than its reading.
+TEST_F(FollowerTest, AKeyThatWasLostInARestoreGoes) {
+  AnswerList({Write("a", "1", 40), Write("b", "1", 95)}, 100);
+  FailWatch(ErrorCode::kExpired);
+  era_ = 2;
+  AnswerList({Write("a", "1", 40)}, 60);
+  Advance(2'600);
+  EXPECT_TRUE(known_.contains("a"));
+  EXPECT_FALSE(known_.contains("b"));
+}
+
 TEST_F(FollowerTest, AfterStopNothingIsAsked) {
   AnswerList({}, 5);
   follower_->Stop();
