--- a/emulator/hosted/hosted_store.cc
+++ b/emulator/hosted/hosted_store.cc
@@ -81,6 +81,10 @@
   });
 }
 
+void HostedStore::GiveOutLease() {
+  runner_.Post([this] { content_.leases.insert(content_.next_lease++); });
+}
+
 Response HostedStore::MakeJson(Status status, const std::string& body) const {
   Response response(status, kHttpVersion);
   response.set(boost::beast::http::field::content_type, "application/json");
@@ -185,7 +189,8 @@
     const auto bytes =
         utility::conversions::from_base64(write.at("value").as_string());
     Change(write.at("key").as_string(),
-           {std::string(bytes.begin(), bytes.end()), 0, false});
+           {std::string(bytes.begin(), bytes.end()), 0, false, false,
+            write.at("lease").as_number().to_int64()});
   }
   respond(MakeJson(Status::ok,
                    R"({"rev":)" + std::to_string(content_.revision) + "}"));
@@ -230,6 +235,12 @@
   return row != content_.rows.end() && !row->second.is_removed;
 }
 
+std::int64_t HostedStore::LeaseOf(const std::string& key) const {
+  const std::lock_guard lock(mutex_);
+  const auto row = content_.rows.find(key);
+  return row == content_.rows.end() ? 0 : row->second.lease;
+}
+
 void HostedStore::AnswerWatches() {
   if (is_silent_) {
     return;
--- a/emulator/hosted/hosted_store.h
+++ b/emulator/hosted/hosted_store.h
@@ -42,9 +42,13 @@
   // is lost, and its revisions and leases are given out again. All connections
   // are cut.
   void RestoreCopy();
+  // Gives the next lease out to somebody else.
+  void GiveOutLease();
 
   // Whether somebody has written the key.
   bool Holds(const std::string& key) const;
+  // The lease under which the key was written last; zero if there is none.
+  std::int64_t LeaseOf(const std::string& key) const;
 
   // Calls so far, without renewals.
   int calls() const { return calls_; }
@@ -57,6 +61,7 @@
     std::int64_t revision = 0;
     bool is_removed = false;
     bool is_unreadable = false;
+    std::int64_t lease = 0;
   };
   // What a copy holds.
   struct Content {
--- a/src/cli/store_write.cc
+++ b/src/cli/store_write.cc
@@ -23,7 +23,8 @@
                              const std::string& value) {
   boost::asio::io_context context;
   const base::TaskRunner runner(context);
-  platform::StoreCalls calls(context, runner, {address, kTimeout}, base::Log());
+  platform::StoreCalls calls(
+      context, runner, {address, kTimeout}, [](std::int64_t) {}, base::Log());
   base::Status result =
       base::MakeError(base::ErrorCode::kTimeout, base::Step::kWriteStore,
                       address, "no answer in time");
--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -115,6 +115,7 @@
           control,
           store,
           blackboard,
+          [] {},
           log)),
       news_server_(std::make_shared<relay::NewsServer>(
           known_,
@@ -149,10 +150,11 @@
           std::move(random),
           control,
           news_->source(),
-          [this](std::int64_t revision) { known_.DidList(revision); },
+          [this](const store::Position& position) { known_.DidList(position); },
           [this](const std::vector<store::Event>& events) {
             DidChange(events);
           },
+          [this](const store::Position& position) { DidReach(position); },
           log)) {}
 
 void StoreControllers::Start() {
@@ -190,10 +192,19 @@
   registration_->Publish();
   CheckReadiness();
   known_.Append(events);
-  blackboard_.store.Write({known_.era(), known_.revision()});
   news_server_->DidAppend();
 }
 
+void StoreControllers::DidReach(const store::Position& position) {
+  const bool is_restored = position.era > known_.position().era;
+  known_.DidReach(position);
+  blackboard_.store.Write(known_.position());
+  if (is_restored) {
+    // Those that follow this daemon learn of the era even if nothing changed.
+    news_server_->DidAppend();
+  }
+}
+
 void StoreControllers::DidChangeLeaf(const std::string& id,
                                      const store::Event& event) {
   if (!event.value) {
--- a/src/daemon/store_controllers.h
+++ b/src/daemon/store_controllers.h
@@ -44,10 +44,13 @@
   // Called on the control thread.
   void Start();
   void Stop();
+  // The store named its era in an answer to any call.
+  void DidSeeEra(std::int64_t era) { news_->DidSeeEra(era); }
   quarantine::VerdictController& verdicts() { return *verdicts_; }
 
  private:
   void DidChange(const std::vector<store::Event>& events);
+  void DidReach(const store::Position& position);
   void DidChangeLeaf(const std::string& id, const store::Event& event);
   void DidChangeConfiguration(const store::Event& event);
   // Makes the daemon ready once it knows routes and has read the whole store.
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -144,10 +144,12 @@
   Impl(boost::asio::io_context& context,
        base::TaskRunner control,
        StoreCallsSettings settings,
+       std::function<void(std::int64_t era)> did_see_era,
        base::Log log)
       : context_(context),
         control_(std::move(control)),
         settings_(std::move(settings)),
+        did_see_era_(std::move(did_see_era)),
         log_(std::move(log)) {}
 
   void Call(http::verb method,
@@ -168,6 +170,7 @@
   boost::asio::io_context& context_;
   const base::TaskRunner control_;
   const StoreCallsSettings settings_;
+  const std::function<void(std::int64_t era)> did_see_era_;
   const base::Log log_;
   std::list<std::shared_ptr<http1::ClientConnection>> connections_;
 };
@@ -225,6 +228,9 @@
       done(response.error());
       return;
     }
+    if (const std::int64_t era = DecodeEra(response.value()); era != 0) {
+      self->did_see_era_(era);
+    }
     done(self->Decode(response.value()));
   };
   http1::Start(Connect(), control_, std::move(exchange));
@@ -266,10 +272,12 @@
 StoreCalls::StoreCalls(boost::asio::io_context& context,
                        base::TaskRunner control,
                        StoreCallsSettings settings,
+                       std::function<void(std::int64_t era)> did_see_era,
                        base::Log log)
     : impl_(std::make_shared<Impl>(context,
                                    std::move(control),
                                    std::move(settings),
+                                   std::move(did_see_era),
                                    std::move(log))) {}
 
 StoreCalls::~StoreCalls() = default;
@@ -296,27 +304,27 @@
   source.watch = [impl = impl_, encode](const std::string& prefix,
                                         std::int64_t after, base::Duration wait,
                                         auto done) {
-    impl->Call(http::verb::get,
-               "/kv-watch?prefix=" + encode(prefix) +
-                   "&after=" + std::to_string(after) +
-                   "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
-               "", wait + impl->settings().timeout,
-               [impl, done](const Result<Answer>& answer) {
-                 if (!answer.is_ok()) {
-                   done(answer.error());
-                   return;
-                 }
-                 auto events =
-                     DecodeEvents(answer.value(), "events", impl->log());
-                 const auto revision =
-                     ReadInteger(*answer.value().body, "current_rev");
-                 if (!events || !revision) {
-                   done(Malformed(impl->settings().address));
-                   return;
-                 }
-                 done(store::Changes{std::move(*events), *revision,
-                                     answer.value().era});
-               });
+    impl->Call(
+        http::verb::get,
+        "/kv-watch?prefix=" + encode(prefix) +
+            "&after=" + std::to_string(after) +
+            "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
+        "", wait + impl->settings().timeout,
+        [impl, done](const Result<Answer>& answer) {
+          if (!answer.is_ok()) {
+            done(answer.error());
+            return;
+          }
+          auto events = DecodeEvents(answer.value(), "events", impl->log());
+          const auto revision =
+              ReadInteger(*answer.value().body, "current_rev");
+          if (!events || !revision) {
+            done(Malformed(impl->settings().address));
+            return;
+          }
+          done(store::Changes{
+              std::move(*events), *revision, {answer.value().era, *revision}});
+        });
   };
   source.open_lease = [impl = impl_](base::Duration time_to_live, auto done) {
     auto body = value::object();
--- a/src/platform/store_calls.h
+++ b/src/platform/store_calls.h
@@ -4,6 +4,7 @@
 #define MEDLARSPREAD_PLATFORM_STORE_CALLS_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -23,13 +24,15 @@
   base::Duration timeout = base::Milliseconds(1'000);
 };
 
-// Calls share kept connections; none is sent twice. Runs on the control
-// thread.
+// Calls share kept connections; none is sent twice. Each answer that names the
+// store's era, also one that turns the call away, is told to `did_see_era`
+// before the call's own callback. Runs on the control thread.
 class StoreCalls {
  public:
   StoreCalls(boost::asio::io_context& context,
              base::TaskRunner control,
              StoreCallsSettings settings,
+             std::function<void(std::int64_t era)> did_see_era,
              base::Log log);
   ~StoreCalls();
 
--- a/src/relay/news_server.cc
+++ b/src/relay/news_server.cc
@@ -21,20 +21,41 @@
   return response;
 }
 
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
+  std::int64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 // The number behind the prefix, if the target is one of that kind.
 std::optional<std::int64_t> ParseNumber(std::string_view target,
                                         std::string_view prefix) {
   if (!target.starts_with(prefix)) {
     return std::nullopt;
   }
-  std::int64_t number = 0;
-  const char* end = target.data() + target.size();
-  const auto parsed =
-      std::from_chars(target.data() + prefix.size(), end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
+  return ParseNumber(target.substr(prefix.size()));
+}
+
+std::optional<store::Position> ParsePosition(std::string_view target) {
+  const std::string_view prefix = kPositionPrefix;
+  if (!target.starts_with(prefix)) {
     return std::nullopt;
   }
-  return number;
+  const std::string_view text = target.substr(prefix.size());
+  const auto dot = text.find('.');
+  if (dot == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto era = ParseNumber(text.substr(0, dot));
+  const auto revision = ParseNumber(text.substr(dot + 1));
+  if (!era || !revision) {
+    return std::nullopt;
+  }
+  return store::Position{*era, *revision};
 }
 
 }  // namespace
@@ -64,8 +85,12 @@
     respond(Render(log_.Everything()));
     return [] {};
   }
+  if (const auto position = ParsePosition(target)) {
+    respond(RenderKnown(log_.ChangesSince(*position)));
+    return [] {};
+  }
   if (const auto revision = ParseNumber(target, kRevisionPrefix)) {
-    respond(RenderKnown(log_.ChangesSinceRevision(*revision)));
+    respond(RenderSinceRevision(*revision));
     return [] {};
   }
   const auto follower = request.find(kFollowerField);
@@ -114,6 +139,15 @@
   return RenderKnown(log_.ChangesAfter(cursor));
 }
 
+http1::Response NewsServer::RenderSinceRevision(std::int64_t revision) const {
+  const store::Position& known = log_.position();
+  // A higher one is of an era before this one.
+  if (revision > known.revision) {
+    return RenderKnown(std::nullopt);
+  }
+  return RenderKnown(log_.ChangesSince({known.era, revision}));
+}
+
 http1::Response NewsServer::RenderKnown(
     std::optional<std::vector<store::Event>> changes) const {
   if (!changes) {
@@ -124,12 +158,10 @@
 
 http1::Response NewsServer::Render(std::vector<store::Event> events) const {
   const Freshness freshness = freshness_().value_or(Freshness{});
-  return MakeResponse(http1::Status::ok,
-                      EncodeNews({std::move(events),
-                                  {log_.era(), log_.revision()},
-                                  log_.cursor(),
-                                  freshness.age,
-                                  freshness.is_direct}));
+  return MakeResponse(
+      http1::Status::ok,
+      EncodeNews({std::move(events), log_.position(), log_.cursor(),
+                  freshness.age, freshness.is_direct}));
 }
 
 }  // namespace medlarspread::relay
--- a/src/relay/news_server.h
+++ b/src/relay/news_server.h
@@ -22,7 +22,10 @@
 // Where news are asked for. Without a cursor all keys are meant.
 constexpr const char* kNewsTarget = "/news";
 constexpr const char* kCursorPrefix = "/news?cursor=";
-// Where is asked for what has changed since a revision of the store.
+// Where is asked for what has changed since a position of the store: the era, a
+// dot and the revision.
+constexpr const char* kPositionPrefix = "/news?position=";
+// Where daemons of an earlier version ask the same; they know no eras.
 constexpr const char* kRevisionPrefix = "/news?revision=";
 // Where is asked how old the news are; the answer holds none.
 constexpr const char* kFreshnessTarget = "/freshness";
@@ -65,6 +68,8 @@
   };
 
   http1::Response RenderChanges(std::int64_t cursor) const;
+  // For daemons that know no eras.
+  http1::Response RenderSinceRevision(std::int64_t revision) const;
   // The changes, or that they are not all known.
   http1::Response RenderKnown(
       std::optional<std::vector<store::Event>> changes) const;
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -7,6 +7,7 @@
 
 #include "src/http1/caller_listener.h"
 #include "src/http1/timed_exchange.h"
+#include "src/store/restore_guard.h"
 
 namespace medlarspread::relay {
 
@@ -36,7 +37,7 @@
 constexpr const char* kStaleStore = "stale";
 
 base::Duration TimeoutOf(const std::string& target) {
-  if (target == kNewsTarget || target.starts_with(kRevisionPrefix)) {
+  if (target == kNewsTarget || target.starts_with(kPositionPrefix)) {
     return kListTimeout;
   }
   return target == kFreshnessTarget ? kPeerMargin : kNewsWait + kPeerMargin;
@@ -69,12 +70,14 @@
                        base::TaskRunner control,
                        store::EventSource store,
                        const blackboard::Blackboard& blackboard,
+                       std::function<void()> did_restore_store,
                        base::Log log)
     : settings_(std::move(settings)),
       context_(context),
       clock_(clock),
       control_(std::move(control)),
-      store_(std::move(store)),
+      store_(store::GuardAgainstRestore(std::move(store))),
+      did_restore_store_(std::move(did_restore_store)),
       log_(std::move(log)),
       started_(clock_.Now()),
       choice_(settings_.places, std::move(clock), blackboard) {}
@@ -113,13 +116,58 @@
   if (place_ != kStore || !watch_) {
     return;
   }
-  const auto done = std::exchange(*watch_, nullptr);
-  watch_.reset();
-  if (done) {
-    DidFail(kStore, error);
-    done(base::MakeError(ErrorCode::kTimeout, Step::kWatchStore, error.peer,
-                         "given up after a failed renewal"));
+  DidFail(kStore, error);
+  GiveUpWatch(base::MakeError(ErrorCode::kTimeout, Step::kWatchStore,
+                              error.peer, "given up after a failed renewal"));
+}
+
+void NewsSource::GiveUpWatch(const base::Error& error) {
+  const auto watch = std::exchange(watch_, nullptr);
+  if (const auto done = watch ? std::exchange(*watch, nullptr) : nullptr) {
+    done(error);
+  }
+}
+
+void NewsSource::DidSeeEra(std::int64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  const std::int64_t before = std::exchange(era_, era);
+  if (before == 0) {
+    return;
+  }
+  log_.Write({.level = base::LogLevel::kWarning,
+              .step = Step::kWatchStore,
+              .message = "the store was restored from a copy: era " +
+                         std::to_string(era) + " after " +
+                         std::to_string(before)});
+  did_restore_store_();
+  if (place_ == kStore) {
+    GiveUpWatch(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, "",
+                                "the store was restored from a copy"));
+  }
+}
+
+std::optional<base::Error> NewsSource::CheckEra(const std::string& peer,
+                                                News& news) {
+  if (news.position.era == 0) {
+    // A peer of an earlier version tells no era.
+    news.position.era = era_;
+    for (store::Event& event : news.events) {
+      event.era = era_;
+    }
+  }
+  DidSeeEra(news.position.era);
+  if (news.position.era == era_) {
+    return std::nullopt;
   }
+  auto error = base::MakeError(
+      ErrorCode::kUnavailable, Step::kWatchStore, peer,
+      "it knows the store of era " + std::to_string(news.position.era) +
+          ", now it is in era " + std::to_string(era_));
+  choice_.DidGrowOld(peer);
+  log_.DidFail(error, "looking for later news");
+  return error;
 }
 
 std::optional<Freshness> NewsSource::freshness() const {
@@ -210,6 +258,9 @@
        [self = shared_from_this(), is_stale, is_first_page,
         done = std::move(done)](base::Result<store::Page> page) {
          self->has_read_ = self->has_read_ || page.is_ok();
+         if (page.is_ok()) {
+           self->DidSeeEra(page.value().era);
+         }
          if (!page.is_ok()) {
            self->DidFail(kStore, page.error());
          } else if (is_stale) {
@@ -218,12 +269,12 @@
            // and what came in between would be taken for known or removed.
            page.value().revision = LatestRevision(page.value().items);
            page.value().cursor = page.value().revision;
-           self->safe_revision_.DidHearFromStore(page.value().revision);
+           self->safe_position_.DidHearFromStore(page.value().position());
          } else {
            self->place_ = kStore;
            self->DidReachStore();
            if (is_first_page) {
-             self->safe_revision_.DidHearFromStore(page.value().revision);
+             self->safe_position_.DidHearFromStore(page.value().position());
            }
          }
          done(std::move(page));
@@ -239,12 +290,15 @@
           done(news.error());
           return;
         }
+        if (const auto error = self->CheckEra(peer, news.value())) {
+          done(*error);
+          return;
+        }
         self->place_ = peer;
         self->has_read_ = true;
         self->reached_store_ = self->clock_.Now() - news.value().age;
         const store::Position& position = news.value().position;
-        self->safe_revision_.DidHearFromPeer(position.revision,
-                                             self->clock_.Now());
+        self->safe_position_.DidHearFromPeer(position, self->clock_.Now());
         done(store::Page{std::move(news.value().events), true,
                          position.revision, news.value().cursor, position.era});
       });
@@ -296,17 +350,18 @@
     done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, peer,
                          "reading the store from another place: " + why));
   };
-  const auto revision = safe_revision_.At(clock_.Now());
-  if (!revision) {
-    control_.Post([list_instead] { list_instead("no revision is safe"); });
+  const auto position = safe_position_.At(clock_.Now());
+  if (!position) {
+    control_.Post([list_instead] { list_instead("no position is safe"); });
     return;
   }
-  Ask(peer, kRevisionPrefix + std::to_string(*revision),
+  Ask(peer,
+      kPositionPrefix + std::to_string(position->era) + "." +
+          std::to_string(position->revision),
       [self = shared_from_this(), peer, list_instead,
        done](base::Result<News> news) {
         if (news.is_ok()) {
-          self->place_ = peer;
-          self->DidHear(peer, std::move(news.value()), done);
+          self->DidMoveTo(peer, std::move(news.value()), done);
           return;
         }
         // The peer knows too little, or it is of an earlier version.
@@ -320,22 +375,34 @@
       });
 }
 
+void NewsSource::DidMoveTo(const std::string& peer,
+                           News news,
+                           const WatchCallback& done) {
+  if (const auto error = CheckEra(peer, news)) {
+    done(*error);
+    return;
+  }
+  place_ = peer;
+  DidHear(peer, std::move(news), done);
+}
+
 void NewsSource::DidHear(const std::string& peer,
                          News news,
                          const WatchCallback& done) {
   (void)Check(peer, news);
   reached_store_ = clock_.Now() - news.age;
-  safe_revision_.DidHearFromPeer(news.position.revision, clock_.Now());
-  done(store::Changes{std::move(news.events), news.cursor, news.position.era});
+  safe_position_.DidHearFromPeer(news.position, clock_.Now());
+  done(store::Changes{std::move(news.events), news.cursor, news.position});
 }
 
 void NewsSource::Scout(const std::string& peer,
                        std::function<void(bool should_read)> done) {
   Ask(peer, kFreshnessTarget,
       [self = shared_from_this(), peer,
-       done = std::move(done)](const base::Result<News>& news) {
+       done = std::move(done)](base::Result<News> news) {
         if (news.is_ok()) {
-          done(!self->Check(peer, news.value()));
+          done(!self->CheckEra(peer, news.value()) &&
+               !self->Check(peer, news.value()));
           return;
         }
         // A peer of an earlier version does not know the question.
@@ -361,6 +428,11 @@
                                news.error().ToString()));
           return;
         }
+        if (const auto error = self->CheckEra(peer, news.value())) {
+          done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, peer,
+                               error->ToString()));
+          return;
+        }
         self->DidHear(peer, std::move(news.value()), done);
       });
 }
@@ -392,7 +464,7 @@
     return;
   }
   DidReachStore();
-  safe_revision_.DidHearFromStore(changes.value().cursor);
+  safe_position_.DidHearFromStore(changes.value().position);
   if (!changes.value().events.empty()) {
     rest_until_ = clock_.Now() + kGather;
   }
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -9,9 +9,16 @@
 //   2. Everything is read from the best place, and changes from there on.
 //   3. When another place looks better, it is asked first how old its news are.
 //      Only if they are young, news go on from there: a peer tells what changed
-//      since the revision up to which nothing is missing here, so that a change
+//      since the position up to which nothing is missing here, so that a change
 //      of place or a restart costs the changes of some seconds and not
 //      everything. Everything is read anew if the peer does not know that much.
+//
+// The store may be restored from a copy and is then in a later era
+// (store::Position). Any answer of the store or of a peer may tell so first;
+// the reading of the store begins anew at once, and a peer that is still in an
+// earlier era is no place to read from.
+//
+// Invariant: the era of what is passed on never goes back.
 
 #ifndef MEDLARSPREAD_RELAY_NEWS_SOURCE_H_
 #define MEDLARSPREAD_RELAY_NEWS_SOURCE_H_
@@ -31,7 +38,7 @@
 #include "src/relay/news_codec.h"
 #include "src/relay/news_server.h"
 #include "src/relay/place_choice.h"
-#include "src/relay/safe_revision.h"
+#include "src/relay/safe_position.h"
 #include "src/store/event_source.h"
 
 namespace medlarspread::relay {
@@ -54,6 +61,7 @@
              base::TaskRunner control,
              store::EventSource store,
              const blackboard::Blackboard& blackboard,
+             std::function<void()> did_restore_store,
              base::Log log);
 
   // `list` and `watch` go to the best place; the rest to the store.
@@ -69,6 +77,8 @@
   // The store did not answer a renewal. A watch that waits may have been lost
   // with it, and would be silent also after the store's return: it is given up.
   void DidFailToRenew(const base::Error& error);
+  // The store named its era in an answer to any call.
+  void DidSeeEra(std::int64_t era);
   // Absent if no place has answered yet.
   std::optional<Freshness> freshness() const;
   // Where the last reading came from, for logs: "the store", "the store,
@@ -81,6 +91,11 @@
 
   void DidReachStore();
   void DidFail(const std::string& place, const base::Error& error);
+  // Ends the watch of the store that waits, if one does.
+  void GiveUpWatch(const base::Error& error);
+  // Why news of the peer are of no use, if they are not: it has not heard yet
+  // that the store was restored. Notes which era the peer is in.
+  std::optional<base::Error> CheckEra(const std::string& peer, News& news);
   // Why news from the place are not taken, if they are not; notes it.
   std::optional<base::Error> Check(const std::string& place, const News& news);
   void List(const std::string& prefix,
@@ -101,8 +116,9 @@
   // Asks the peer how old its news are before it is read from.
   void Scout(const std::string& peer,
              std::function<void(bool should_read)> done);
-  // Goes on with what the peer knows beyond `safe_revision_`.
+  // Goes on with what the peer knows beyond `safe_position_`.
   void MoveTo(const std::string& peer, WatchCallback done);
+  void DidMoveTo(const std::string& peer, News news, const WatchCallback& done);
   void DidHear(const std::string& peer, News news, const WatchCallback& done);
   void WatchPeer(const std::string& peer,
                  std::int64_t cursor,
@@ -123,6 +139,8 @@
   const base::Clock clock_;
   const base::TaskRunner control_;
   const store::EventSource store_;
+  // Told when the store was found to be in a later era than before.
+  const std::function<void()> did_restore_store_;
   const base::Log log_;
   const base::MonotonicTime started_;
   PlaceChoice choice_;
@@ -136,7 +154,9 @@
   std::string listing_;
   // Set once a place was found to be worth reading from.
   std::optional<std::string> next_place_;
-  SafeRevision safe_revision_;
+  SafePosition safe_position_;
+  // The latest that the store or a peer has named; zero if none has.
+  std::int64_t era_ = 0;
   // Whether anything was read yet.
   bool has_read_ = false;
   // Whether the second reading that may be old was made.
--- a/src/relay/safe_revision.h
+++ b/src/relay/safe_position.h
@@ -1,45 +1,46 @@
-// From which revision of the store on a daemon may ask another place for
+// From which position of the store on a daemon may ask another place for
 // changes and miss nothing.
 //
-// What the store itself told is whole up to its revision. A peer may hold a
+// What the store itself told is whole up to its position. A peer may hold a
 // removal back for some seconds after an outage (store::Follower), so that its
 // revision is ahead of what it has told: it counts once that time is over.
 //
 // Pure bookkeeping; calls come from one sequence.
 
-#ifndef MEDLARSPREAD_RELAY_SAFE_REVISION_H_
-#define MEDLARSPREAD_RELAY_SAFE_REVISION_H_
+#ifndef MEDLARSPREAD_RELAY_SAFE_POSITION_H_
+#define MEDLARSPREAD_RELAY_SAFE_POSITION_H_
 
 #include <algorithm>
-#include <cstdint>
 #include <deque>
 #include <optional>
 #include <utility>
 
 #include "src/base/clock.h"
+#include "src/store/position.h"
 
 namespace medlarspread::relay {
 
-class SafeRevision {
+class SafePosition {
  public:
-  void DidHearFromStore(std::int64_t revision) { Raise(revision); }
-  void DidHearFromPeer(std::int64_t revision, base::MonotonicTime now) {
-    heard_.emplace_back(now, revision);
+  void DidHearFromStore(const store::Position& position) { Raise(position); }
+  void DidHearFromPeer(const store::Position& position,
+                       base::MonotonicTime now) {
+    heard_.emplace_back(now, position);
     Settle(now);
   }
 
   // Absent if nothing is known that well yet.
-  std::optional<std::int64_t> At(base::MonotonicTime now) {
+  std::optional<store::Position> At(base::MonotonicTime now) {
     Settle(now);
-    return revision_;
+    return position_;
   }
 
  private:
   // Twice as long as a follower holds removals back.
   static constexpr base::Duration kSettled = base::Milliseconds(5'000);
 
-  void Raise(std::int64_t revision) {
-    revision_ = std::max(revision_.value_or(revision), revision);
+  void Raise(const store::Position& position) {
+    position_ = std::max(position_.value_or(position), position);
   }
 
   void Settle(base::MonotonicTime now) {
@@ -49,12 +50,12 @@
     }
   }
 
-  std::optional<std::int64_t> revision_;
+  std::optional<store::Position> position_;
   // What peers told, oldest first; none is older than kSettled. News come once
   // or twice a second.
-  std::deque<std::pair<base::MonotonicTime, std::int64_t>> heard_;
+  std::deque<std::pair<base::MonotonicTime, store::Position>> heard_;
 };
 
 }  // namespace medlarspread::relay
 
-#endif  // MEDLARSPREAD_RELAY_SAFE_REVISION_H_
+#endif  // MEDLARSPREAD_RELAY_SAFE_POSITION_H_
--- a/src/store/event_log.cc
+++ b/src/store/event_log.cc
@@ -24,10 +24,9 @@
       removals_.erase(event.key);
     } else {
       items_.erase(event.key);
-      removals_[event.key] = event.revision;
+      removals_[event.key] = event.position();
     }
-    revision_ = std::max(revision_, event.revision);
-    era_ = std::max(era_, event.era);
+    DidReach(event.position());
     changes_.emplace_back(++cursor_, event);
   }
   while (changes_.size() > kMostChanges) {
@@ -37,9 +36,13 @@
   DropOldRemovals();
 }
 
-void EventLog::DidList(std::int64_t revision) {
+void EventLog::DidList(const Position& position) {
   removals_known_since_ =
-      std::max(removals_known_since_.value_or(revision), revision);
+      std::max(removals_known_since_.value_or(position), position);
+}
+
+void EventLog::DidReach(const Position& position) {
+  position_ = std::max(position_, position);
 }
 
 void EventLog::DropOldRemovals() {
@@ -54,25 +57,27 @@
   }
 }
 
-std::optional<std::vector<Event>> EventLog::ChangesSinceRevision(
-    std::int64_t revision) const {
-  if (!removals_known_since_ || revision < *removals_known_since_) {
+std::optional<std::vector<Event>> EventLog::ChangesSince(
+    const Position& position) const {
+  if (position.era != position_.era || !removals_known_since_ ||
+      position < *removals_known_since_) {
     return std::nullopt;
   }
   std::vector<Event> events;
   for (const auto& [key, event] : items_) {
-    if (event.revision > revision) {
+    if (event.position() > position) {
       events.push_back(event);
     }
   }
   for (const auto& [key, removed_at] : removals_) {
-    if (removed_at > revision) {
-      events.push_back({key, std::nullopt, removed_at});
+    if (removed_at > position) {
+      events.push_back(
+          {key, std::nullopt, removed_at.revision, removed_at.era});
     }
   }
   std::stable_sort(events.begin(), events.end(),
                    [](const Event& left, const Event& right) {
-                     return left.revision < right.revision;
+                     return left.position() < right.position();
                    });
   return events;
 }
--- a/src/store/event_log.h
+++ b/src/store/event_log.h
@@ -25,44 +25,43 @@
       : forgotten_(first_cursor), cursor_(first_cursor) {}
 
   void Append(const std::vector<Event>& events);
-  // Everything was read as it was at that revision of the store. What came and
+  // Everything was read as it was at that position of the store. What came and
   // went before it was never heard of.
-  void DidList(std::int64_t revision);
+  void DidList(const Position& position);
+  // All changes up to that position have been appended.
+  void DidReach(const Position& position);
 
   // All keys.
   std::vector<Event> Everything() const;
   // The changes after `cursor`; absent if they are no longer all known.
   std::optional<std::vector<Event>> ChangesAfter(std::int64_t cursor) const;
-  // What somebody lacks who knows the store as it was at that revision: the
+  // What somebody lacks who knows the store as it was at that position: the
   // keys written since, and those removed. Absent if not all removals since
-  // then are known.
-  std::optional<std::vector<Event>> ChangesSinceRevision(
-      std::int64_t revision) const;
+  // then are known, or if the store has been restored between there and here.
+  std::optional<std::vector<Event>> ChangesSince(
+      const Position& position) const;
 
   // Names the last change.
   std::int64_t cursor() const { return cursor_; }
-  // The highest revision of the store among all changes.
-  std::int64_t revision() const { return revision_; }
-  // The latest era among all changes.
-  std::int64_t era() const { return era_; }
+  // Up to where the store is known.
+  const Position& position() const { return position_; }
 
  private:
   void DropOldRemovals();
 
   std::map<std::string, Event> items_;
-  // Keys that are gone and the revisions at which they went.
-  std::map<std::string, std::int64_t> removals_;
-  // All removals at later revisions are in `removals_`; absent before the first
+  // Keys that are gone and the positions at which they went.
+  std::map<std::string, Position> removals_;
+  // All removals at later positions are in `removals_`; absent before the first
   // reading.
-  std::optional<std::int64_t> removals_known_since_;
+  std::optional<Position> removals_known_since_;
   // By cursor, in the order in which they were appended. That is not always
   // the order of their revisions: a removal may be told of late.
   std::deque<std::pair<std::int64_t, Event>> changes_;
   // Changes up to this cursor have left `changes_`.
   std::int64_t forgotten_;
   std::int64_t cursor_;
-  std::int64_t revision_ = 0;
-  std::int64_t era_ = 0;
+  Position position_;
 };
 
 }  // namespace medlarspread::store
--- a/src/store/event_source.h
+++ b/src/store/event_source.h
@@ -55,8 +55,8 @@
   std::vector<Event> events;
   // From where to watch on.
   std::int64_t cursor = 0;
-  // In which the store, or the sender, was when it answered.
-  std::int64_t era = 0;
+  // Up to where whoever answered knew the store.
+  Position position;
 };
 
 struct Lease {
@@ -67,7 +67,8 @@
 struct EventSource {
   // The keys after `after`, in order. kUnreachable, kConnectionLost and
   // kTimeout: the store did not answer; kUnavailable and kOverloaded: it
-  // turned the call away.
+  // turned the call away; kExpired: the store was restored since the first page
+  // was read.
   std::function<void(std::string prefix,
                      std::string after,
                      std::function<void(base::Result<Page>)>)>
@@ -79,7 +80,8 @@
                      std::function<void(base::Result<Page>)>)>
       list_stale;
   // Calls back at the first change after `cursor`, or with none after `wait`.
-  // kExpired: the changes since then are no longer known; list again.
+  // kExpired: the changes since then are no longer known, or not known to be
+  // all of them; list again.
   std::function<void(std::string prefix,
                      std::int64_t cursor,
                      base::Duration wait,
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -3,6 +3,7 @@
 #include "src/store/follower.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace medlarspread::store {
@@ -47,6 +48,7 @@
                    EventSource source,
                    DidListAt did_list,
                    DidChange did_change,
+                   DidReach did_reach,
                    base::Log log)
     : settings_(settings),
       clock_(std::move(clock)),
@@ -55,6 +57,7 @@
       source_(std::move(source)),
       did_list_(std::move(did_list)),
       did_change_(std::move(did_change)),
+      did_reach_(std::move(did_reach)),
       log_(std::move(log)) {}
 
 void Follower::Start() {
@@ -67,7 +70,7 @@
 
 void Follower::ListFromStart() {
   listed_.clear();
-  list_revision_ = 0;
+  list_position_.reset();
   List("");
 }
 
@@ -85,15 +88,28 @@
   if (is_stopped_) {
     return;
   }
-  if (!page.is_ok()) {
+  if (!page.is_ok() && page.error().code != ErrorCode::kExpired) {
     DidFail(page.error(), clock_.Now());
     Again(base::Duration{}, &Follower::ListFromStart);
     return;
   }
   DidSucceed();
-  if (list_revision_ == 0) {
-    list_revision_ = page.value().revision;
-    list_era_ = page.value().era;
+  if (!page.is_ok()) {
+    log_.DidFail(page.error(), "reading from the start");
+    Again(kFirstPause, &Follower::ListFromStart);
+    return;
+  }
+  if (page.value().era < era_) {
+    log_.Write({.level = base::LogLevel::kWarning,
+                .step = Step::kReadStore,
+                .message = "left out a reading at " +
+                           ToString(page.value().position()) + "; era " +
+                           std::to_string(era_) + " is known"});
+    Again(kFirstPause, &Follower::ListFromStart);
+    return;
+  }
+  if (!list_position_) {
+    list_position_ = page.value().position();
     cursor_ = page.value().cursor;
   }
   for (const Event& item : page.value().items) {
@@ -107,31 +123,46 @@
 }
 
 void Follower::DidListAll() {
-  std::vector<Event> events;
-  for (const auto& [key, row] : rows_) {
-    // NOTE: a key written after the first page was read may be newer than the
-    // reading that misses it; the watch from the first page's revision tells
-    // of it again.
-    if (!row.is_removed && !listed_.contains(key) &&
-        row.revision <= list_revision_) {
-      events.push_back({key, std::nullopt, list_revision_});
-    }
-  }
   LogReading(listed_.size());
+  if (is_complete_ && list_position_->era > era_) {
+    log_.Write({.level = base::LogLevel::kWarning,
+                .step = Step::kReadStore,
+                .message = "the store was restored: era " +
+                           std::to_string(list_position_->era) + " after " +
+                           std::to_string(era_)});
+    HoldRemovals();
+  }
+  era_ = list_position_->era;
+  std::vector<Event> events = MissingFromList();
   for (auto& [key, event] : listed_) {
     events.push_back(std::move(event));
   }
   listed_.clear();
   std::stable_sort(events.begin(), events.end(),
                    [](const Event& left, const Event& right) {
-                     return left.revision < right.revision;
+                     return left.position() < right.position();
                    });
   is_complete_ = true;
-  did_list_(list_revision_);
+  did_list_(*list_position_);
   Apply(events);
+  did_reach_(*list_position_);
   Watch();
 }
 
+std::vector<Event> Follower::MissingFromList() const {
+  const Position& position = *list_position_;
+  std::vector<Event> removals;
+  for (const auto& [key, row] : rows_) {
+    // NOTE: a key written after the first page was read may be newer than the
+    // reading that misses it; the watch from the first page's revision tells
+    // of it again.
+    if (!row.is_removed && !listed_.contains(key) && row.position <= position) {
+      removals.push_back({key, std::nullopt, position.revision, position.era});
+    }
+  }
+  return removals;
+}
+
 void Follower::Watch() {
   if (is_stopped_) {
     return;
@@ -164,7 +195,9 @@
   }
   DidSucceed();
   cursor_ = changes.value().cursor;
+  era_ = std::max(era_, changes.value().position.era);
   Apply(changes.value().events);
+  did_reach_(changes.value().position);
   Watch();
 }
 
@@ -175,15 +208,18 @@
   for (const Event& event : events) {
     Row& row = rows_[event.key];
     const bool is_removal = !event.value.has_value();
-    if (event.revision < row.revision ||
-        (event.revision == row.revision && row.is_removed == is_removal)) {
-      if (event.revision < row.revision) {
-        left_out.push_back(event);
-      }
+    if (event.position() < row.position) {
+      left_out.push_back(event);
+      continue;
+    }
+    if (event.position() == row.position && row.is_removed == is_removal) {
       continue;
     }
-    row = {event.revision, is_removal};
     held_.erase(event.key);
+    const Row known = std::exchange(row, RowOf(event));
+    if (IsUnchanged(row, known)) {
+      continue;
+    }
     if (is_removal && is_holding) {
       HoldRemoval(event);
       continue;
@@ -196,11 +232,23 @@
   }
 }
 
+Follower::Row Follower::RowOf(const Event& event) {
+  if (!event.value) {
+    return {event.position(), true, std::nullopt};
+  }
+  return {event.position(), false, std::hash<std::string>{}(*event.value)};
+}
+
+bool Follower::IsUnchanged(const Row& row, const Row& known) {
+  return row.position.era > known.position.era && row.value_hash &&
+         row.value_hash == known.value_hash;
+}
+
 void Follower::LogReading(std::size_t keys) const {
   log_.Write({.level = base::LogLevel::kInfo,
               .step = Step::kReadStore,
               .message = "read " + std::to_string(keys) + " keys at " +
-                         ToString(Position{list_era_, list_revision_})});
+                         ToString(*list_position_)});
 }
 
 void Follower::LogLeftOut(const std::vector<Event>& events) const {
@@ -214,18 +262,30 @@
                          " changes as older than what is known, the last of " +
                          last.key + " at " + ToString(last.position()) +
                          ", known at " +
-                         std::to_string(rows_.at(last.key).revision)});
+                         ToString(rows_.at(last.key).position)});
+}
+
+void Follower::HoldRemovals() {
+  hold_until_ = std::max(hold_until_, clock_.Now() + settings_.hold_removals);
 }
 
 void Follower::HoldRemoval(Event event) {
   if (held_.empty()) {
-    control_.After(hold_until_ - clock_.Now(),
-                   [self = shared_from_this()] { self->ReleaseRemovals(); });
+    ReleaseLater();
   }
   held_[event.key] = std::move(event);
 }
 
+void Follower::ReleaseLater() {
+  control_.After(hold_until_ - clock_.Now(),
+                 [self = shared_from_this()] { self->ReleaseRemovals(); });
+}
+
 void Follower::ReleaseRemovals() {
+  if (clock_.Now() < hold_until_) {
+    ReleaseLater();
+    return;
+  }
   std::vector<Event> removals;
   for (auto& [key, event] : held_) {
     removals.push_back(std::move(event));
@@ -249,7 +309,7 @@
   away_since_ = {};
   failures_ = 0;
   if (outage >= settings_.shortest_outage) {
-    hold_until_ = now + settings_.hold_removals;
+    HoldRemovals();
   }
   log_.Write({.level = base::LogLevel::kInfo,
               .step = Step::kWatchStore,
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -6,12 +6,13 @@
 //   3. If the store no longer knows the changes since then, go to 1. After any
 //      other failure call again after a pause that grows.
 //
-// Invariant: the revision of a key never goes back, whatever order answers
-// come in.
+// Invariant: the position of a key never goes back, whatever order answers
+// come in. After a restore of the store (see Position) everything is read
+// again; its revisions may then be lower than those of the era before.
 //
-// Entries that expired while the store was away are back shortly after its
-// return, if their owner is alive. Until then their removal is held back, so
-// that an outage of the store does not take the leaves away.
+// Entries that expired while the store was away, or that were lost when it was
+// restored, are back shortly after its return, if their owner is alive. Until
+// then their removal is held back, so that neither takes the leaves away.
 //
 // Runs on the control thread.
 
@@ -21,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,7 +39,7 @@
   // out at its end, so this bounds how old the copy can be; each watch costs a
   // call.
   base::Duration watch_wait = base::Milliseconds(5'000);
-  // How long removals are held back after an outage.
+  // How long removals are held back after an outage or a restore.
   base::Duration hold_removals = base::Milliseconds(2'500);
   // An outage shorter than this lets nothing expire.
   base::Duration shortest_outage = base::Milliseconds(2'000);
@@ -47,8 +49,10 @@
  public:
   // Changes that belong together, in the order of their revisions.
   using DidChange = std::function<void(const std::vector<Event>&)>;
-  // Everything was read, as it was at that revision; its changes follow.
-  using DidListAt = std::function<void(std::int64_t revision)>;
+  // Everything was read, as it was at that position; its changes follow.
+  using DidListAt = std::function<void(const Position&)>;
+  // All changes up to that position have been told.
+  using DidReach = std::function<void(const Position&)>;
 
   Follower(FollowerSettings settings,
            base::Clock clock,
@@ -57,6 +61,7 @@
            EventSource source,
            DidListAt did_list,
            DidChange did_change,
+           DidReach did_reach,
            base::Log log);
 
   void Start();
@@ -67,21 +72,31 @@
 
  private:
   struct Row {
-    std::int64_t revision = 0;
+    Position position;
     bool is_removed = false;
+    // Of its value; absent while it has none.
+    std::optional<std::size_t> value_hash;
   };
 
   void List(std::string after);
   void DidList(const base::Result<Page>& page);
   void DidListAll();
+  // The keys that the reading lacks, as removals.
+  std::vector<Event> MissingFromList() const;
   void Watch();
   void DidWatch(base::MonotonicTime began,
                 const base::Result<Changes>& changes);
   void Apply(const std::vector<Event>& events);
+  static Row RowOf(const Event& event);
+  // Whether the row at a later era says what is known of the key already.
+  static bool IsUnchanged(const Row& row, const Row& known);
   void LogReading(std::size_t keys) const;
   // One line for all changes of one answer that were left out.
   void LogLeftOut(const std::vector<Event>& events) const;
+  // Removals that are told within the time from now on are held back.
+  void HoldRemovals();
   void HoldRemoval(Event event);
+  void ReleaseLater();
   void ReleaseRemovals();
   void DidSucceed();
   void DidFail(const base::Error& error, base::MonotonicTime silent_since);
@@ -95,6 +110,7 @@
   const EventSource source_;
   const DidListAt did_list_;
   const DidChange did_change_;
+  const DidReach did_reach_;
   const base::Log log_;
 
   // What is known of each key.
@@ -103,8 +119,10 @@
   std::map<std::string, Event> held_;
   // The reading of pages that is under way.
   std::map<std::string, Event> listed_;
-  std::int64_t list_revision_ = 0;
-  std::int64_t list_era_ = 0;
+  // Of its first page; absent before that.
+  std::optional<Position> list_position_;
+  // The latest that was applied.
+  std::int64_t era_ = 0;
   // From where the watch goes on.
   std::int64_t cursor_ = 0;
   bool is_complete_ = false;
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -20,11 +20,12 @@
 constexpr auto kLongest = std::chrono::seconds(20);
 
 TEST(NewsCodecTest, RoundTrip) {
-  const News news{{{"a", std::string("\0x", 2), 5}, {"b", std::nullopt, 6}},
-                  {2, 6},
-                  42,
-                  Milliseconds(70),
-                  true};
+  const News news{
+      {{"a", std::string("\0x", 2), 5, 2}, {"b", std::nullopt, 6, 1}},
+      {2, 6},
+      42,
+      Milliseconds(70),
+      true};
   const auto decoded = DecodeNews(EncodeNews(news), "peer");
   ASSERT_TRUE(decoded.is_ok());
   EXPECT_EQ(decoded.value().events, news.events);
@@ -36,7 +37,7 @@
 
 TEST(NewsCodecTest, BytesCutShortAreMalformed) {
   const std::string bytes =
-      EncodeNews({{{"a", "value", 5}}, {2, 6}, 42, {}, true});
+      EncodeNews({{{"a", "value", 5}}, {1, 6}, 42, {}, true});
   for (std::size_t size = 0; size + 1 < bytes.size(); ++size) {
     EXPECT_FALSE(DecodeNews(bytes.substr(0, size), "peer").is_ok()) << size;
   }
@@ -80,7 +81,8 @@
     source_ = std::make_shared<NewsSource>(
         NewsSourceSettings{
             {"self", "n1", {}}, "self n1 10.0.0.1:80", first_wait},
-        context_, base::Clock(), runner_, store_, blackboard_, base::Log());
+        context_, base::Clock(), runner_, store_, blackboard_,
+        [this] { ++restores_; }, base::Log());
   }
 
   // Makes the other daemon a member of the domain; the rank decides who reads.
@@ -146,6 +148,8 @@
   base::Duration store_wait_{};
   int asked_ = 0;
   int store_calls_ = 0;
+  // How often the source has said that the store was restored.
+  int restores_ = 0;
   // What askers said of themselves.
   std::vector<std::string> heard_;
 };
@@ -314,7 +318,7 @@
   // The store's own revision may be ahead of a page that is old.
   EXPECT_EQ(page.value().revision, 7);
   AddMembers("n1");
-  log_.DidList(6);
+  log_.DidList({0, 6});
   log_.Append({{"a", "1", 5}, {"b", "1", 7}});
   log_.Append({{"a", std::nullopt, 8}, {"c", "1", 9}});
   const auto changes = Watch(page.value().cursor);
@@ -340,7 +344,7 @@
   MakeSource();
   ASSERT_TRUE(List().is_ok());
   AddMembers("n1");
-  log_.DidList(6);
+  log_.DidList({0, 6});
   log_.Append({{"c", "1", 6}});
   EXPECT_EQ(Watch(5).error().code, ErrorCode::kExpired);
   const auto page = List();
@@ -463,6 +467,120 @@
   EXPECT_TRUE(source_->freshness()->is_direct);
 }
 
+// Guards against a watch that goes on in the restored store, which knows its
+// cursor again: what was written between the copy and there would be missed.
+TEST_F(NewsSourceTest, AWatchThatIsAnsweredInALaterEraIsNotGoneOnWith) {
+  store_page_ = store::Page{{}, true, 7, 7, 1};
+  (void)List();
+  std::optional<base::Result<store::Changes>> changes;
+  source_->source().watch("", 7, Milliseconds(5'000),
+                          [&changes](base::Result<store::Changes> result) {
+                            changes = std::move(result);
+                          });
+  RunUntil([this] { return store_watch_ != nullptr; });
+  std::exchange(store_watch_,
+                nullptr)(store::Changes{{{"a", "1", 9, 2}}, 9, {2, 9}});
+  ASSERT_TRUE(changes.has_value());
+  ASSERT_FALSE(changes->is_ok());
+  EXPECT_EQ(changes->error().code, ErrorCode::kExpired);
+}
+
+// Guards against a daemon that waits for its watch's end although another call
+// was answered by the restored store.
+TEST_F(NewsSourceTest, ALaterEraInAnyAnswerEndsTheWatchThatWaits) {
+  store_page_ = store::Page{{}, true, 7, 7, 1};
+  (void)List();
+  std::optional<base::Result<store::Changes>> changes;
+  source_->source().watch("", 7, Milliseconds(5'000),
+                          [&changes](base::Result<store::Changes> result) {
+                            changes = std::move(result);
+                          });
+  RunUntil([this] { return store_watch_ != nullptr; });
+  source_->DidSeeEra(1);
+  EXPECT_FALSE(changes.has_value());
+  EXPECT_EQ(restores_, 0);
+  source_->DidSeeEra(2);
+  ASSERT_TRUE(changes.has_value());
+  EXPECT_EQ(changes->error().code, ErrorCode::kExpired);
+  EXPECT_EQ(restores_, 1);
+}
+
+TEST_F(NewsSourceTest, AReadingWhosePagesAreOfTwoErasEnds) {
+  store_page_ = store::Page{{{"a", "1", 5, 1}}, false, 7, 7, 1};
+  (void)List();
+  store_page_ = store::Page{{{"b", "1", 5, 2}}, true, 6, 6, 2};
+  std::optional<base::Result<store::Page>> page;
+  source_->source().list("", "a", [&page](base::Result<store::Page> result) {
+    page = std::move(result);
+  });
+  RunUntil([&page] { return page.has_value(); });
+  ASSERT_FALSE(page->is_ok());
+  EXPECT_EQ(page->error().code, ErrorCode::kExpired);
+}
+
+// What a peer has told in the earlier era is gone on with in the later one: its
+// cursor counts its own changes.
+TEST_F(NewsSourceTest, APeerPassesALaterEraOn) {
+  AddMembers("n1");
+  log_.Append({{"a", "1", 90, 1}});
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  EXPECT_EQ(page.value().era, 1);
+  log_.Append({{"a", "2", 40, 2}});
+  const auto changes = Watch(page.value().cursor);
+  ASSERT_TRUE(changes.is_ok()) << changes.error().ToString();
+  EXPECT_EQ(changes.value().events,
+            (std::vector<store::Event>{{"a", "2", 40, 2}}));
+  EXPECT_EQ(restores_, 1);
+}
+
+// Guards against news of the time before a restore, from a daemon that has not
+// heard of it yet.
+TEST_F(NewsSourceTest, APeerThatIsInAnEarlierEraIsNotReadFrom) {
+  AddMembers("n1");
+  log_.Append({{"a", "1", 90, 1}});
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  source_->DidSeeEra(2);
+  const auto changes = Watch(page.value().cursor);
+  ASSERT_FALSE(changes.is_ok());
+  EXPECT_EQ(changes.error().code, ErrorCode::kExpired);
+  // The store is asked instead.
+  store_page_ = store::Page{{{"a", "2", 40, 2}}, true, 50, 50, 2};
+  const auto again = List();
+  ASSERT_TRUE(again.is_ok());
+  EXPECT_EQ(store_calls_, 1);
+}
+
+// Daemons of an earlier version pass no era on; their news count as of now.
+TEST_F(NewsSourceTest, NewsWithoutAnEraAreOfTheOneThatIsKnown) {
+  AddMembers("n1");
+  source_->DidSeeEra(3);
+  log_.Append({{"a", "1", 90}});
+  const auto page = List();
+  ASSERT_TRUE(page.is_ok());
+  EXPECT_EQ(page.value().items, (std::vector<store::Event>{{"a", "1", 90, 3}}));
+}
+
+// Daemons of an earlier version ask for the changes since a revision.
+TEST_F(NewsSourceTest, ARevisionThatIsNotReachedIsOfAnEarlierEra) {
+  log_.DidList({2, 30});
+  log_.Append({{"a", "1", 40, 2}});
+  const auto status_of = [this](const std::string& target) {
+    http1::Request request(boost::beast::http::verb::get, target, 11);
+    std::optional<http1::Status> status;
+    (void)server_->Handle(request, [&status](const http1::Response& response) {
+      status = response.result();
+    });
+    return status;
+  };
+  EXPECT_EQ(status_of("/news?revision=35"), http1::Status::ok);
+  EXPECT_EQ(status_of("/news?revision=90"), http1::Status::gone);
+  EXPECT_EQ(status_of("/news?position=2.35"), http1::Status::ok);
+  EXPECT_EQ(status_of("/news?position=1.35"), http1::Status::gone);
+  EXPECT_EQ(status_of("/news?position=2"), http1::Status::not_found);
+}
+
 TEST_F(NewsSourceTest, ADaemonThatHasReadNothingSaysSo) {
   AddMembers("n1");
   freshness_.reset();
--- a/tests/store/event_log_test.cc
+++ b/tests/store/event_log_test.cc
@@ -19,7 +19,7 @@
   const auto everything = log.Everything();
   ASSERT_EQ(everything.size(), 1U);
   EXPECT_EQ(everything[0].key, "b");
-  EXPECT_EQ(log.revision(), 7);
+  EXPECT_EQ(log.position(), (Position{0, 7}));
 }
 
 TEST(EventLogTest, TellsWhatChangedSinceACursor) {
@@ -50,46 +50,71 @@
 
 TEST(EventLogTest, TellsWhatIsLackingSinceARevision) {
   EventLog log(100);
-  log.DidList(10);
+  log.DidList({0, 10});
   log.Append({{"a", "1", 5}, {"b", "1", 9}});
   log.Append({{"c", "1", 12}, {"a", std::nullopt, 13}, {"b", "2", 14}});
-  const auto lacking = log.ChangesSinceRevision(11);
+  const auto lacking = log.ChangesSince({0, 11});
   ASSERT_TRUE(lacking.has_value());
   EXPECT_EQ(*lacking,
             (std::vector<Event>{
                 {"c", "1", 12}, {"a", std::nullopt, 13}, {"b", "2", 14}}));
-  EXPECT_TRUE(log.ChangesSinceRevision(14)->empty());
+  EXPECT_TRUE(log.ChangesSince({0, 14})->empty());
 }
 
 // What came and went before the first reading was never heard of here, and
 // somebody else may still believe in it.
 TEST(EventLogTest, BeforeTheFirstReadingNotAllRemovalsAreKnown) {
   EventLog log(100);
-  EXPECT_FALSE(log.ChangesSinceRevision(11).has_value());
-  log.DidList(10);
+  EXPECT_FALSE(log.ChangesSince({0, 11}).has_value());
+  log.DidList({0, 10});
   log.Append({{"a", "1", 5}});
-  EXPECT_FALSE(log.ChangesSinceRevision(9).has_value());
-  EXPECT_TRUE(log.ChangesSinceRevision(10).has_value());
+  EXPECT_FALSE(log.ChangesSince({0, 9}).has_value());
+  EXPECT_TRUE(log.ChangesSince({0, 10}).has_value());
   // Another reading of everything hides what came and went before it, too.
-  log.DidList(20);
-  EXPECT_FALSE(log.ChangesSinceRevision(19).has_value());
+  log.DidList({0, 20});
+  EXPECT_FALSE(log.ChangesSince({0, 19}).has_value());
 }
 
 TEST(EventLogTest, AKeyThatCameBackIsNoRemoval) {
   EventLog log(100);
-  log.DidList(1);
+  log.DidList({0, 1});
   log.Append({{"a", std::nullopt, 3}, {"a", "2", 4}});
-  EXPECT_EQ(*log.ChangesSinceRevision(2), (std::vector<Event>{{"a", "2", 4}}));
+  EXPECT_EQ(*log.ChangesSince({0, 2}), (std::vector<Event>{{"a", "2", 4}}));
 }
 
 TEST(EventLogTest, OldRemovalsAreForgotten) {
   EventLog log(0);
-  log.DidList(0);
+  log.DidList({0, 0});
   for (int revision = 1; revision <= 5'000; ++revision) {
     log.Append({{"k" + std::to_string(revision), std::nullopt, revision}});
   }
-  EXPECT_FALSE(log.ChangesSinceRevision(500).has_value());
-  EXPECT_EQ(log.ChangesSinceRevision(4'990)->size(), 10U);
+  EXPECT_FALSE(log.ChangesSince({0, 500}).has_value());
+  EXPECT_EQ(log.ChangesSince({0, 4'990})->size(), 10U);
+}
+
+// Guards against asking for the changes since a revision that the restored
+// store has given out again, for another change.
+TEST(EventLogTest, WhoKnowsAnEarlierEraOnlyLacksEverything) {
+  EventLog log(100);
+  log.DidList({1, 10});
+  log.Append({{"a", "1", 12, 1}});
+  log.DidList({2, 11});
+  log.Append({{"b", "1", 12, 2}});
+  EXPECT_EQ(log.position(), (Position{2, 12}));
+  EXPECT_FALSE(log.ChangesSince({1, 12}).has_value());
+  EXPECT_FALSE(log.ChangesSince({3, 5}).has_value());
+  const auto lacking = log.ChangesSince({2, 11});
+  ASSERT_TRUE(lacking.has_value());
+  EXPECT_EQ(*lacking, (std::vector<Event>{{"b", "1", 12, 2}}));
+}
+
+TEST(EventLogTest, APositionIsReachedWithoutAChange) {
+  EventLog log(100);
+  log.Append({{"a", "1", 12, 1}});
+  log.DidReach({2, 9});
+  EXPECT_EQ(log.position(), (Position{2, 9}));
+  log.DidReach({1, 99});
+  EXPECT_EQ(log.position(), (Position{2, 9}));
 }
 
 // Whoever follows by revision ends with what the other has, whenever it asks.
@@ -97,7 +122,7 @@
   base::Random random(20261203);
   for (int run = 0; run < 200; ++run) {
     EventLog log(0);
-    log.DidList(0);
+    log.DidList({0, 0});
     std::map<std::string, std::string> here;
     std::int64_t known = 0;
     for (std::int64_t revision = 1; revision <= 60; ++revision) {
@@ -110,7 +135,7 @@
       if (random.Below(4) != 0) {
         continue;
       }
-      const auto lacking = log.ChangesSinceRevision(known);
+      const auto lacking = log.ChangesSince({0, known});
       ASSERT_TRUE(lacking.has_value());
       for (const Event& event : *lacking) {
         if (event.value) {
@@ -119,7 +144,7 @@
           here.erase(event.key);
         }
       }
-      known = log.revision();
+      known = log.position().revision;
       std::map<std::string, std::string> there;
       for (const Event& event : log.Everything()) {
         there[event.key] = *event.value;
--- a/tests/store/follower_test.cc
+++ b/tests/store/follower_test.cc
@@ -34,7 +34,7 @@
         FollowerSettings{}, base::Clock(time_),
         std::make_shared<base::Random>(1), base::TaskRunner(scheduler_),
         std::move(source),
-        [this](std::int64_t revision) { listed_at_.push_back(revision); },
+        [this](const Position& position) { listed_at_.push_back(position); },
         [this](const std::vector<Event>& events) {
           for (const Event& event : events) {
             told_.push_back(event);
@@ -45,7 +45,7 @@
             }
           }
         },
-        base::Log());
+        [this](const Position& position) { reached_ = position; }, base::Log());
     follower_->Start();
   }
 
@@ -68,8 +68,8 @@
         Page{InEra(std::move(items)), is_last, revision, revision, era_});
   }
   void AnswerWatch(std::vector<Event> events, std::int64_t cursor) {
-    std::exchange(watch_,
-                  nullptr)(Changes{InEra(std::move(events)), cursor, era_});
+    std::exchange(watch_, nullptr)(
+        Changes{InEra(std::move(events)), cursor, {era_, cursor}});
   }
   std::vector<Event> InEra(std::vector<Event> events) const {
     for (Event& event : events) {
@@ -97,8 +97,10 @@
   std::string list_after_;
   std::int64_t watch_cursor_ = 0;
   std::vector<Event> told_;
-  // Revisions at which everything was read.
-  std::vector<std::int64_t> listed_at_;
+  // Positions at which everything was read.
+  std::vector<Position> listed_at_;
+  // Up to where everything was told.
+  Position reached_;
   std::map<std::string, std::string> known_;
   std::shared_ptr<Follower> follower_;
 };
@@ -217,6 +219,72 @@
   EXPECT_FALSE(known_.contains("b"));
 }
 
+// Guards against leaves that are left out, though they are alive, because the
+// store was away only for a moment when it lost their entries.
+TEST_F(FollowerTest, WhatARestoreLostMayBeWrittenAgainBeforeItGoes) {
+  AnswerList({Write("a", "1", 90), Write("b", "1", 95)}, 100);
+  FailWatch(ErrorCode::kExpired);
+  era_ = 2;
+  AnswerList({}, 60);
+  EXPECT_EQ(known_.size(), 2U);
+  Advance(1'500);
+  AnswerWatch({Write("a", "1", 61)}, 61);
+  Advance(1'500);
+  EXPECT_TRUE(known_.contains("a"));
+  EXPECT_FALSE(known_.contains("b"));
+}
+
+// Guards against removals that the first of two restores held back and that are
+// told before the second one's time is over.
+TEST_F(FollowerTest, ASecondRestoreHoldsRemovalsBackAnew) {
+  AnswerList({Write("a", "1", 90)}, 100);
+  FailWatch(ErrorCode::kExpired);
+  era_ = 2;
+  AnswerList({}, 60);
+  Advance(2'000);
+  FailWatch(ErrorCode::kExpired);
+  era_ = 3;
+  AnswerList({}, 50);
+  Advance(2'000);
+  EXPECT_TRUE(known_.contains("a"));
+  Advance(600);
+  EXPECT_FALSE(known_.contains("a"));
+}
+
+TEST_F(FollowerTest, ARestoreThatChangedNothingTellsOnlyThePosition) {
+  AnswerList({Write("a", "1", 40)}, 60);
+  EXPECT_EQ(told_.size(), 1U);
+  EXPECT_EQ(reached_, (Position{1, 60}));
+  FailWatch(ErrorCode::kExpired);
+  era_ = 2;
+  AnswerList({Write("a", "1", 40)}, 55);
+  EXPECT_EQ(told_.size(), 1U);
+  EXPECT_EQ(reached_, (Position{2, 55}));
+}
+
+TEST_F(FollowerTest, AReadingOfAnEarlierEraIsLeftOut) {
+  era_ = 2;
+  AnswerList({Write("a", "new", 40)}, 60);
+  FailWatch(ErrorCode::kExpired);
+  era_ = 1;
+  AnswerList({Write("a", "old", 90)}, 100);
+  EXPECT_EQ(known_["a"], "new");
+  Advance(400);
+  era_ = 2;
+  ASSERT_TRUE(list_);
+  AnswerList({Write("a", "newer", 70)}, 80);
+  EXPECT_EQ(known_["a"], "newer");
+}
+
+TEST_F(FollowerTest, AReadingThatStraddlesARestoreBeginsAnew) {
+  AnswerList({Write("a", "1", 3)}, 10, false);
+  std::exchange(list_, nullptr)(Failure(ErrorCode::kExpired));
+  EXPECT_TRUE(known_.empty());
+  Advance(400);
+  ASSERT_TRUE(list_);
+  EXPECT_EQ(list_after_, "");
+}
+
 TEST_F(FollowerTest, AfterStopNothingIsAsked) {
   AnswerList({}, 5);
   follower_->Stop();
