Membership: Register anew once the store was restored

What is at stake: allowances are divided by the daemons that are known. A daemon whose lease was lost with the copy is not known any more; if the store has given the lease's identifier out again, its renewals are answered with 200, and it keeps another one's entry alive instead of its own.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -115,7 +115,7 @@
           control,
           store,
           blackboard,
-          [] {},
+          [this] { DidRestoreStore(); },
           log)),
       news_server_(std::make_shared<relay::NewsServer>(
           known_,
@@ -205,6 +205,10 @@
   }
 }
 
+void StoreControllers::DidRestoreStore() {
+  registration_->DidRestoreStore();
+}
+
 void StoreControllers::DidChangeLeaf(const std::string& id,
                                      const store::Event& event) {
   if (!event.value) {
--- a/src/daemon/store_controllers.h
+++ b/src/daemon/store_controllers.h
@@ -49,6 +49,8 @@
   quarantine::VerdictController& verdicts() { return *verdicts_; }
 
  private:
+  // What this daemon wrote may be lost.
+  void DidRestoreStore();
   void DidChange(const std::vector<store::Event>& events);
   void DidReach(const store::Position& position);
   void DidChangeLeaf(const std::string& id, const store::Event& event);
--- a/src/membership/lease_registration.cc
+++ b/src/membership/lease_registration.cc
@@ -216,6 +216,7 @@
 }
 
 void LeaseRegistration::Register() {
+  must_register_ = false;
   source_.open_lease(
       settings_.time_to_live,
       [self = shared_from_this()](const base::Result<store::Lease>& lease) {
@@ -254,6 +255,13 @@
 }
 
 void LeaseRegistration::Renew() {
+  if (must_register_) {
+    log_.Write({.level = base::LogLevel::kInfo,
+                .step = base::Step::kMembership,
+                .message = "registering again in the restored store"});
+    Register();
+    return;
+  }
   const base::Duration interval =
       is_reading_store_() ? settings_.reader_renewal : settings_.renewal;
   if (clock_.Now() - renewed_ < interval) {
--- a/src/membership/lease_registration.h
+++ b/src/membership/lease_registration.h
@@ -12,6 +12,9 @@
 //      is not listed after a while, it registers itself all the same.
 //   3. Whoever is registered renews its lease, and writes its list again when
 //      its followers have changed.
+//   4. When the store was restored from a copy, the lease may be lost and its
+//      identifier given to another daemon: it is not renewed any more, and
+//      entry and list are written under a new lease.
 //
 // Invariant: a daemon counts for at least the time of a lease after it was last
 // heard; dead ones that still count are the safe side of every share.
@@ -90,6 +93,8 @@
   // A daemon that takes its news from this one said who it is
   // (EncodeNamedEntry).
   void DidHearFollower(const std::string& entry);
+  // The store was restored from a copy.
+  void DidRestoreStore() { must_register_ = true; }
   // Makes the changes since the last call visible.
   void Publish();
 
@@ -136,6 +141,8 @@
   base::MonotonicTime unlisted_since_;
   // Zero while this daemon is not registered.
   std::int64_t lease_ = 0;
+  // The lease is of the time before a restore of the store.
+  bool must_register_ = false;
   base::MonotonicTime renewed_;
 };
 
--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -361,6 +361,19 @@
                                 std::chrono::milliseconds(1)));
 }
 
+// Guards against a daemon that nobody counts because it takes a lease that the
+// restored store has given to somebody else for its own.
+TEST_F(OpaqueTest, ADaemonRegistersAnewOnceTheStoreWasRestored) {
+  Configure(3);
+  store_->TakeCopy();
+  const Daemon daemon = Start("vm1");
+  ASSERT_TRUE(AwaitReadiness(daemon, http::kOk));
+  ASSERT_TRUE(WaitUntil([&] { return store_->LeaseOf("daemons/vm1") == 1; }));
+  store_->RestoreCopy();
+  store_->GiveOutLease();
+  EXPECT_TRUE(WaitUntil([&] { return store_->LeaseOf("daemons/vm1") == 2; }));
+}
+
 // Keys that no leaf wrote, some over the entry of a leaf: that leaf is out of
 // use, all others hold, and what changes later is still learnt.
 TEST_F(OpaqueTest, EntriesOfAnotherWriterNameNoLeafAndHoldNothingUp) {
--- a/tests/membership/lease_registration_test.cc
+++ b/tests/membership/lease_registration_test.cc
@@ -135,6 +135,24 @@
   EXPECT_EQ(lease_, 2);
 }
 
+// Guards against a daemon that nobody counts, or that keeps another one's lease
+// alive, after the store was restored and has given its lease out again.
+TEST_F(LeaseRegistrationTest, RegistersAnewOnceTheStoreWasRestored) {
+  StartRegistered();
+  is_reader_ = true;
+  registration_->DidRestoreStore();
+  const int renewals = renewals_;
+  keys_.clear();
+  scheduler_->Advance(Milliseconds(1'100));
+  EXPECT_EQ(renewals_, renewals);
+  EXPECT_EQ(leases_, 2);
+  EXPECT_EQ(lease_, 2);
+  EXPECT_EQ(keys_, std::vector<std::string>{"daemons/vm-1"});
+  scheduler_->Advance(Milliseconds(2'000));
+  EXPECT_GT(renewals_, renewals);
+  EXPECT_EQ(leases_, 2);
+}
+
 TEST_F(LeaseRegistrationTest, TriesAgainWhileTheStoreIsAway) {
   is_away_ = true;
   StartRegistered();
