Tests: Lose changes in the soak that daemons have taken, and change routes after it

Now leaves' heartbeats carry the revisions on, a change is made 1.5 s before the store goes away and two more after its return.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -53,6 +53,12 @@
 constexpr base::Duration kMostCopyAge = base::Milliseconds(10'000);
 constexpr base::Duration kLongestRestore = base::Milliseconds(3'000);
 constexpr base::Duration kWrittenAgain = base::Milliseconds(1'800);
+// After a restore operators change the routes within this time.
+constexpr base::Duration kChangesAfterRestore = base::Milliseconds(2'500);
+constexpr base::Duration kKnownBeforeRestore = base::Milliseconds(1'500);
+// Leaves write this often, all of them together; it carries the store's
+// revisions on.
+constexpr base::Duration kHeartbeat = base::Milliseconds(50);
 // The store and the daemons are disturbed for a while, then left alone for long
 // enough to check the bounds that hold only then.
 constexpr base::Duration kStormy = base::Milliseconds(4'000);
@@ -151,6 +157,7 @@
   void FaultOnDaemon();
   void Later(base::Duration delay, std::function<void()> task);
   base::Duration RestoreTime(base::Duration least, base::Duration most);
+  void Beat();
   void PlanRestore();
   void BeginRestore(int left);
   void Restore(int left);
@@ -347,6 +354,7 @@
     Later(kDeadlyGap, [this] { TryDeadly(2); });
   }
   if (options_.has_restores) {
+    Beat();
     PlanRestore();
   }
   if (options_.has_reused_address) {
@@ -457,11 +465,19 @@
          base::Duration(static_cast<std::int64_t>(restore_random_.Below(span)));
 }
 
+void World::Beat() {
+  store_.Put("heartbeats", std::to_string(now().microseconds));
+  Later(kHeartbeat, [this] { Beat(); });
+}
+
 void World::PlanRestore() {
   store_.TakeCopy();
   copied_ = now();
-  Later(RestoreTime(kLeastCopyAge, kMostCopyAge),
-        [this] { BeginRestore(restore_random_.Below(3) == 0 ? 2 : 1); });
+  const base::Duration age = RestoreTime(kLeastCopyAge, kMostCopyAge);
+  // A change that daemons have taken and that will be lost.
+  Later(std::max(base::Duration{}, age - kKnownBeforeRestore),
+        [this] { Configure(); });
+  Later(age, [this] { BeginRestore(restore_random_.Below(3) == 0 ? 2 : 1); });
 }
 
 void World::BeginRestore(int left) {
@@ -480,6 +496,9 @@
   store_.RestoreCopy();
   store_.set_silent(false);
   WriteAgain();
+  for (int change = 0; change < 2; ++change) {
+    Later(RestoreTime({}, kChangesAfterRestore), [this] { Configure(); });
+  }
   if (left > 1) {
     Later(RestoreTime({}, kLongestRestore),
           [this, left] { BeginRestore(left - 1); });
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -90,7 +90,7 @@
 
 INSTANTIATE_TEST_SUITE_P(FixedSeeds,
                          RestoredStoreSoakTest,
-                         testing::Values(1, 2));
+                         testing::Values(1, 11));
 
 }  // namespace
 }  // namespace medlarspread::soak
