Relay: Give the exchanges with peers a class of their own

NewsSource decided and spoke HTTP. PeerClient has the exchanges now, and NewsSource gets a call to ask a peer, so that the choice of places, readings and restores can be played without a network.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -108,12 +108,15 @@
           relay::NewsSourceSettings{
               {settings.vm.name, settings.vm.failure_domain,
                ParseAddresses(settings.peers.seeds)},
-              membership::EncodeNamedEntry(MakeSelf(settings)),
               FirstWait(settings.vm)},
-          context,
           clock,
           control,
           store,
+          std::make_shared<relay::PeerClient>(
+              context,
+              control,
+              membership::EncodeNamedEntry(MakeSelf(settings)))
+              ->ask(),
           blackboard,
           [this] { DidRestoreStore(); },
           log)),
--- a/src/relay/news_source.cc
+++ b/src/relay/news_source.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/http1/caller_listener.h"
-#include "src/http1/timed_exchange.h"
 #include "src/store/restore_guard.h"
 
 namespace medlarspread::relay {
@@ -16,10 +14,6 @@
 using base::ErrorCode;
 using base::Step;
 
-constexpr int kHttpVersion = 11;
-// A peer in the same failure domain answers within milliseconds of its wait.
-constexpr base::Duration kPeerMargin = base::Milliseconds(500);
-constexpr base::Duration kListTimeout = base::Milliseconds(1'000);
 // News older than this come from a daemon that has lost the store. A reader
 // hears from the store every second.
 constexpr base::Duration kMostAge = base::Milliseconds(2'300);
@@ -36,13 +30,6 @@
 // go on from.
 constexpr const char* kStaleStore = "stale";
 
-base::Duration TimeoutOf(const std::string& target) {
-  if (target == kNewsTarget || target.starts_with(kPositionPrefix)) {
-    return kListTimeout;
-  }
-  return target == kFreshnessTarget ? kPeerMargin : kNewsWait + kPeerMargin;
-}
-
 std::int64_t LatestRevision(const std::vector<store::Event>& items) {
   std::int64_t latest = 0;
   for (const store::Event& item : items) {
@@ -51,32 +38,21 @@
   return latest;
 }
 
-ErrorCode CodeOf(http1::Status status) {
-  switch (status) {
-    case http1::Status::gone:
-      return ErrorCode::kExpired;
-    case http1::Status::not_found:
-      return ErrorCode::kNotFound;
-    default:
-      return ErrorCode::kUnavailable;
-  }
-}
-
 }  // namespace
 
 NewsSource::NewsSource(NewsSourceSettings settings,
-                       boost::asio::io_context& context,
                        base::Clock clock,
                        base::TaskRunner control,
                        store::EventSource store,
+                       AskPeer ask_peer,
                        const blackboard::Blackboard& blackboard,
                        std::function<void()> did_restore_store,
                        base::Log log)
     : settings_(std::move(settings)),
-      context_(context),
       clock_(clock),
       control_(std::move(control)),
       store_(store::GuardAgainstRestore(std::move(store))),
+      ask_peer_(std::move(ask_peer)),
       did_restore_store_(std::move(did_restore_store)),
       log_(std::move(log)),
       started_(clock_.Now()),
@@ -282,7 +258,8 @@
 }
 
 void NewsSource::ListPeer(const std::string& peer, ListCallback done) {
-  Ask(peer, kNewsTarget,
+  ask_peer_(
+      peer, kNewsTarget,
       [self = shared_from_this(), peer,
        done = std::move(done)](base::Result<News> news) {
         if (!news.is_ok()) {
@@ -355,24 +332,24 @@
     control_.Post([list_instead] { list_instead("no position is safe"); });
     return;
   }
-  Ask(peer,
-      kPositionPrefix + std::to_string(position->era) + "." +
-          std::to_string(position->revision),
-      [self = shared_from_this(), peer, list_instead,
-       done](base::Result<News> news) {
-        if (news.is_ok()) {
-          self->DidMoveTo(peer, std::move(news.value()), done);
-          return;
-        }
-        // The peer knows too little, or it is of an earlier version.
-        const auto& code = news.error().code;
-        if (code == ErrorCode::kExpired || code == ErrorCode::kNotFound) {
-          list_instead(news.error().ToString());
-          return;
-        }
-        self->DidFail(peer, news.error());
-        done(news.error());
-      });
+  ask_peer_(peer,
+            kPositionPrefix + std::to_string(position->era) + "." +
+                std::to_string(position->revision),
+            [self = shared_from_this(), peer, list_instead,
+             done](base::Result<News> news) {
+              if (news.is_ok()) {
+                self->DidMoveTo(peer, std::move(news.value()), done);
+                return;
+              }
+              // The peer knows too little, or it is of an earlier version.
+              const auto& code = news.error().code;
+              if (code == ErrorCode::kExpired || code == ErrorCode::kNotFound) {
+                list_instead(news.error().ToString());
+                return;
+              }
+              self->DidFail(peer, news.error());
+              done(news.error());
+            });
 }
 
 void NewsSource::DidMoveTo(const std::string& peer,
@@ -397,44 +374,44 @@
 
 void NewsSource::Scout(const std::string& peer,
                        std::function<void(bool should_read)> done) {
-  Ask(peer, kFreshnessTarget,
-      [self = shared_from_this(), peer,
-       done = std::move(done)](base::Result<News> news) {
-        if (news.is_ok()) {
-          done(!self->CheckEra(peer, news.value()) &&
-               !self->Check(peer, news.value()));
-          return;
-        }
-        // A peer of an earlier version does not know the question.
-        const bool is_unknown = news.error().code == ErrorCode::kNotFound;
-        if (!is_unknown) {
-          self->DidFail(peer, news.error());
-        }
-        done(is_unknown);
-      });
+  ask_peer_(peer, kFreshnessTarget,
+            [self = shared_from_this(), peer,
+             done = std::move(done)](base::Result<News> news) {
+              if (news.is_ok()) {
+                done(!self->CheckEra(peer, news.value()) &&
+                     !self->Check(peer, news.value()));
+                return;
+              }
+              // A peer of an earlier version does not know the question.
+              const bool is_unknown = news.error().code == ErrorCode::kNotFound;
+              if (!is_unknown) {
+                self->DidFail(peer, news.error());
+              }
+              done(is_unknown);
+            });
 }
 
 void NewsSource::WatchPeer(const std::string& peer,
                            std::int64_t cursor,
                            WatchCallback done) {
-  Ask(peer, kCursorPrefix + std::to_string(cursor),
-      [self = shared_from_this(), peer,
-       done = std::move(done)](base::Result<News> news) {
-        if (!news.is_ok()) {
-          if (news.error().code != ErrorCode::kExpired) {
-            self->DidFail(peer, news.error());
-          }
-          done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, peer,
-                               news.error().ToString()));
-          return;
-        }
-        if (const auto error = self->CheckEra(peer, news.value())) {
-          done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore, peer,
-                               error->ToString()));
-          return;
-        }
-        self->DidHear(peer, std::move(news.value()), done);
-      });
+  ask_peer_(peer, kCursorPrefix + std::to_string(cursor),
+            [self = shared_from_this(), peer,
+             done = std::move(done)](base::Result<News> news) {
+              if (!news.is_ok()) {
+                if (news.error().code != ErrorCode::kExpired) {
+                  self->DidFail(peer, news.error());
+                }
+                done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore,
+                                     peer, news.error().ToString()));
+                return;
+              }
+              if (const auto error = self->CheckEra(peer, news.value())) {
+                done(base::MakeError(ErrorCode::kExpired, Step::kWatchStore,
+                                     peer, error->ToString()));
+                return;
+              }
+              self->DidHear(peer, std::move(news.value()), done);
+            });
 }
 
 void NewsSource::WatchStore(const std::string& prefix,
@@ -470,56 +447,4 @@
   }
 }
 
-void NewsSource::Ask(const std::string& peer,
-                     const std::string& target,
-                     std::function<void(base::Result<News>)> done) {
-  auto request = std::make_shared<http1::Request>(boost::beast::http::verb::get,
-                                                  target, kHttpVersion);
-  request->set(boost::beast::http::field::host, peer);
-  request->set(kFollowerField, settings_.self_entry);
-  http1::TimedExchange exchange;
-  exchange.request = std::move(request);
-  exchange.timeout = TimeoutOf(target);
-  exchange.step = Step::kPeerLink;
-  exchange.peer = peer;
-  exchange.done = [done = std::move(done),
-                   peer](const base::Result<http1::Response>& response) {
-    if (!response.is_ok()) {
-      done(response.error());
-      return;
-    }
-    const http1::Status status = response.value().result();
-    if (status == http1::Status::ok) {
-      done(DecodeNews(response.value().body(), peer));
-      return;
-    }
-    done(base::MakeError(
-        CodeOf(status), Step::kPeerLink, peer,
-        "status " + std::to_string(response.value().result_int())));
-  };
-  http1::Start(ConnectionTo(peer), control_, std::move(exchange));
-}
-
-std::shared_ptr<http1::ClientConnection> NewsSource::ConnectionTo(
-    const std::string& peer) {
-  if (connection_ && connected_to_ == peer && connection_->is_free()) {
-    return connection_;
-  }
-  const auto endpoint = http1::ParseEndpoint(peer);
-  if (!endpoint.is_ok()) {
-    return nullptr;
-  }
-  if (connection_) {
-    connection_->Close();
-  }
-  http1::ClientConnection::Settings settings;
-  settings.peer = endpoint.value();
-  settings.connect_timeout = kPeerMargin;
-  settings.did_change = [](http1::ClientConnection&) {};
-  connected_to_ = peer;
-  connection_ =
-      std::make_shared<http1::ClientConnection>(context_, std::move(settings));
-  return connection_;
-}
-
 }  // namespace medlarspread::relay
--- a/src/relay/news_source.h
+++ b/src/relay/news_source.h
@@ -28,15 +28,13 @@
 #include <optional>
 #include <string>
 
-#include <boost/asio/io_context.hpp>
-
 #include "src/base/clock.h"
 #include "src/base/log.h"
 #include "src/base/task_runner.h"
 #include "src/blackboard/blackboard.h"
-#include "src/http1/client_connection.h"
 #include "src/relay/news_codec.h"
 #include "src/relay/news_server.h"
+#include "src/relay/peer_client.h"
 #include "src/relay/place_choice.h"
 #include "src/relay/safe_position.h"
 #include "src/store/event_source.h"
@@ -45,8 +43,6 @@
 
 struct NewsSourceSettings {
   PlaceSettings places;
-  // What this daemon says of itself to the one that it follows.
-  std::string self_entry;
   // How long after its start a daemon that knows no others waits for them to
   // register before it reads the store itself; strong ones come first.
   base::Duration first_wait{};
@@ -56,10 +52,10 @@
 class NewsSource : public std::enable_shared_from_this<NewsSource> {
  public:
   NewsSource(NewsSourceSettings settings,
-             boost::asio::io_context& context,
              base::Clock clock,
              base::TaskRunner control,
              store::EventSource store,
+             AskPeer ask_peer,
              const blackboard::Blackboard& blackboard,
              std::function<void()> did_restore_store,
              base::Log log);
@@ -128,17 +124,12 @@
                   base::Duration wait,
                   WatchCallback done);
   void DidWatchStore(const base::Result<store::Changes>& changes);
-  void Ask(const std::string& peer,
-           const std::string& target,
-           std::function<void(base::Result<News>)> done);
-  std::shared_ptr<http1::ClientConnection> ConnectionTo(
-      const std::string& peer);
 
   const NewsSourceSettings settings_;
-  boost::asio::io_context& context_;
   const base::Clock clock_;
   const base::TaskRunner control_;
   const store::EventSource store_;
+  const AskPeer ask_peer_;
   // Told when the store was found to be in a later era than before.
   const std::function<void()> did_restore_store_;
   const base::Log log_;
@@ -163,8 +154,6 @@
   bool has_read_twice_ = false;
   // When the store answered, as far as this daemon knows.
   std::optional<base::MonotonicTime> reached_store_;
-  std::shared_ptr<http1::ClientConnection> connection_;
-  std::string connected_to_;
 };
 
 }  // namespace medlarspread::relay
--- /dev/null
+++ b/src/relay/peer_client.cc
@@ -0,0 +1,111 @@
+// Exchanges with peers.
+
+#include "src/relay/peer_client.h"
+
+#include <utility>
+
+#include "src/http1/caller_listener.h"
+#include "src/http1/timed_exchange.h"
+#include "src/relay/news_server.h"
+
+namespace medlarspread::relay {
+
+namespace {
+
+using base::ErrorCode;
+using base::Step;
+
+constexpr int kHttpVersion = 11;
+// A peer in the same failure domain answers within milliseconds of its wait.
+constexpr base::Duration kPeerMargin = base::Milliseconds(500);
+constexpr base::Duration kListTimeout = base::Milliseconds(1'000);
+
+ErrorCode CodeOf(http1::Status status) {
+  switch (status) {
+    case http1::Status::gone:
+      return ErrorCode::kExpired;
+    case http1::Status::not_found:
+      return ErrorCode::kNotFound;
+    default:
+      return ErrorCode::kUnavailable;
+  }
+}
+
+}  // namespace
+
+base::Duration AnswerTimeout(const std::string& target) {
+  if (target == kNewsTarget || target.starts_with(kPositionPrefix)) {
+    return kListTimeout;
+  }
+  return target == kFreshnessTarget ? kPeerMargin : kNewsWait + kPeerMargin;
+}
+
+base::Result<News> DecodeResponse(const http1::Response& response,
+                                  const std::string& peer) {
+  if (response.result() == http1::Status::ok) {
+    return DecodeNews(response.body(), peer);
+  }
+  return base::MakeError(CodeOf(response.result()), Step::kPeerLink, peer,
+                         "status " + std::to_string(response.result_int()));
+}
+
+PeerClient::PeerClient(boost::asio::io_context& context,
+                       base::TaskRunner control,
+                       std::string self_entry)
+    : context_(context),
+      control_(std::move(control)),
+      self_entry_(std::move(self_entry)) {}
+
+AskPeer PeerClient::ask() {
+  return [self = shared_from_this()](const std::string& peer,
+                                     const std::string& target, auto done) {
+    self->Ask(peer, target, std::move(done));
+  };
+}
+
+void PeerClient::Ask(const std::string& peer,
+                     const std::string& target,
+                     std::function<void(base::Result<News>)> done) {
+  auto request = std::make_shared<http1::Request>(boost::beast::http::verb::get,
+                                                  target, kHttpVersion);
+  request->set(boost::beast::http::field::host, peer);
+  request->set(kFollowerField, self_entry_);
+  http1::TimedExchange exchange;
+  exchange.request = std::move(request);
+  exchange.timeout = AnswerTimeout(target);
+  exchange.step = Step::kPeerLink;
+  exchange.peer = peer;
+  exchange.done = [done = std::move(done),
+                   peer](const base::Result<http1::Response>& response) {
+    if (response.is_ok()) {
+      done(DecodeResponse(response.value(), peer));
+    } else {
+      done(response.error());
+    }
+  };
+  http1::Start(ConnectionTo(peer), control_, std::move(exchange));
+}
+
+std::shared_ptr<http1::ClientConnection> PeerClient::ConnectionTo(
+    const std::string& peer) {
+  if (connection_ && connected_to_ == peer && connection_->is_free()) {
+    return connection_;
+  }
+  const auto endpoint = http1::ParseEndpoint(peer);
+  if (!endpoint.is_ok()) {
+    return nullptr;
+  }
+  if (connection_) {
+    connection_->Close();
+  }
+  http1::ClientConnection::Settings settings;
+  settings.peer = endpoint.value();
+  settings.connect_timeout = kPeerMargin;
+  settings.did_change = [](http1::ClientConnection&) {};
+  connected_to_ = peer;
+  connection_ =
+      std::make_shared<http1::ClientConnection>(context_, std::move(settings));
+  return connection_;
+}
+
+}  // namespace medlarspread::relay
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -79,10 +79,11 @@
 
   void MakeSource(base::Duration first_wait = {}) {
     source_ = std::make_shared<NewsSource>(
-        NewsSourceSettings{
-            {"self", "n1", {}}, "self n1 10.0.0.1:80", first_wait},
-        context_, base::Clock(), runner_, store_, blackboard_,
-        [this] { ++restores_; }, base::Log());
+        NewsSourceSettings{{"self", "n1", {}}, first_wait}, base::Clock(),
+        runner_, store_,
+        std::make_shared<PeerClient>(context_, runner_, "self n1 10.0.0.1:80")
+            ->ask(),
+        blackboard_, [this] { ++restores_; }, base::Log());
   }
 
   // Makes the other daemon a member of the domain; the rank decides who reads.
