--- a/src/store/position.h
+++ b/src/store/position.h
@@ -22,6 +22,7 @@
   std::int64_t revision = 0;
 
   // By era first: the order in which positions supersede each other.
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a defaulted <=>.
   friend auto operator<=>(const Position&, const Position&) = default;
 };
 
--- /dev/null
+++ b/tests/relay/news_fleet_test.cc
@@ -0,0 +1,411 @@
+// How long after the store took a change the last daemon of a fleet has it, in
+// virtual time and without a network: the production classes decide, only the
+// store and the way between the daemons are modelled.
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "src/relay/news_server.h"
+#include "src/relay/news_source.h"
+#include "src/store/event_log.h"
+#include "src/store/follower.h"
+#include "tests/support/model_store.h"
+
+namespace medlarspread::relay {
+namespace {
+
+using base::Milliseconds;
+using tests::Absence;
+using tests::ModelStore;
+
+constexpr const char* kConfiguration = "op/config";
+constexpr int kHttpVersion = 11;
+// A change has to be in force everywhere this long after the store took it.
+constexpr base::Duration kBound = Milliseconds(3'000);
+constexpr base::Duration kOneWay = Milliseconds(1);
+constexpr base::Duration kOneWayFar = Milliseconds(12);
+constexpr base::Duration kRenewal = Milliseconds(1'000);
+constexpr base::Duration kHeartbeat = Milliseconds(40);
+
+struct FleetSize {
+  int daemons = 0;
+  // The first ones of each domain; the others have an eighth of a core.
+  int strong_in_domain = 0;
+};
+
+class Fleet;
+
+// One daemon as far as it follows the store.
+class NewsDaemon {
+ public:
+  NewsDaemon(Fleet& fleet, std::string name, std::uint64_t seed);
+
+  void Start();
+  // From then on it neither asks nor answers.
+  void Kill();
+  void Handle(const http1::Request& request, http1::Respond respond);
+  bool is_alive() const { return is_alive_; }
+  // While cut off, it does not reach the store.
+  void set_cut_off(bool is_cut_off) { is_cut_off_ = is_cut_off; }
+  bool is_reader() const { return source_->is_reader(); }
+  // The highest version so far.
+  int version() const { return version_; }
+  std::string domain() const;
+
+ private:
+  void DidChange(const std::vector<store::Event>& events);
+  void Renew();
+  void Ask(const std::string& peer,
+           const std::string& target,
+           const std::function<void(base::Result<News>)>& done);
+
+  Fleet& fleet_;
+  const std::string name_;
+  bool is_alive_ = true;
+  bool is_cut_off_ = false;
+  int version_ = 0;
+  store::EventSource store_;
+  store::EventLog log_;
+  std::shared_ptr<NewsSource> source_;
+  std::shared_ptr<NewsServer> server_;
+  std::shared_ptr<store::Follower> follower_;
+};
+
+class Fleet {
+ public:
+  Fleet(FleetSize size, std::uint64_t seed) : random(seed) {
+    blackboard::MembershipView view;
+    view.is_settled = true;
+    for (int index = 0; index < size.daemons; ++index) {
+      const std::string name = "vm" + std::to_string(index);
+      blackboard::Member& member = view.members[name];
+      member.name = name;
+      member.address = name;
+      member.failure_domain = "n" + std::to_string(index % kDomains);
+      member.processor_share =
+          index / kDomains < size.strong_in_domain ? 0.5 : 0.125;
+    }
+    blackboard.membership.Write(view);
+    store.Write(kConfiguration, "1");
+    for (int key = 0; key < 10; ++key) {
+      store.Write("servers/" + std::to_string(key), "ready");
+    }
+    for (const auto& [name, member] : view.members) {
+      daemons[name] =
+          std::make_unique<NewsDaemon>(*this, name, random.Below(1'000'000));
+    }
+    for (const auto& [name, daemon] : daemons) {
+      daemon->Start();
+    }
+    Beat();
+    Advance(Milliseconds(10'000));
+  }
+
+  void Advance(base::Duration time_to_pass) {
+    scheduler->Advance(time_to_pass);
+  }
+  // Up to `most`, by chance.
+  base::Duration Chance(base::Duration most) {
+    return base::Duration(static_cast<std::int64_t>(
+        random.Below(static_cast<std::uint64_t>(most.count()))));
+  }
+  int Change() {
+    ++version;
+    store.Write(kConfiguration, std::to_string(version));
+    return version;
+  }
+  bool IsInForce(const NewsDaemon* left_out) const {
+    return std::all_of(daemons.begin(), daemons.end(),
+                       [this, left_out](const auto& row) {
+                         const NewsDaemon& daemon = *row.second;
+                         return !daemon.is_alive() || &daemon == left_out ||
+                                daemon.version() >= version;
+                       });
+  }
+  // From now until the last daemon has the newest version; kNever if it takes
+  // much longer than the bound.
+  base::Duration AwaitInForce() { return AwaitInForceAt(nullptr); }
+  base::Duration AwaitInForceButFor(const NewsDaemon& left_out) {
+    return AwaitInForceAt(&left_out);
+  }
+
+  static constexpr int kDomains = 3;
+  static constexpr base::Duration kNever = Milliseconds(20'000);
+
+  const std::shared_ptr<base::ManualTime> time =
+      std::make_shared<base::ManualTime>(1'000'000, 0);
+  const std::shared_ptr<base::ManualScheduler> scheduler =
+      std::make_shared<base::ManualScheduler>(time);
+  const base::TaskRunner runner{scheduler};
+  base::Random random;
+  blackboard::Blackboard blackboard;
+  ModelStore store{runner};
+  std::map<std::string, std::unique_ptr<NewsDaemon>> daemons;
+  int version = 1;
+
+ private:
+  base::Duration AwaitInForceAt(const NewsDaemon* left_out) {
+    constexpr base::Duration kStep = Milliseconds(10);
+    base::Duration passed{};
+    while (!IsInForce(left_out) && passed < kNever) {
+      Advance(kStep);
+      passed += kStep;
+    }
+    return passed;
+  }
+
+  // Leaves write all the time.
+  void Beat() {
+    store.Write("servers/" + std::to_string(random.Below(10)),
+                random.Below(20) == 0 ? "draining" : "ready");
+    runner.After(kHeartbeat, [this] { Beat(); });
+  }
+};
+
+NewsDaemon::NewsDaemon(Fleet& fleet, std::string name, std::uint64_t seed)
+    : fleet_(fleet),
+      name_(std::move(name)),
+      store_(fleet.store.source(
+          [this](std::int64_t era) {
+            if (is_alive_) {
+              source_->DidSeeEra(era);
+            }
+          },
+          [this] { return !is_cut_off_; })),
+      log_(static_cast<std::int64_t>(seed)) {
+  const base::Clock clock(fleet_.time);
+  source_ = std::make_shared<NewsSource>(
+      NewsSourceSettings{{name_, domain(), {}}, {}}, clock, fleet_.runner,
+      store_,
+      [this](const std::string& peer, const std::string& target, auto done) {
+        Ask(peer, target, done);
+      },
+      fleet_.blackboard, [] {}, base::Log());
+  server_ = std::make_shared<NewsServer>(
+      log_, fleet_.runner, [this] { return source_->freshness(); },
+      [](const std::string&) {});
+  follower_ = std::make_shared<store::Follower>(
+      store::FollowerSettings{}, clock, std::make_shared<base::Random>(seed),
+      fleet_.runner, source_->source(),
+      [this](const store::Position& position) { log_.DidList(position); },
+      [this](const std::vector<store::Event>& events) { DidChange(events); },
+      [this](const store::Position& position) {
+        const bool is_restored = position.era > log_.position().era;
+        log_.DidReach(position);
+        if (is_restored) {
+          server_->DidAppend();
+        }
+      },
+      base::Log());
+}
+
+std::string NewsDaemon::domain() const {
+  return fleet_.blackboard.membership.Read()->members.at(name_).failure_domain;
+}
+
+void NewsDaemon::Start() {
+  follower_->Start();
+  fleet_.runner.After(fleet_.Chance(kRenewal), [this] { Renew(); });
+}
+
+void NewsDaemon::Kill() {
+  is_alive_ = false;
+  follower_->Stop();
+}
+
+void NewsDaemon::Renew() {
+  if (!is_alive_) {
+    return;
+  }
+  fleet_.runner.After(kRenewal, [this] { Renew(); });
+  if (!source_->is_reading_store()) {
+    return;
+  }
+  store_.keep_lease(1, [this](const base::Status& renewed) {
+    if (!is_alive_) {
+      return;
+    }
+    if (renewed.is_ok()) {
+      source_->DidRenew();
+    } else {
+      source_->DidFailToRenew(renewed.error());
+    }
+  });
+}
+
+void NewsDaemon::DidChange(const std::vector<store::Event>& events) {
+  for (const store::Event& event : events) {
+    if (event.key == kConfiguration && event.value) {
+      version_ = std::max(version_, std::stoi(*event.value));
+    }
+  }
+  log_.Append(events);
+  server_->DidAppend();
+}
+
+void NewsDaemon::Handle(const http1::Request& request, http1::Respond respond) {
+  (void)server_->Handle(request, std::move(respond));
+}
+
+void NewsDaemon::Ask(const std::string& peer,
+                     const std::string& target,
+                     const std::function<void(base::Result<News>)>& done) {
+  NewsDaemon& other = *fleet_.daemons.at(peer);
+  const base::Duration way = other.domain() == domain() ? kOneWay : kOneWayFar;
+  const auto open =
+      std::make_shared<std::function<void(base::Result<News>)>>(done);
+  const auto finish = [this, open](base::Result<News> news) {
+    if (const auto callback = std::exchange(*open, nullptr);
+        callback && is_alive_) {
+      callback(std::move(news));
+    }
+  };
+  fleet_.runner.After(AnswerTimeout(target), [finish, peer] {
+    finish(base::MakeError(base::ErrorCode::kTimeout, base::Step::kPeerLink,
+                           peer, ""));
+  });
+  fleet_.runner.After(way, [this, &other, target, peer, way, finish] {
+    // One that is gone is silent, as a VM without power is.
+    if (!other.is_alive()) {
+      return;
+    }
+    const http1::Request request(boost::beast::http::verb::get, target,
+                                 kHttpVersion);
+    other.Handle(request, [this, peer, way, finish](http1::Response response) {
+      fleet_.runner.After(way, [peer, finish, response] {
+        finish(DecodeResponse(response, peer));
+      });
+    });
+  });
+}
+
+// A trouble, and the change that falls into it or after it. Returns when the
+// last daemon has the change, from when the store took it.
+using Case = base::Duration (*)(Fleet&);
+
+base::Duration Calm(Fleet& fleet) {
+  fleet.Advance(fleet.Chance(Milliseconds(1'500)));
+  fleet.Change();
+  return fleet.AwaitInForce();
+}
+
+// The store comes back from a copy; operators write again what was lost and
+// change the routes within two seconds.
+base::Duration Restored(Fleet& fleet) {
+  fleet.store.TakeCopy();
+  fleet.Advance(Milliseconds(100) + fleet.Chance(Milliseconds(10'000)));
+  fleet.Change();
+  (void)fleet.AwaitInForce();
+  const base::Duration away = fleet.Chance(Milliseconds(3'000));
+  fleet.store.set_absence(fleet.random.Below(2) == 0 ? Absence::kReset
+                                                     : Absence::kSilent);
+  fleet.Advance(away);
+  fleet.store.Restore();
+  fleet.store.set_absence(Absence::kNone);
+  fleet.Advance(fleet.Chance(Milliseconds(2'000)));
+  fleet.store.Write(kConfiguration, std::to_string(fleet.version));
+  fleet.Advance(fleet.Chance(Milliseconds(1'000)));
+  fleet.Change();
+  return fleet.AwaitInForce();
+}
+
+// The store comes back within a moment, and the changes go on: no watch of the
+// earlier era is turned away.
+base::Duration RestoredInAMoment(Fleet& fleet) {
+  fleet.store.TakeCopy();
+  fleet.Advance(Milliseconds(100) + fleet.Chance(Milliseconds(1'500)));
+  fleet.store.Restore();
+  fleet.Advance(fleet.Chance(Milliseconds(300)));
+  fleet.Change();
+  return fleet.AwaitInForce();
+}
+
+// A reader of the store loses power at the moment of the change.
+base::Duration ReaderKilled(Fleet& fleet) {
+  fleet.Advance(fleet.Chance(Milliseconds(1'500)));
+  const auto reader =
+      std::find_if(fleet.daemons.begin(), fleet.daemons.end(),
+                   [](const auto& row) { return row.second->is_reader(); });
+  reader->second->Kill();
+  fleet.Advance(fleet.Chance(Milliseconds(50)));
+  fleet.Change();
+  return fleet.AwaitInForce();
+}
+
+// The store falls silent or cuts all connections for some time; the change is
+// made when it is back.
+base::Duration StoreAway(Fleet& fleet) {
+  fleet.Advance(fleet.Chance(Milliseconds(1'000)));
+  fleet.store.set_absence(fleet.random.Below(2) == 0 ? Absence::kReset
+                                                     : Absence::kSilent);
+  fleet.Advance(Milliseconds(200) + fleet.Chance(Milliseconds(5'000)));
+  fleet.store.set_absence(Absence::kNone);
+  fleet.Change();
+  return fleet.AwaitInForce();
+}
+
+// The reader of one failure domain has lost the store for a while, alone.
+base::Duration ReaderCutOff(Fleet& fleet) {
+  fleet.Advance(fleet.Chance(Milliseconds(1'500)));
+  const auto reader =
+      std::find_if(fleet.daemons.begin(), fleet.daemons.end(),
+                   [](const auto& row) { return row.second->is_reader(); });
+  reader->second->set_cut_off(true);
+  fleet.Advance(fleet.Chance(Milliseconds(4'000)));
+  fleet.Change();
+  return fleet.AwaitInForceButFor(*reader->second);
+}
+
+struct NewsCase {
+  const char* name;
+  Case play;
+};
+
+class NewsFleetTest
+    : public testing::TestWithParam<std::tuple<NewsCase, FleetSize>> {};
+
+TEST_P(NewsFleetTest, AChangeIsInForceInTime) {
+  const auto& [news_case, size] = GetParam();
+  // A run of the large fleet takes a quarter of a second.
+  const std::uint64_t seeds = size.daemons > 100 ? 8 : 60;
+  std::vector<base::Duration> times;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    Fleet fleet(size, seed);
+    times.push_back(news_case.play(fleet));
+    EXPECT_LE(times.back(), kBound)
+        << "seed " << seed << ": " << times.back().count() / 1000 << " ms";
+  }
+  std::sort(times.begin(), times.end());
+  RecordProperty("median_ms",
+                 std::to_string(times[times.size() / 2].count() / 1000));
+  RecordProperty("worst_ms", std::to_string(times.back().count() / 1000));
+}
+
+constexpr FleetSize kSmall{9, 3};
+constexpr FleetSize kGrown{60, 4};
+constexpr FleetSize kLarge{195, 6};
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    NewsFleetTest,
+    testing::Combine(testing::Values(NewsCase{"Calm", Calm},
+                                     NewsCase{"Restored", Restored},
+                                     NewsCase{"RestoredInAMoment",
+                                              RestoredInAMoment},
+                                     NewsCase{"StoreAway", StoreAway},
+                                     NewsCase{"ReaderKilled", ReaderKilled},
+                                     NewsCase{"ReaderCutOff", ReaderCutOff}),
+                     testing::Values(kSmall, kGrown, kLarge)),
+    [](const auto& info) {
+      return std::get<0>(info.param).name +
+             std::to_string(std::get<1>(info.param).daemons);
+    });
+
+}  // namespace
+}  // namespace medlarspread::relay
--- a/tests/store/restored_store_test.cc
+++ b/tests/store/restored_store_test.cc
@@ -14,6 +14,7 @@
 #include "src/store/event_log.h"
 #include "src/store/follower.h"
 #include "src/store/restore_guard.h"
+#include "tests/support/model_store.h"
 
 namespace medlarspread::store {
 namespace {
@@ -21,140 +22,11 @@
 using base::ErrorCode;
 using base::Milliseconds;
 
-using Values = std::map<std::string, std::string>;
+using tests::ModelStore;
+using Values = ModelStore::Values;
 
 constexpr base::Duration kOneWay = Milliseconds(2);
 constexpr base::Duration kPeerPoll = Milliseconds(50);
-constexpr std::size_t kPageItems = 3;
-
-// Keys, their history, and the copy that it comes back from.
-class ModelStore {
- public:
-  explicit ModelStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
-
-  void Write(const std::string& key, std::optional<std::string> value) {
-    content_.history.push_back(
-        {key, std::move(value), ++content_.revision, era_});
-    for (const auto& watch : std::exchange(watches_, {})) {
-      watch();
-    }
-  }
-  void TakeCopy() { copy_ = content_; }
-  void Restore() {
-    content_ = copy_;
-    ++era_;
-    for (const auto& cut : std::exchange(cuts_, {})) {
-      cut();
-    }
-    watches_.clear();
-  }
-
-  Values values() const {
-    Values values;
-    for (const Event& event : content_.history) {
-      if (event.value) {
-        values[event.key] = *event.value;
-      } else {
-        values.erase(event.key);
-      }
-    }
-    return values;
-  }
-
-  EventSource source() {
-    EventSource source;
-    source.list = [this](const std::string&, const std::string& after,
-                         std::function<void(base::Result<Page>)> done) {
-      runner_.After(kOneWay, [this, after, done] {
-        runner_.After(kOneWay, [done, page = ReadPage(after)] { done(page); });
-      });
-    };
-    source.watch = [this](const std::string&, std::int64_t cursor,
-                          base::Duration wait,
-                          std::function<void(base::Result<Changes>)> done) {
-      runner_.After(kOneWay, [this, cursor, wait, done] {
-        StartWatch(cursor, wait, done);
-      });
-    };
-    return source;
-  }
-
- private:
-  struct Content {
-    std::vector<Event> history;
-    std::int64_t revision = 0;
-  };
-
-  Page ReadPage(const std::string& after) const {
-    std::map<std::string, Event> items;
-    for (const Event& event : content_.history) {
-      items.erase(event.key);
-      if (event.value && event.key > after) {
-        items[event.key] = event;
-      }
-    }
-    Page page;
-    page.revision = content_.revision;
-    page.cursor = content_.revision;
-    page.era = era_;
-    for (const auto& [key, event] : items) {
-      page.items.push_back(event);
-      page.items.back().era = era_;
-      if (page.items.size() == kPageItems) {
-        break;
-      }
-    }
-    page.is_last = page.items.size() == items.size();
-    return page;
-  }
-
-  Changes ChangesAfter(std::int64_t cursor) const {
-    Changes changes{{}, content_.revision, {era_, content_.revision}};
-    for (const Event& event : content_.history) {
-      if (event.revision > cursor) {
-        changes.events.push_back(event);
-        changes.events.back().era = era_;
-      }
-    }
-    return changes;
-  }
-
-  void StartWatch(std::int64_t cursor,
-                  base::Duration wait,
-                  const std::function<void(base::Result<Changes>)>& done) {
-    if (cursor > content_.revision) {
-      done(base::MakeError(ErrorCode::kExpired, base::Step::kWatchStore,
-                           "store", ""));
-      return;
-    }
-    const auto open =
-        std::make_shared<std::function<void(base::Result<Changes>)>>(done);
-    const auto answer = [this, open, cursor] {
-      if (const auto callback = std::exchange(*open, nullptr)) {
-        callback(ChangesAfter(cursor));
-      }
-    };
-    if (!ChangesAfter(cursor).events.empty()) {
-      answer();
-      return;
-    }
-    watches_.push_back(answer);
-    cuts_.push_back([open] {
-      if (const auto callback = std::exchange(*open, nullptr)) {
-        callback(base::MakeError(ErrorCode::kConnectionLost,
-                                 base::Step::kWatchStore, "store", ""));
-      }
-    });
-    runner_.After(wait, answer);
-  }
-
-  const base::TaskRunner runner_;
-  Content content_;
-  Content copy_;
-  std::int64_t era_ = 1;
-  std::vector<std::function<void()>> watches_;
-  std::vector<std::function<void()>> cuts_;
-};
 
 // A daemon's copy of the store, and the log that it passes on.
 class ModelDaemon {
--- /dev/null
+++ b/tests/support/model_store.h
@@ -0,0 +1,233 @@
+// The platform's store in virtual time: keys, their history, and the copy that
+// it comes back from. For tests of what follows it, without a network.
+
+#ifndef MEDLARSPREAD_TESTS_SUPPORT_MODEL_STORE_H_
+#define MEDLARSPREAD_TESTS_SUPPORT_MODEL_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/base/task_runner.h"
+#include "src/store/event_source.h"
+
+namespace medlarspread::tests {
+
+// How calls end while the store is away.
+enum class Absence { kNone, kReset, kSilent };
+
+class ModelStore {
+ public:
+  using Values = std::map<std::string, std::string>;
+
+  explicit ModelStore(base::TaskRunner runner) : runner_(std::move(runner)) {}
+
+  void Write(const std::string& key, std::optional<std::string> value) {
+    content_.history.push_back(
+        {key, std::move(value), ++content_.revision, era_});
+    for (const auto& watch : std::exchange(watches_, {})) {
+      watch();
+    }
+  }
+  void TakeCopy() { copy_ = content_; }
+  // Loses what was written since the copy; a new era begins.
+  void Restore() {
+    content_ = copy_;
+    ++era_;
+    CutWatches();
+  }
+  void set_absence(Absence absence) {
+    absence_ = absence;
+    if (absence == Absence::kReset) {
+      CutWatches();
+    }
+  }
+
+  Values values() const {
+    Values values;
+    for (const store::Event& event : content_.history) {
+      if (event.value) {
+        values[event.key] = *event.value;
+      } else {
+        values.erase(event.key);
+      }
+    }
+    return values;
+  }
+  // Answered or not, renewals left out.
+  int calls() const { return calls_; }
+
+  // `did_see_era` is told of each answer; calls of whom it is not reachable for
+  // are lost.
+  store::EventSource source(
+      std::function<void(std::int64_t)> did_see_era = [](std::int64_t) {},
+      std::function<bool()> is_reachable = [] { return true; }) {
+    const std::function<Absence()> absence = [this, is_reachable] {
+      return is_reachable() ? absence_ : Absence::kSilent;
+    };
+    store::EventSource source;
+    source.list = [this, did_see_era, absence](
+                      const std::string&, const std::string& after,
+                      std::function<void(base::Result<store::Page>)> done) {
+      ++calls_;
+      Answer<store::Page>(absence, did_see_era, std::move(done),
+                          [this, after] { return ReadPage(after); });
+    };
+    source.watch = [this, did_see_era, absence](
+                       const std::string&, std::int64_t cursor,
+                       base::Duration wait,
+                       std::function<void(base::Result<store::Changes>)> done) {
+      ++calls_;
+      runner_.After(kOneWay, [this, did_see_era, absence, cursor, wait, done] {
+        StartWatch(cursor, wait, absence, did_see_era, done);
+      });
+    };
+    source.keep_lease = [this, did_see_era, absence](
+                            std::int64_t,
+                            std::function<void(base::Status)> done) {
+      Answer<base::Done>(absence, did_see_era, std::move(done),
+                         [] { return base::Done{}; });
+    };
+    return source;
+  }
+
+ private:
+  using WatchCallback = std::function<void(base::Result<store::Changes>)>;
+
+  struct Content {
+    std::vector<store::Event> history;
+    std::int64_t revision = 0;
+  };
+
+  static constexpr base::Duration kOneWay = base::Milliseconds(2);
+  static constexpr base::Duration kListTimeout = base::Milliseconds(1'000);
+  static constexpr base::Duration kSilence = base::Milliseconds(2'000);
+  static constexpr std::size_t kPageItems = 3;
+
+  static base::Error Failure(base::ErrorCode code) {
+    return base::MakeError(code, base::Step::kWatchStore, "store", "");
+  }
+
+  template <typename T>
+  void Answer(const std::function<Absence()>& absence,
+              std::function<void(std::int64_t)> did_see_era,
+              std::function<void(base::Result<T>)> done,
+              std::function<T()> read) {
+    runner_.After(kOneWay, [this, absence, did_see_era, done, read] {
+      if (absence() == Absence::kSilent) {
+        runner_.After(kListTimeout,
+                      [done] { done(Failure(base::ErrorCode::kTimeout)); });
+        return;
+      }
+      if (absence() == Absence::kReset) {
+        runner_.After(kOneWay, [done] {
+          done(Failure(base::ErrorCode::kConnectionLost));
+        });
+        return;
+      }
+      runner_.After(kOneWay, [did_see_era, done, era = era_, result = read()] {
+        did_see_era(era);
+        done(result);
+      });
+    });
+  }
+
+  void CutWatches() {
+    for (const auto& cut : std::exchange(cuts_, {})) {
+      cut();
+    }
+    watches_.clear();
+  }
+
+  store::Page ReadPage(const std::string& after) const {
+    std::map<std::string, store::Event> items;
+    for (const store::Event& event : content_.history) {
+      items.erase(event.key);
+      if (event.value && event.key > after) {
+        items[event.key] = event;
+      }
+    }
+    store::Page page;
+    page.revision = content_.revision;
+    page.cursor = content_.revision;
+    page.era = era_;
+    for (const auto& [key, event] : items) {
+      page.items.push_back(event);
+      page.items.back().era = era_;
+      if (page.items.size() == kPageItems) {
+        break;
+      }
+    }
+    page.is_last = page.items.size() == items.size();
+    return page;
+  }
+
+  store::Changes ChangesAfter(std::int64_t cursor) const {
+    store::Changes changes{{}, content_.revision, {era_, content_.revision}};
+    for (const store::Event& event : content_.history) {
+      if (event.revision > cursor) {
+        changes.events.push_back(event);
+        changes.events.back().era = era_;
+      }
+    }
+    return changes;
+  }
+
+  void StartWatch(std::int64_t cursor,
+                  base::Duration wait,
+                  const std::function<Absence()>& absence,
+                  const std::function<void(std::int64_t)>& did_see_era,
+                  const WatchCallback& done) {
+    if (absence() != Absence::kNone) {
+      const bool is_silent = absence() == Absence::kSilent;
+      runner_.After(is_silent ? kSilence : kOneWay, [done, is_silent] {
+        done(Failure(is_silent ? base::ErrorCode::kTimeout
+                               : base::ErrorCode::kConnectionLost));
+      });
+      return;
+    }
+    if (cursor > content_.revision) {
+      did_see_era(era_);
+      done(Failure(base::ErrorCode::kExpired));
+      return;
+    }
+    const auto open = std::make_shared<WatchCallback>(done);
+    const auto answer = [this, open, cursor, absence, did_see_era] {
+      const bool is_lost = absence() != Absence::kNone;
+      if (const auto callback =
+              is_lost ? nullptr : std::exchange(*open, nullptr)) {
+        did_see_era(era_);
+        callback(ChangesAfter(cursor));
+      }
+    };
+    if (!ChangesAfter(cursor).events.empty()) {
+      answer();
+      return;
+    }
+    watches_.push_back(answer);
+    cuts_.push_back([open] {
+      if (const auto callback = std::exchange(*open, nullptr)) {
+        callback(Failure(base::ErrorCode::kConnectionLost));
+      }
+    });
+    runner_.After(wait, answer);
+  }
+
+  const base::TaskRunner runner_;
+  Content content_;
+  Content copy_;
+  std::int64_t era_ = 1;
+  Absence absence_ = Absence::kNone;
+  int calls_ = 0;
+  std::vector<std::function<void()>> watches_;
+  std::vector<std::function<void()>> cuts_;
+};
+
+}  // namespace medlarspread::tests
+
+#endif  // MEDLARSPREAD_TESTS_SUPPORT_MODEL_STORE_H_
