Daemon: Announce before the control thread starts to log

Cause: the ready line is written piece by piece to the stream of the log, without the log's lock, after the control thread has started. A first line of the log gets into the middle of it, and two threads use one string.

Ruled out: ports that are taken (exit status 1 and a line that says so).

Change: the control thread is given its first task after the ready line.

--- a/src/daemon/opaque_daemon.cc
+++ b/src/daemon/opaque_daemon.cc
@@ -208,7 +208,6 @@
   if (auto opened = controllers_.Open(); !opened.is_ok()) {
     return opened;
   }
-  control_.runner().Post([this] { controllers_.Start(); });
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
   signals_.add(SIGHUP);
@@ -220,6 +219,9 @@
               .step = base::Step::kListen,
               .peer = settings_.callers.address,
               .message = "started"});
+  // NOTE: only now, since the ready line goes to the stream of the log, which
+  // the control thread would write to at the same time.
+  control_.runner().Post([this] { controllers_.Start(); });
   return base::Done{};
 }
 
--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -177,6 +177,32 @@
   EXPECT_EQ(StatusOf(daemon.metrics, "/metrics"), http::kOk);
 }
 
+// Guards against a ready line that the first lines of the log are written into.
+TEST_F(OpaqueTest, TheReadyLineIsWholeAtEachStart) {
+  constexpr int kRounds = 25;
+  constexpr int kAtOnce = 8;
+  constexpr std::chrono::milliseconds kStarted(5'000);
+  const std::filesystem::path file = folder_ / "vm.ini";
+  std::ofstream(file) << "[vm]\nname = vm\nregion = r\nfailure_domain = n1\n"
+                         "[callers]\ninterface = opaque\n"
+                         "address = 127.0.0.1:0\n"
+                         "readiness_address = 127.0.0.1:0\n"
+                         "[operators]\naddress = 127.0.0.1:0\n"
+                         "[peers]\naddress = 127.0.0.1:0\n"
+                         "[platform]\naddress = 127.0.0.1:1\n";
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::unique_ptr<Process>> started;
+    for (int index = 0; index < kAtOnce; ++index) {
+      started.push_back(std::make_unique<Process>(
+          DAEMON_PROGRAM, std::vector<std::string>{"serve", file.string()}));
+    }
+    for (const auto& process : started) {
+      ASSERT_TRUE(process->AwaitReady(kStarted).has_value())
+          << "round " << round;
+    }
+  }
+}
+
 TEST_F(OpaqueTest, ANewConfigurationIsInForceAndAnOldOneNever) {
   const Daemon daemon = Start("vm1");
   Configure(3);
