Store: Hold removals back also where a peer told of the restore first

A daemon that hears from a peer that the store was restored, and then reads the store itself, removed at once every key that had not been written again yet: it held removals back only where its own reading showed the later era.

Change: entering a later era holds removals back, whoever told of it. A first era after none is no restore.

Test: FollowerTest.ARestoreThatAPeerToldOfHoldsRemovalsBackToo, red before.

--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -124,15 +124,7 @@
 
 void Follower::DidListAll() {
   LogReading(listed_.size());
-  if (is_complete_ && list_position_->era > era_) {
-    log_.Write({.level = base::LogLevel::kWarning,
-                .step = Step::kReadStore,
-                .message = "the store was restored: era " +
-                           std::to_string(list_position_->era) + " after " +
-                           std::to_string(era_)});
-    HoldRemovals();
-  }
-  era_ = list_position_->era;
+  Enter(list_position_->era);
   std::vector<Event> events = MissingFromList();
   for (auto& [key, event] : listed_) {
     events.push_back(std::move(event));
@@ -195,7 +187,7 @@
   }
   DidSucceed();
   cursor_ = changes.value().cursor;
-  era_ = std::max(era_, changes.value().position.era);
+  Enter(changes.value().position.era);
   Apply(changes.value().events);
   did_reach_(changes.value().position);
   Watch();
@@ -265,6 +257,21 @@
                          ToString(rows_.at(last.key).position)});
 }
 
+void Follower::Enter(std::int64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  const std::int64_t before = std::exchange(era_, era);
+  if (before == 0) {
+    return;
+  }
+  log_.Write({.level = base::LogLevel::kWarning,
+              .step = Step::kReadStore,
+              .message = "the store was restored: era " + std::to_string(era) +
+                         " after " + std::to_string(before)});
+  HoldRemovals();
+}
+
 void Follower::HoldRemovals() {
   hold_until_ = std::max(hold_until_, clock_.Now() + settings_.hold_removals);
 }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -93,6 +93,8 @@
   void LogReading(std::size_t keys) const;
   // One line for all changes of one answer that were left out.
   void LogLeftOut(const std::vector<Event>& events) const;
+  // What is told from now on is of that era, unless a later one was entered.
+  void Enter(std::int64_t era);
   // Removals that are told within the time from now on are held back.
   void HoldRemovals();
   void HoldRemoval(Event event);
--- a/tests/store/follower_test.cc
+++ b/tests/store/follower_test.cc
@@ -251,6 +251,19 @@
   EXPECT_FALSE(known_.contains("a"));
 }
 
+// Guards against leaves that are removed at once by whoever heard of the
+// restore from a peer and then reads the store itself.
+TEST_F(FollowerTest, ARestoreThatAPeerToldOfHoldsRemovalsBackToo) {
+  AnswerList({Write("a", "1", 90)}, 100);
+  era_ = 2;
+  AnswerWatch({Write("b", "1", 60)}, 101);
+  FailWatch(ErrorCode::kExpired);
+  AnswerList({Write("b", "1", 60)}, 60);
+  EXPECT_TRUE(known_.contains("a"));
+  Advance(2'600);
+  EXPECT_FALSE(known_.contains("a"));
+}
+
 TEST_F(FollowerTest, ARestoreThatChangedNothingTellsOnlyThePosition) {
   AnswerList({Write("a", "1", 40)}, 60);
   EXPECT_EQ(told_.size(), 1U);
