Tests: Make each crash loop a test of its own

Cause: 26 fleets one after another in one test, 88 s of processor time (1 min 53 s beside load).

Change: each seed with each number of targets is a test, with the same check. That some run convicts at all was a sum over the 26; three that do (seed 9 and 12 with 20 targets, 13 with 1) are checked by SomeCrashLoopsConvict, which is as strict.

--- a/tests/fleet/deadly_request_test.cc
+++ b/tests/fleet/deadly_request_test.cc
@@ -14,6 +14,7 @@
 // the same about, and nothing else ends a leaf.
 
 #include <cstdint>
+#include <tuple>
 
 #include <gtest/gtest.h>
 
@@ -226,23 +227,36 @@
   }
 }
 
+FleetReport RunCrashLoop(std::uint64_t seed, int targets) {
+  FleetPlan plan = WithCrashLoop(seed);
+  plan.targets_per_class = targets;
+  return VirtualFleet(plan).Run();
+}
+
 // A service that can't live convicts what it is asked most, as no evidence
 // tells the two apart. That is cleared a minute later by one try that is
-// answered.
-TEST(DeadlyRequestTest, WhatACrashLoopConvictedIsClearedAgain) {
-  int convicted = 0;
-  // About one run in ten convicts anybody.
-  constexpr std::uint64_t kCrashLoopSeeds = 13;
-  for (std::uint64_t seed = 1; seed <= kCrashLoopSeeds; ++seed) {
-    for (const int targets : {1, 20}) {
-      FleetPlan plan = WithCrashLoop(seed);
-      plan.targets_per_class = targets;
-      const FleetReport report = VirtualFleet(plan).Run();
-      convicted += report.verdicts;
-      EXPECT_EQ(report.standing_verdicts, 0)
-          << "seed " << seed << ", " << targets << " targets";
-    }
-  }
+// answered. Each run is a test of its own, since all of them together take
+// more than a minute.
+class CrashLoopTest
+    : public testing::TestWithParam<std::tuple<std::uint64_t, int>> {};
+
+TEST_P(CrashLoopTest, WhatItConvictedIsClearedAgain) {
+  const auto [seed, targets] = GetParam();
+  const FleetReport report = RunCrashLoop(seed, targets);
+  EXPECT_EQ(report.standing_verdicts, 0);
+  RecordProperty("verdicts", report.verdicts);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         CrashLoopTest,
+                         testing::Combine(testing::Range<std::uint64_t>(1, 14),
+                                          testing::Values(1, 20)));
+
+// Three of the runs above; without a conviction they would show nothing.
+TEST(DeadlyRequestTest, SomeCrashLoopsConvict) {
+  const int convicted = RunCrashLoop(9, 20).verdicts +
+                        RunCrashLoop(12, 20).verdicts +
+                        RunCrashLoop(13, 1).verdicts;
   EXPECT_GT(convicted, 0) << "the load shows nothing any more";
 }
 
