--- a/tests/failure/opaque_test.cc
+++ b/tests/failure/opaque_test.cc
@@ -192,6 +192,7 @@
                          "[platform]\naddress = 127.0.0.1:1\n";
   for (int round = 0; round < kRounds; ++round) {
     std::vector<std::unique_ptr<Process>> started;
+    started.reserve(kAtOnce);
     for (int index = 0; index < kAtOnce; ++index) {
       started.push_back(std::make_unique<Process>(
           DAEMON_PROGRAM, std::vector<std::string>{"serve", file.string()}));
--- a/tests/settings/template_test.cc
+++ b/tests/settings/template_test.cc
@@ -31,7 +31,7 @@
 }
 
 Values MakeValues() {
-  return {{"node", "front-hall-1-1"},
+  return {{"node", "vm-1"},
           {"region", "north"},
           {"zone", "hall-1"},
           {"limits.cpu_share", "0.25"},
