--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -27,5 +27,5 @@
 done
 result=0
 wait "$scenario" || result=$?
-[[ -n ${KEEP_LOGS:-} ]] && cp "$folder"/*.log "$KEEP_LOGS"
+((result == 2)) && add_logs
 exit "$result"
--- a/review/1/scenario.cc
+++ b/review/1/scenario.cc
@@ -151,7 +151,7 @@
   store.Put("op/config", kConfiguration);
   if (!AwaitReady(daemons, kReadyTimeoutMs)) {
     record.Add("the daemons did not get ready");
-    return kCouldNotRun;
+    std::_Exit(kCouldNotRun);
   }
   record.Add("the daemons are ready");
   Statuses statuses;
--- a/review/standins/run.sh
+++ b/review/standins/run.sh
@@ -7,13 +7,18 @@
 folder=$(mktemp -d)
 pids=()
 
+# Kills the daemons of supervise() too; their supervisors go first.
 stop_all() {
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for file in "$folder"/*.pid; do
+    if [[ -e $file ]]; then kill -KILL "$(<"$file")" 2>/dev/null || true; fi
+  done
   rm -rf "$folder"
 }
 trap stop_all EXIT
+trap 'exit 2' TERM INT HUP
 
 # could_not_run TEXT
 could_not_run() {
@@ -47,9 +52,34 @@
     "$root/deploy/daemon.ini.template"
 }
 
+# add_logs: what the daemons wrote last goes into the record, for a case that
+# could not run.
+add_logs() {
+  for log in "$folder"/*.out "$folder"/*.log; do
+    [[ -e $log ]] || continue
+    echo "== ${log##*/}"
+    tail -n 20 "$log"
+  done >>"$case_folder/record.txt"
+}
+
 # start_daemon NAME FILE: as deploy/system.toml says, from the repository's root.
 start_daemon() {
   (cd "$root" && exec target/src/medlarspread serve --settings "$2") \
     >>"$folder/$1.out" 2>>"$folder/$1.log" &
   pids+=("$!")
 }
+
+# supervise NAME FILE: starts the daemon, and starts it again each time that it
+# has ended, as the platform does. NAME.pid in the folder has its process.
+supervise() {
+  (
+    while true; do
+      (cd "$root" && exec target/src/medlarspread serve --settings "$2") \
+        >>"$folder/$1.out" 2>>"$folder/$1.log" &
+      echo "$!" >"$folder/$1.pid"
+      wait "$!" || true
+      sleep 0.1
+    done
+  ) &
+  pids+=("$!")
+}
--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace medlarspread::review {
 
@@ -114,19 +115,53 @@
   return FormatResponse(404, {}, "");
 }
 
+void Store::set_replica_lags(std::vector<std::chrono::milliseconds> lags) {
+  const std::lock_guard lock(mutex_);
+  replica_lags_ = std::move(lags);
+}
+
+std::map<std::string, Store::Item> Store::ReadReplica() {
+  const std::size_t replica = random_() % replica_lags_.size();
+  const auto seen_until = Clock::now() - replica_lags_[replica];
+  std::map<std::string, Item> items;
+  for (const Change& change : changes_) {
+    if (change.when > seen_until) {
+      break;
+    }
+    if (change.item) {
+      items[change.key] = *change.item;
+    } else {
+      items.erase(change.key);
+    }
+  }
+  return items;
+}
+
 std::string Store::AnswerRange(
     const std::map<std::string, std::string>& query) {
   const std::lock_guard lock(mutex_);
   EndLeases();
+  const bool is_stale =
+      Parameter(query, "stale_ok") == "1" && !replica_lags_.empty();
+  const std::map<std::string, Item> items = is_stale ? ReadReplica() : items_;
   std::string rows;
-  for (const auto& [key, item] : items_) {
-    if (key.starts_with(Parameter(query, "prefix")) &&
-        key > Parameter(query, "after")) {
-      rows += (rows.empty() ? "" : ",") + ToJson(key, item);
+  std::size_t count = 0;
+  bool is_truncated = false;
+  for (const auto& [key, item] : items) {
+    if (!key.starts_with(Parameter(query, "prefix")) ||
+        key <= Parameter(query, "after")) {
+      continue;
+    }
+    if (count == page_size_) {
+      is_truncated = true;
+      break;
     }
+    ++count;
+    rows += (rows.empty() ? "" : ",") + ToJson(key, item);
   }
-  return Ok("{\"items\":[" + rows + "],\"truncated\":false,\"current_rev\":" +
-            std::to_string(revision_) + "}");
+  return Ok("{\"items\":[" + rows +
+            "],\"truncated\":" + (is_truncated ? "true" : "false") +
+            ",\"current_rev\":" + std::to_string(revision_) + "}");
 }
 
 std::string Store::AnswerWatch(
@@ -200,13 +235,13 @@
   item.revision = ++revision_;
   item.created = item.created == 0 ? revision_ : item.created;
   item.lease = lease;
-  changes_.push_back({key, revision_, ToJson(key, item)});
+  changes_.push_back({key, revision_, ToJson(key, item), item, Clock::now()});
   changed_.notify_all();
 }
 
 void Store::Erase(const std::string& key) {
   if (items_.erase(key) > 0) {
-    changes_.push_back({key, ++revision_, ""});
+    changes_.push_back({key, ++revision_, "", std::nullopt, Clock::now()});
     changed_.notify_all();
   }
 }
