--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -25,6 +25,5 @@
 done
 result=0
 wait "$scenario" || result=$?
-
 ((result == 2)) && add_logs
 exit "$result"
