Upstream: Send a request only once over a connection

Cause: a full leaf rejects a request, the daemon sends it to the same leaf again a moment later, under the same identifier and often over the same connection. The leaf's copy of the rejection arrives before the answer to the second send and is taken for it. The identifier tells answers to different requests apart, but not the answers to two sends of one request.

Evidence: the line of a failed send now names the connection and the time. Ruled out: a send after an outcome that may have run (none had one), a copy on an idle connection (any byte closes it; all came within a millisecond of a send), a leaf that runs what it rejected.

Change: a connection carries no request twice (CarriedRequests). A retry takes another free connection or a new one; at the connection limit the one that has carried the request gives way. The readiness of a leaf is asked for the request, so that the cost of connecting counts in the choice of a leaf. Daemons answer once, so the rule is off between them.

Why this works: a copy is sent on the connection of the original. An answer with the identifier can then only be the answer to this send; on the old connection the next request recognizes the copy by its identifier.

--- a/emulator/fleet/virtual_daemon.cc
+++ b/emulator/fleet/virtual_daemon.cc
@@ -189,7 +189,7 @@
              upstream::ForwardPort::Callback done) {
         return Send(upstream, std::move(call), std::move(done));
       },
-      [this](const blackboard::Upstream& upstream) {
+      [this](const blackboard::Upstream& upstream, const std::string&) {
         return ReadinessOf(upstream);
       },
       [this](const blackboard::Upstream& upstream) {
@@ -419,7 +419,9 @@
                  upstream::ForwardPort::Callback done) {
             return SendToPeer(peer, std::move(call), std::move(done));
           },
-          [](const blackboard::Upstream&) { return Readiness::kOpen; },
+          [](const blackboard::Upstream&, const std::string&) {
+            return Readiness::kOpen;
+          },
           [](const blackboard::Upstream&) {}};
 }
 
--- a/src/platform/leaf_codec.cc
+++ b/src/platform/leaf_codec.cc
@@ -96,7 +96,7 @@
 }  // namespace
 
 upstream::ForwardCodec MakeLeafCodec() {
-  return {Encode, SetTimeLeft, IsMine, Decode};
+  return {Encode, SetTimeLeft, IsMine, Decode, true};
 }
 
 }  // namespace medlarspread::platform
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -117,7 +117,7 @@
 }  // namespace
 
 upstream::ForwardCodec MakePeerCodec() {
-  return {Encode, SetTimeLeft, IsMine, Decode};
+  return {Encode, SetTimeLeft, IsMine, Decode, false};
 }
 
 base::Result<PeerMessage> DecodePeerMessage(Request request) {
--- a/src/query/fan_out_log.cc
+++ b/src/query/fan_out_log.cc
@@ -30,6 +30,18 @@
            DescribeMissing() + DescribeRepeats()});
 }
 
+void FanOutSession::LogFailedSend(const Shard& shard,
+                                  const Attempt& attempt,
+                                  const upstream::ForwardReply& reply) const {
+  dependencies_->log.DidFail(
+      reply.error,
+      "a send of " + shard.collection + " to " + attempt.leaf.name +
+          " over connection " + std::to_string(attempt.connection) +
+          " failed after " + std::to_string(reply.service_time.count() / 1000) +
+          " ms",
+      request_.request_id);
+}
+
 void FanOutSession::LogReplaced(const blackboard::Upstream& leaf,
                                 bool is_replaced) const {
   dependencies_->log.Write(
--- a/src/query/fan_out_sends.cc
+++ b/src/query/fan_out_sends.cc
@@ -201,8 +201,8 @@
   const auto& leaves = dependencies_->index()->LeavesOf(shard.collection);
   const bool is_one_full =
       std::any_of(leaves.begin(), leaves.end(), [&](const auto* leaf) {
-        return MayUse(shard, *leaf) && dependencies_->leaves.readiness(*leaf) ==
-                                           upstream::Readiness::kFull;
+        return MayUse(shard, *leaf) &&
+               ReadinessOf(*leaf) == upstream::Readiness::kFull;
       });
   return is_one_full ? SendObstacle::kNoRoom : SendObstacle::kNoLeaf;
 }
@@ -213,7 +213,12 @@
       {route_.targets.name, route_.targets.latency, route_.is_idempotent,
        can_spare_shard()},
       [&](const blackboard::Upstream& leaf) { return MayUse(shard, leaf); },
-      dependencies_->leaves.readiness);
+      [this](const blackboard::Upstream& leaf) { return ReadinessOf(leaf); });
+}
+
+upstream::Readiness FanOutSession::ReadinessOf(
+    const blackboard::Upstream& leaf) const {
+  return dependencies_->leaves.readiness(leaf, request_.request_id);
 }
 
 bool FanOutSession::can_spare_shard() const {
@@ -262,6 +267,7 @@
       [self = shared_from_this(), shard_index, attempt](ForwardReply reply) {
         self->DidReply(shard_index, attempt, std::move(reply));
       });
+  attempt->connection = attempt->call.connection;
   if (cause != SendCause::kFirst || paid) {
     dependencies_->did_repeat(*attempt);
   }
--- a/src/query/fan_out_session.cc
+++ b/src/query/fan_out_session.cc
@@ -143,7 +143,7 @@
     const bool is_fatal =
         attempt->is_trial && reply.outcome == LeafOutcome::kLost;
     is_given_up_ = is_given_up_ || is_fatal;
-    DidFail(shard, attempt->leaf.name, std::move(reply));
+    DidFail(shard, *attempt, std::move(reply));
     if (is_given_up_) {
       FailOpenShards();
     }
@@ -163,11 +163,9 @@
 }
 
 void FanOutSession::DidFail(Shard& shard,
-                            const std::string& leaf,
+                            const Attempt& attempt,
                             ForwardReply reply) {
-  dependencies_->log.DidFail(
-      reply.error, "a send of " + shard.collection + " to " + leaf + " failed",
-      request_.request_id);
+  LogFailedSend(shard, attempt, reply);
   last_error_ = reply.error;
   const bool did_not_run = IsCertainlyNotRun(reply.outcome);
   may_have_run_ = may_have_run_ || !did_not_run;
@@ -177,7 +175,7 @@
     --shard.sends;
   }
   if (reply.outcome == LeafOutcome::kShed) {
-    shard.refused.insert(leaf);
+    shard.refused.insert(attempt.leaf.name);
     ++refusals_;
   }
   shard.reply = std::move(reply);
--- a/src/query/fan_out_session.h
+++ b/src/query/fan_out_session.h
@@ -177,7 +177,7 @@
                 upstream::ForwardReply reply);
   void DidAnswer(Shard& shard, upstream::ForwardReply reply);
   void DidFail(Shard& shard,
-               const std::string& leaf,
+               const Attempt& attempt,
                upstream::ForwardReply reply);
   void Settle(Shard& shard, ShardState state);
   // Cancels the send and notifies the leaf.
@@ -191,6 +191,7 @@
   void PrepareSecondSend(const Shard& shard);
   // The leaf that the shard would be sent to next; null if none is usable.
   const blackboard::Upstream* NextLeaf(const Shard& shard) const;
+  upstream::Readiness ReadinessOf(const blackboard::Upstream& leaf) const;
   void ConcludeIfDue();
   void Conclude();
   void ConcludeFailed();
@@ -198,6 +199,9 @@
   base::MonotonicTime NextDue() const;
   void Finish(ForwardedAnswer answer);
   void LogAnswer(const ForwardedAnswer& answer) const;
+  void LogFailedSend(const Shard& shard,
+                     const Attempt& attempt,
+                     const upstream::ForwardReply& reply) const;
   // Logs that the leaf was found to be replaced by another one at its address,
   // or that it is in use again.
   void LogReplaced(const blackboard::Upstream& leaf, bool is_replaced) const;
--- a/src/query/fan_out_shard.h
+++ b/src/query/fan_out_shard.h
@@ -86,6 +86,8 @@
   // When the reply counts as overdue and a second send is worthwhile.
   base::MonotonicTime overdue;
   upstream::SentCall call;
+  // The number of the connection, for the log; zero if there was none.
+  std::int64_t connection = 0;
   bool is_finished = false;
   bool was_prepared = false;
   bool was_overdue = false;
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -4,11 +4,13 @@
 #include "src/upstream/forward_client.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 #include <vector>
 
 #include "src/base/overloaded.h"
 #include "src/http1/caller_listener.h"
+#include "src/upstream/carried_requests.h"
 
 namespace medlarspread::upstream {
 
@@ -60,7 +62,8 @@
   SentCall Send(const blackboard::Upstream& upstream,
                 ForwardCall call,
                 ForwardPort::Callback done);
-  Readiness ReadinessOf(const blackboard::Upstream& upstream);
+  Readiness ReadinessOf(const blackboard::Upstream& upstream,
+                        const std::string& request_id);
   void Prepare(const blackboard::Upstream& upstream);
   void Prune(const blackboard::UpstreamsView& view);
   void CloseSpare();
@@ -83,6 +86,10 @@
     std::shared_ptr<ClientConnection> connection;
     // When it was opened or its last exchange ended.
     base::MonotonicTime last_used;
+    // Identifies the connection in the log.
+    std::int64_t number = 0;
+    // Empty unless the codec says that responses may be repeated.
+    CarriedRequests carried = {};
   };
 
   // The most recently used connection comes first.
@@ -95,12 +102,21 @@
     bool keeps_last = true;
   };
 
-  std::shared_ptr<ClientConnection> Acquire(
-      const blackboard::Upstream& upstream);
+  // Returns a free connection that has not carried the request, or opens one.
+  // Null if all that may be open are in use, or if the address is invalid.
+  PooledConnection* Acquire(const blackboard::Upstream& upstream,
+                            const std::string& request_id);
   // Whether another connection may be opened.
   bool CanOpen(const blackboard::Upstream& upstream) const;
-  std::shared_ptr<ClientConnection> FindFree(Connections& connections);
-  std::shared_ptr<ClientConnection> Open(const blackboard::Upstream& upstream);
+  bool HasFree(const std::string& leaf) const;
+  // Null if there is no free connection that has not carried the request.
+  PooledConnection* FindFree(const std::string& leaf,
+                             const std::string& request_id);
+  // Closes connections that the leaf is about to close.
+  void CloseStale(const std::string& leaf);
+  // Closes one free connection, to open another one in its place.
+  void CloseOneFree(const std::string& leaf);
+  PooledConnection* Open(const blackboard::Upstream& upstream);
   void DidChange(const std::string& leaf, ClientConnection& connection);
   void DidEnd(const std::shared_ptr<Call>& call, http1::ExchangeResult result);
   void EndAfter(const std::shared_ptr<Call>& call, base::Duration delay);
@@ -124,8 +140,8 @@
   state->upstream = upstream;
   state->sent = clock_.Now();
   state->done = std::move(done);
-  auto connection = Acquire(upstream);
-  if (!connection) {
+  PooledConnection* const pooled = Acquire(upstream, call.request_id);
+  if (pooled == nullptr) {
     ForwardReply reply;
     reply.outcome = LeafOutcome::kUnreachable;
     reply.error = base::MakeError(
@@ -137,6 +153,13 @@
     return {[state] { state->is_finished = true; }, [] {},
             [] { return false; }};
   }
+  if (codec_.may_repeat_responses) {
+    pooled->carried.Add(call.request_id,
+                        state->sent + call.time_left + kDeadlineMargin,
+                        state->sent);
+  }
+  const auto connection = pooled->connection;
+  const std::int64_t number = pooled->number;
   state->connection = connection;
   EndAfter(state, call.time_left + kDeadlineMargin);
   http1::Exchange exchange;
@@ -175,27 +198,24 @@
               self->EndAfter(state, kLinger);
             }
           },
-          [state] { return state->has_left; }};
+          [state] { return state->has_left; }, number};
 }
 
-Readiness ForwardClient::Impl::ReadinessOf(
-    const blackboard::Upstream& upstream) {
-  const auto row = leaves_.find(upstream.name);
-  if (row == leaves_.end()) {
-    return Readiness::kMustConnect;
+Readiness ForwardClient::Impl::ReadinessOf(const blackboard::Upstream& upstream,
+                                           const std::string& request_id) {
+  CloseStale(upstream.name);
+  if (const auto* free = FindFree(upstream.name, request_id)) {
+    return free->connection->is_open() ? Readiness::kOpen
+                                       : Readiness::kMustConnect;
   }
-  // NOTE: FindFree() may close stale connections and thereby erase the row.
-  const bool can_open = CanOpen(upstream);
-  const auto free = FindFree(row->second.connections);
-  if (!free) {
-    return can_open ? Readiness::kMustConnect : Readiness::kFull;
-  }
-  return free->is_open() ? Readiness::kOpen : Readiness::kMustConnect;
+  return CanOpen(upstream) || HasFree(upstream.name) ? Readiness::kMustConnect
+                                                     : Readiness::kFull;
 }
 
 void ForwardClient::Impl::Prepare(const blackboard::Upstream& upstream) {
-  if (const auto connection = Acquire(upstream)) {
-    connection->Preconnect();
+  constexpr const char* kAnyRequest = "";
+  if (const auto* pooled = Acquire(upstream, kAnyRequest)) {
+    pooled->connection->Preconnect();
   }
 }
 
@@ -238,17 +258,22 @@
   }
 }
 
-std::shared_ptr<ClientConnection> ForwardClient::Impl::Acquire(
-    const blackboard::Upstream& upstream) {
-  const auto row = leaves_.find(upstream.name);
-  if (row != leaves_.end()) {
-    row->second.keeps_last = connection_share_(upstream) >= 1.0;
-    // NOTE: this may close stale connections and thereby erase the row.
-    if (auto connection = FindFree(row->second.connections)) {
-      return connection;
+ForwardClient::Impl::PooledConnection* ForwardClient::Impl::Acquire(
+    const blackboard::Upstream& upstream,
+    const std::string& request_id) {
+  CloseStale(upstream.name);
+  if (auto* found = FindFree(upstream.name, request_id)) {
+    leaves_[upstream.name].keeps_last = connection_share_(upstream) >= 1.0;
+    return found;
+  }
+  if (!CanOpen(upstream)) {
+    if (!HasFree(upstream.name)) {
+      return nullptr;
     }
+    CloseOneFree(upstream.name);
+    ++counters_.connections_replaced;
   }
-  return CanOpen(upstream) ? Open(upstream) : nullptr;
+  return Open(upstream);
 }
 
 bool ForwardClient::Impl::CanOpen(const blackboard::Upstream& upstream) const {
@@ -258,32 +283,64 @@
          row->second.connections.size() < static_cast<std::size_t>(share);
 }
 
-// Returns the most recently used free connection, so that the others can reach
-// their idle timeout. Closes connections that the leaf is about to close.
-std::shared_ptr<ClientConnection> ForwardClient::Impl::FindFree(
-    Connections& connections) {
+bool ForwardClient::Impl::HasFree(const std::string& leaf) const {
+  const auto row = leaves_.find(leaf);
+  return row != leaves_.end() &&
+         std::any_of(row->second.connections.begin(),
+                     row->second.connections.end(),
+                     [](const PooledConnection& pooled) {
+                       return pooled.connection->is_free();
+                     });
+}
+
+// Returns the most recently used one, so that the others can reach their idle
+// timeout.
+ForwardClient::Impl::PooledConnection* ForwardClient::Impl::FindFree(
+    const std::string& leaf,
+    const std::string& request_id) {
+  const auto row = leaves_.find(leaf);
+  if (row == leaves_.end()) {
+    return nullptr;
+  }
+  for (PooledConnection& pooled : row->second.connections) {
+    if (pooled.connection->is_free() && !pooled.carried.Contains(request_id)) {
+      return &pooled;
+    }
+  }
+  return nullptr;
+}
+
+void ForwardClient::Impl::CloseStale(const std::string& leaf) {
+  const auto row = leaves_.find(leaf);
+  if (row == leaves_.end()) {
+    return;
+  }
   std::vector<std::shared_ptr<ClientConnection>> stale;
-  std::shared_ptr<ClientConnection> found;
   const base::MonotonicTime now = clock_.Now();
-  for (const PooledConnection& pooled : connections) {
-    const auto& connection = pooled.connection;
-    if (!connection->is_free()) {
-      continue;
-    }
-    const auto until = connection->idle_until();
-    if (until && *until <= now) {
-      stale.push_back(connection);
-    } else if (!found) {
-      found = connection;
+  for (const PooledConnection& pooled : row->second.connections) {
+    const auto until = pooled.connection->idle_until();
+    if (pooled.connection->is_free() && until && *until <= now) {
+      stale.push_back(pooled.connection);
     }
   }
   for (const auto& connection : stale) {
     connection->Close();
   }
-  return found;
 }
 
-std::shared_ptr<ClientConnection> ForwardClient::Impl::Open(
+void ForwardClient::Impl::CloseOneFree(const std::string& leaf) {
+  const Connections& connections = leaves_.at(leaf).connections;
+  const auto least_recent =
+      std::find_if(connections.rbegin(), connections.rend(),
+                   [](const PooledConnection& pooled) {
+                     return pooled.connection->is_free();
+                   });
+  assert(least_recent != connections.rend());
+  const auto connection = least_recent->connection;
+  connection->Close();
+}
+
+ForwardClient::Impl::PooledConnection* ForwardClient::Impl::Open(
     const blackboard::Upstream& upstream) {
   const auto endpoint = http1::ParseEndpoint(upstream.address);
   if (!endpoint.is_ok()) {
@@ -304,8 +361,9 @@
       std::make_shared<ClientConnection>(context_, std::move(settings));
   Leaf& leaf = leaves_[upstream.name];
   leaf.keeps_last = connection_share_(upstream) >= 1.0;
-  leaf.connections.push_back({connection, clock_.Now()});
-  return connection;
+  leaf.connections.push_back(
+      {std::move(connection), clock_.Now(), counters_.connections_opened});
+  return &leaf.connections.back();
 }
 
 void ForwardClient::Impl::DidChange(const std::string& leaf,
@@ -315,12 +373,19 @@
     return;
   }
   Connections& connections = row->second.connections;
-  const auto self = connection.shared_from_this();
-  connections.remove_if([&self](const PooledConnection& pooled) {
-    return pooled.connection == self;
-  });
-  if (!connection.is_closed()) {
-    connections.push_front({self, clock_.Now()});
+  const auto pooled =
+      std::find_if(connections.begin(), connections.end(),
+                   [&connection](const PooledConnection& candidate) {
+                     return candidate.connection.get() == &connection;
+                   });
+  if (pooled == connections.end()) {
+    return;
+  }
+  if (connection.is_closed()) {
+    connections.erase(pooled);
+  } else {
+    pooled->last_used = clock_.Now();
+    connections.splice(connections.begin(), connections, pooled);
   }
   if (connections.empty()) {
     leaves_.erase(row);
@@ -398,8 +463,9 @@
                          ForwardPort::Callback done) {
             return impl->Send(upstream, std::move(call), std::move(done));
           },
-          [impl = impl_](const blackboard::Upstream& upstream) {
-            return impl->ReadinessOf(upstream);
+          [impl = impl_](const blackboard::Upstream& upstream,
+                         const std::string& request_id) {
+            return impl->ReadinessOf(upstream, request_id);
           },
           [impl = impl_](const blackboard::Upstream& upstream) {
             impl->Prepare(upstream);
--- a/src/upstream/forward_client.h
+++ b/src/upstream/forward_client.h
@@ -2,7 +2,8 @@
 //
 // A leaf accepts a limited number of connections from all daemons together.
 // Each daemon uses at most its share, so that no connection is reset because
-// another daemon uses too many. A connection carries one request at a time.
+// another daemon uses too many. A connection carries one request at a time, and
+// never the same request twice (CarriedRequests).
 //
 // All calls and callbacks are on the traffic thread.
 
@@ -36,11 +37,17 @@
   // Must not throw, whatever the response contains.
   std::function<ForwardReply(const blackboard::Upstream&, http1::Response)>
       decode;
+  // Whether the server may send a response a second time, later on the same
+  // connection.
+  bool may_repeat_responses = false;
 };
 
 struct ForwardClientCounters {
   std::int64_t sends = 0;
   std::int64_t connections_opened = 0;
+  // Connections that were closed to make room for one that has not carried the
+  // request to be sent.
+  std::int64_t connections_replaced = 0;
   std::int64_t cancels = 0;
 };
 
--- a/src/upstream/forward_port.h
+++ b/src/upstream/forward_port.h
@@ -77,6 +77,8 @@
   // Whether a byte of the request may have been sent. A request that was
   // cancelled before that has not run and never will.
   std::function<bool()> has_left;
+  // Identifies the connection in the log of this daemon; zero if there is none.
+  std::int64_t connection = 0;
 };
 
 enum class Readiness {
@@ -94,8 +96,11 @@
   // Calls back exactly once, and not before it has returned.
   std::function<SentCall(const blackboard::Upstream&, ForwardCall, Callback)>
       send;
-  // Whether a request to the leaf could be sent right away.
-  std::function<Readiness(const blackboard::Upstream&)> readiness;
+  // Whether the request could be sent to the leaf right away. A request that
+  // was sent to the leaf before may need another connection than the others.
+  std::function<Readiness(const blackboard::Upstream&,
+                          const std::string& request_id)>
+      readiness;
   // Opens a connection to the leaf if none is free and one may be opened.
   std::function<void(const blackboard::Upstream&)> prepare;
 };
--- a/tests/query/fake_leaves.h
+++ b/tests/query/fake_leaves.h
@@ -36,7 +36,7 @@
                   [this, index] { sent_[index].is_lingering = true; },
                   [this, index] { return sent_[index].has_left; }};
             },
-            [this](const blackboard::Upstream& leaf) {
+            [this](const blackboard::Upstream& leaf, const std::string&) {
               return full_.contains(leaf.name) ? upstream::Readiness::kFull
                                                : upstream::Readiness::kOpen;
             },
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -31,8 +31,10 @@
     codec.set_time_left = [this](http1::Request&, base::Duration left) {
       sent_time_left_.push_back(left);
     };
-    codec.is_mine = [](const ForwardCall&, const http1::Response&) {
-      return true;
+    codec.is_mine = [](const ForwardCall& call,
+                       const http1::Response& response) {
+      const auto id = response.find(kRequestId);
+      return id == response.end() || id->value() == call.request_id;
     };
     codec.decode = [](const blackboard::Upstream&, http1::Response response) {
       ForwardReply reply;
@@ -40,14 +42,18 @@
       reply.message = std::move(response);
       return reply;
     };
+    codec.may_repeat_responses = true;
     client_ = std::make_unique<ForwardClient>(
         context_, clock_, base::TaskRunner(context_), std::move(codec),
         [this](const blackboard::Upstream&) { return share_; });
   }
 
   SentCall Send(std::optional<ForwardReply>& reply,
-                base::Duration time_left = Milliseconds(20'000)) {
+                base::Duration time_left = Milliseconds(20'000),
+                const std::string& request_id = "") {
     ForwardCall call;
+    call.request_id =
+        request_id.empty() ? "r" + std::to_string(++last_id_) : request_id;
     call.message = std::make_shared<const http1::Request>(
         boost::beast::http::verb::get, "/", 11);
     call.time_left = time_left;
@@ -58,6 +64,27 @@
                                 });
   }
 
+  // Sends the request and returns the status of the response.
+  http1::Status Exchange(const std::string& request_id) {
+    std::optional<ForwardReply> reply;
+    (void)Send(reply, Milliseconds(20'000), request_id);
+    RunUntil([&reply] { return reply.has_value(); });
+    return reply->outcome == LeafOutcome::kAnswered ? reply->message.result()
+                                                    : http1::Status::unknown;
+  }
+
+  // A leaf that rejects the first request and runs all later ones.
+  static RawLeaf::Reply RejectFirst(int index, const std::string& request_id) {
+    const std::string status = index == 1 ? "503 Unavailable" : "200 OK";
+    return {"HTTP/1.1 " + status + "\r\n" + kRequestId + ": " + request_id +
+                "\r\nContent-Length: 0\r\n\r\n",
+            false};
+  }
+
+  Readiness Ready(const std::string& request_id = "other") {
+    return client_->port().readiness(leaf_, request_id);
+  }
+
   void RunUntil(const std::function<bool()>& is_done) {
     const auto end = std::chrono::steady_clock::now() + kMaxWait;
     while (!is_done() && std::chrono::steady_clock::now() < end) {
@@ -67,6 +94,9 @@
     ASSERT_TRUE(is_done());
   }
 
+  static constexpr const char* kRequestId = "Request-Id";
+
+  int last_id_ = 0;
   // Used when the client is created.
   base::Clock clock_;
   boost::asio::io_context context_;
@@ -85,9 +115,9 @@
   std::optional<ForwardReply> second;
   std::optional<ForwardReply> third;
   (void)Send(first);
-  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kMustConnect);
+  EXPECT_EQ(Ready(), Readiness::kMustConnect);
   (void)Send(second);
-  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kFull);
+  EXPECT_EQ(Ready(), Readiness::kFull);
   (void)Send(third);
   RunUntil([&third] { return third.has_value(); });
   EXPECT_EQ(third->outcome, LeafOutcome::kUnreachable);
@@ -116,7 +146,7 @@
   call.cancel();
   RunUntil([this] { return raw_->open_connections() == 0; });
   EXPECT_FALSE(reply.has_value());
-  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kMustConnect);
+  EXPECT_EQ(Ready(), Readiness::kMustConnect);
 }
 
 TEST_F(ForwardClientTest, APreparedConnectionIsUsed) {
@@ -125,8 +155,7 @@
                           false};
   });
   client_->port().prepare(leaf_);
-  RunUntil(
-      [this] { return client_->port().readiness(leaf_) == Readiness::kOpen; });
+  RunUntil([this] { return Ready() == Readiness::kOpen; });
   std::optional<ForwardReply> reply;
   (void)Send(reply);
   RunUntil([&reply] { return reply.has_value(); });
@@ -205,14 +234,68 @@
   std::optional<ForwardReply> reply;
   (void)Send(reply);
   // One connection is always permitted.
-  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kFull);
+  EXPECT_EQ(Ready(), Readiness::kFull);
   RunUntil([&reply] { return reply.has_value(); });
   client_->CloseSpare();
-  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kOpen);
+  EXPECT_EQ(Ready(), Readiness::kOpen);
   time->Advance(Milliseconds(1'000));
   client_->CloseSpare();
   RunUntil([this] { return raw_->open_connections() == 0; });
-  EXPECT_EQ(client_->port().readiness(leaf_), Readiness::kMustConnect);
+  EXPECT_EQ(Ready(), Readiness::kMustConnect);
+}
+
+// Guards against a request that runs twice: a leaf rejects it, the daemon sends
+// it again on the same connection, and the rejection, which the leaf sends a
+// second time, is taken for the response to the second send.
+TEST_F(ForwardClientTest, RetryDoesNotTakeARepeatedRejection) {
+  Open([](int index) { return RejectFirst(index, "r1"); });
+  raw_->set_repeats_responses(true);
+  EXPECT_EQ(Exchange("r1"), http1::Status::service_unavailable);
+  EXPECT_EQ(Ready("r1"), Readiness::kMustConnect);
+  EXPECT_EQ(Exchange("r1"), http1::Status::ok);
+  EXPECT_EQ(client_->counters().connections_opened, 2);
+}
+
+// The same at the connection limit: the connection that has carried the request
+// gives way to a new one.
+TEST_F(ForwardClientTest, RetryAtTheConnectionLimitReplacesTheConnection) {
+  share_ = 1.0;
+  Open([](int index) { return RejectFirst(index, "r1"); });
+  raw_->set_repeats_responses(true);
+  EXPECT_EQ(Exchange("r1"), http1::Status::service_unavailable);
+  EXPECT_EQ(Ready("r1"), Readiness::kMustConnect);
+  EXPECT_EQ(Exchange("r1"), http1::Status::ok);
+  EXPECT_EQ(client_->counters().connections_replaced, 1);
+  RunUntil([this] { return raw_->open_connections() == 1; });
+}
+
+// A repeated response to another request is recognized by its identifier, so
+// the connection stays in use.
+TEST_F(ForwardClientTest, OtherRequestsKeepUsingTheConnection) {
+  Open([](int index) {
+    return RejectFirst(index, "r" + std::to_string(index));
+  });
+  raw_->set_repeats_responses(true);
+  EXPECT_EQ(Exchange("r1"), http1::Status::service_unavailable);
+  EXPECT_EQ(Ready("r2"), Readiness::kOpen);
+  EXPECT_EQ(Exchange("r2"), http1::Status::ok);
+  EXPECT_EQ(Exchange("r3"), http1::Status::ok);
+  EXPECT_EQ(client_->counters().connections_opened, 1);
+}
+
+// A request that has ended is not sent again, so its identifier is forgotten.
+TEST_F(ForwardClientTest, ForgetsRequestsAfterTheirDeadline) {
+  const auto time = std::make_shared<base::ManualTime>(1'000'000, 0);
+  clock_ = base::Clock(time);
+  Open([](int index) {
+    return RejectFirst(index, "r" + std::to_string(index));
+  });
+  EXPECT_EQ(Exchange("r1"), http1::Status::service_unavailable);
+  EXPECT_EQ(Exchange("r2"), http1::Status::ok);
+  EXPECT_EQ(Ready("r1"), Readiness::kMustConnect);
+  time->Advance(Milliseconds(21'000));
+  EXPECT_EQ(Exchange("r3"), http1::Status::ok);
+  EXPECT_EQ(Ready("r1"), Readiness::kOpen);
 }
 
 }  // namespace
--- a/tests/upstream/raw_leaf.h
+++ b/tests/upstream/raw_leaf.h
@@ -49,6 +49,8 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
+  // Before each response, sends the last one on the same connection again.
+  void set_repeats_responses(bool repeats) { repeats_responses_ = repeats; }
   int requests() const { return requests_; }
   int open_connections() const { return open_; }
   int most_connections() const { return most_; }
@@ -67,6 +69,8 @@
     Socket socket;
     boost::asio::streambuf buffer;
     std::string reply;
+    // The last reply without repetitions.
+    std::string last;
   };
 
   void Accept() {
@@ -96,7 +100,8 @@
 
   void Answer(const std::shared_ptr<Connection>& connection,
               const Reply& reply) {
-    connection->reply = reply.bytes;
+    const std::string last = std::exchange(connection->last, reply.bytes);
+    connection->reply = (repeats_responses_ ? last : "") + reply.bytes;
     boost::asio::async_write(
         connection->socket, boost::asio::buffer(connection->reply),
         [this, connection, reply](const boost::system::error_code& error,
@@ -113,6 +118,7 @@
   const std::string end_of_request_;
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> repeats_responses_ = false;
   std::atomic<int> requests_ = 0;
   std::atomic<int> open_ = 0;
   std::atomic<int> most_ = 0;
