Http1, Platform: Take no answer that may be left over from another request

What callers would have seen: an answer to another request, or 503 ("not run") for a request that runs.

An answer without an identifier was accepted on any connection, with the reason that a connection carries one request at a time. That does not hold once a connection may carry a left-over answer. And a copy that is cut short within its header, with the next answer right behind it, parses as one answer: status and "not run" are the copy's, identifier and body the next one's.

Change: an answer that does not name its request is accepted only as the first on its connection, which is then closed; on a used connection the exchange fails as malformed, and the send counts as lost. The same for an answer whose header contains a status line. ResponseMatch has a third value for the first case.

Why this works: nothing can be left over on a connection that has carried no request before, and nothing follows an answer whose copy could not be recognized.

The check of LeafCodecTest.AnswersAreMatchedByTheIdentifier that an answer without an identifier is the request's own was the fault; it now has to be unknown, which ClientConnectionTest pins down for new and for used connections.

--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -2,8 +2,11 @@
 
 #include "src/http1/client_connection.h"
 
+#include <algorithm>
 #include <cassert>
+#include <cctype>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 #include <boost/beast/http/write.hpp>
@@ -39,6 +42,42 @@
   return std::atoi(text.c_str() + at + name.size());
 }
 
+// Whether the text contains the begin of a status line, such as "HTTP/1.1 200".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::string_view kPattern = "d ddd";
+  for (auto at = text.find(kVersion); at != std::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    const std::string_view rest = text.substr(at + kVersion.size());
+    const bool is_status_line =
+        rest.size() >= kPattern.size() &&
+        std::equal(
+            kPattern.begin(), kPattern.end(), rest.begin(),
+            [](char expected, char found) {
+              return expected == 'd'
+                         ? std::isdigit(static_cast<unsigned char>(found)) != 0
+                         : expected == found;
+            });
+    if (is_status_line) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the header contains a status line of its own: a response that was cut
+// short, with another one behind it, parses as one response.
+bool ContainsStatusLine(const Response& response) {
+  const auto view = [](boost::beast::string_view text) {
+    return std::string_view(text.data(), text.size());
+  };
+  return ContainsStatusLine(view(response.reason())) ||
+         std::any_of(response.begin(), response.end(),
+                     [&view](const auto& field) {
+                       return ContainsStatusLine(view(field.value()));
+                     });
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(boost::asio::io_context& context,
@@ -57,6 +96,7 @@
 void ClientConnection::Start(Exchange exchange) {
   assert(is_free());
   exchange_ = std::move(exchange);
+  ++exchanges_;
   was_sent_ = false;
   should_close_ = false;
   StartParser();
@@ -208,14 +248,28 @@
   Response response = parser_->release();
   constexpr unsigned kFirstFinalStatus = 200;
   const bool is_interim = response.result_int() < kFirstFinalStatus;
-  if (is_interim || !exchange_->matches(response)) {
+  const ResponseMatch match =
+      is_interim ? ResponseMatch::kNo : exchange_->match(response);
+  if (match == ResponseMatch::kNo) {
     StartParser();
     return;
   }
+  const bool is_used = exchanges_ > 1;
+  if (is_used &&
+      (match == ResponseMatch::kUnknown || ContainsStatusLine(response))) {
+    Fail(ErrorCode::kMalformed, "the response may belong to another request");
+    Close();
+    return;
+  }
+  Accept(std::move(response), match);
+}
+
+void ClientConnection::Accept(Response response, ResponseMatch match) {
   // NOTE: bytes after the response belong to no request and could be mistaken
-  // for the next response on this connection.
-  should_close_ =
-      !response.keep_alive() || response.need_eof() || buffer_.size() > 0;
+  // for the next response on this connection, as could a second copy of a
+  // response that does not name its request.
+  should_close_ = !response.keep_alive() || response.need_eof() ||
+                  buffer_.size() > 0 || match == ResponseMatch::kUnknown;
   UpdateIdleUntil(response);
   Finish(std::move(response));
 }
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -9,8 +9,11 @@
 // Steps of an exchange:
 //   1. Connect, unless the connection is open.
 //   2. Write the request.
-//   3. Read responses until one belongs to the request (`matches`); others are
-//      discarded.
+//   3. Read responses until one belongs to the request (`match`); others are
+//      discarded. A server may send a response a second time, whole or cut
+//      short. So on a connection that has carried another request, a response
+//      that does not say which request it belongs to, or that begins within
+//      another one's header, ends the exchange as malformed.
 //   4. Report the response once. Keep the connection if both sides allow it and
 //      the whole request has been written.
 //
@@ -46,14 +49,22 @@
 
 using ExchangeResult = std::variant<Response, ExchangeFailure>;
 
+// Whether a response belongs to the request that awaits one.
+enum class ResponseMatch {
+  kYes,
+  // It belongs to an earlier request.
+  kNo,
+  // It does not say.
+  kUnknown,
+};
+
 struct Exchange {
   // Only `will_write` may modify the request until the exchange has ended.
   std::shared_ptr<Request> request;
   // Called right before the request is written, to set fields that depend on
   // the time: connecting first may take most of a second. May be empty.
   std::function<void(Request&)> will_write;
-  // Whether a response belongs to this request and not to an earlier one.
-  std::function<bool(const Response&)> matches;
+  std::function<ResponseMatch(const Response&)> match;
   // Called once.
   std::function<void(ExchangeResult)> done;
 };
@@ -102,6 +113,7 @@
   void Parse();
   void StartParser();
   void DidParse();
+  void Accept(Response response, ResponseMatch match);
   void DidEnd(const boost::system::error_code& error);
   void UpdateIdleUntil(const Response& response);
   void Fail(base::ErrorCode code, const std::string& detail);
@@ -121,6 +133,8 @@
   bool is_closed_ = false;
   bool is_writing_ = false;
   bool was_sent_ = false;
+  // The number of exchanges that were started.
+  std::int64_t exchanges_ = 0;
   // Whether the connection can't be reused after this response.
   bool should_close_ = false;
   std::optional<base::MonotonicTime> idle_until_;
--- a/src/http1/timed_exchange.cc
+++ b/src/http1/timed_exchange.cc
@@ -37,7 +37,7 @@
       });
   Exchange started;
   started.request = std::move(exchange.request);
-  started.matches = [](const Response&) { return true; };
+  started.match = [](const Response&) { return ResponseMatch::kYes; };
   started.done = [end, step = exchange.step](ExchangeResult result) {
     std::visit(
         base::Overloaded{[&](Response& response) { end(std::move(response)); },
--- a/src/platform/leaf_codec.cc
+++ b/src/platform/leaf_codec.cc
@@ -17,6 +17,7 @@
 using base::ErrorCode;
 using base::Step;
 using http1::Response;
+using http1::ResponseMatch;
 using http1::Status;
 using upstream::ForwardReply;
 using upstream::LeafOutcome;
@@ -28,11 +29,14 @@
   return request;
 }
 
-// An answer without a request identifier is accepted: it can't be distinguished
-// from a late one, but the connection carries one request at a time.
-bool IsMine(const upstream::ForwardCall& call, const Response& response) {
+ResponseMatch Match(const upstream::ForwardCall& call,
+                    const Response& response) {
   const auto field = response.find(kRequestId);
-  return field == response.end() || field->value() == call.request_id;
+  if (field == response.end()) {
+    return ResponseMatch::kUnknown;
+  }
+  return field->value() == call.request_id ? ResponseMatch::kYes
+                                           : ResponseMatch::kNo;
 }
 
 base::Duration DecodeRetryAfter(const Response& response) {
@@ -96,7 +100,7 @@
 }  // namespace
 
 upstream::ForwardCodec MakeLeafCodec() {
-  return {Encode, SetTimeLeft, IsMine, Decode, true};
+  return {Encode, SetTimeLeft, Match, Decode, true};
 }
 
 }  // namespace medlarspread::platform
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -19,6 +19,7 @@
 namespace http = boost::beast::http;
 using http1::Request;
 using http1::Response;
+using http1::ResponseMatch;
 using http1::Status;
 using upstream::ForwardReply;
 using upstream::LeafOutcome;
@@ -82,9 +83,9 @@
 
 // Daemons answer one request at a time on a connection and send no late
 // answers.
-bool IsMine(const upstream::ForwardCall& /*call*/,
-            const Response& /*response*/) {
-  return true;
+ResponseMatch Match(const upstream::ForwardCall& /*call*/,
+                    const Response& /*response*/) {
+  return ResponseMatch::kYes;
 }
 
 LeafOutcome OutcomeOf(Status status) {
@@ -117,7 +118,7 @@
 }  // namespace
 
 upstream::ForwardCodec MakePeerCodec() {
-  return {Encode, SetTimeLeft, IsMine, Decode, false};
+  return {Encode, SetTimeLeft, Match, Decode, false};
 }
 
 base::Result<PeerMessage> DecodePeerMessage(Request request) {
--- a/src/upstream/forward_client.cc
+++ b/src/upstream/forward_client.cc
@@ -174,9 +174,9 @@
     self->codec_.set_time_left(request,
                                std::max(base::Duration{}, time_left - waited));
   };
-  exchange.matches = [self = shared_from_this(),
-                      call](const http1::Response& response) {
-    return self->codec_.is_mine(call, response);
+  exchange.match = [self = shared_from_this(),
+                    call](const http1::Response& response) {
+    return self->codec_.match(call, response);
   };
   exchange.done = [self = shared_from_this(),
                    state](http1::ExchangeResult result) {
--- a/src/upstream/forward_client.h
+++ b/src/upstream/forward_client.h
@@ -33,7 +33,9 @@
   // Sets the remaining time in an encoded request.
   std::function<void(http1::Request&, base::Duration)> set_time_left;
   // Whether a response received on the connection belongs to the call.
-  std::function<bool(const ForwardCall&, const http1::Response&)> is_mine;
+  std::function<http1::ResponseMatch(const ForwardCall&,
+                                     const http1::Response&)>
+      match;
   // Must not throw, whatever the response contains.
   std::function<ForwardReply(const blackboard::Upstream&, http1::Response)>
       decode;
--- a/tests/http1/client_connection_test.cc
+++ b/tests/http1/client_connection_test.cc
@@ -41,9 +41,12 @@
     std::optional<ExchangeResult> result;
     Exchange exchange;
     exchange.request = request;
-    exchange.matches = [id](const Response& response) {
+    exchange.match = [id](const Response& response) {
       const auto field = response.find("Id");
-      return field == response.end() || field->value() == id;
+      if (field == response.end()) {
+        return ResponseMatch::kUnknown;
+      }
+      return field->value() == id ? ResponseMatch::kYes : ResponseMatch::kNo;
     };
     exchange.done = [&result](ExchangeResult ended) {
       result = std::move(ended);
@@ -69,6 +72,9 @@
            body;
   }
 
+  static constexpr const char* kUnidentified =
+      "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
   boost::asio::io_context context_;
   std::unique_ptr<RawLeaf> raw_;
   std::shared_ptr<ClientConnection> connection_;
@@ -106,6 +112,51 @@
   EXPECT_TRUE(connection_->is_closed());
 }
 
+// Guards against a response without an identifier, left over from an earlier
+// request, that is taken for the response to the next one.
+TEST_F(ClientConnectionTest, UnidentifiedAnswerOnAUsedConnectionIsMalformed) {
+  Open([](int index) {
+    return RawLeaf::Reply{index == 1 ? Answer("a", "right") : kUnidentified,
+                          false};
+  });
+  (void)Ask("a");
+  const ExchangeResult result = Ask("b");
+  ASSERT_TRUE(std::holds_alternative<ExchangeFailure>(result));
+  EXPECT_EQ(std::get<ExchangeFailure>(result).error.code,
+            base::ErrorCode::kMalformed);
+  EXPECT_TRUE(std::get<ExchangeFailure>(result).was_sent);
+  EXPECT_TRUE(connection_->is_closed());
+}
+
+// On a new connection it can only belong to the one request, but a second copy
+// of it could not be recognized.
+TEST_F(ClientConnectionTest, UnidentifiedAnswerIsTheLastOnItsConnection) {
+  Open([](int) { return RawLeaf::Reply{kUnidentified, false}; });
+  const ExchangeResult result = Ask("a");
+  ASSERT_TRUE(std::holds_alternative<Response>(result));
+  EXPECT_EQ(std::get<Response>(result).result_int(), 503U);
+  EXPECT_TRUE(connection_->is_closed());
+}
+
+// Guards against a response that is made up of two: the status and some fields
+// of a copy that was cut short, and the identifier and body of the next one.
+TEST_F(ClientConnectionTest, AnswerBehindACutCopyIsMalformed) {
+  const std::string copy = "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nNote: x";
+  // Cut anywhere from the reason on.
+  for (std::size_t size = std::string("HTTP/1.1 503 ").size();
+       size <= copy.size(); ++size) {
+    Open([&copy, size](int index) {
+      return RawLeaf::Reply{(index == 1 ? "" : copy.substr(0, size)) +
+                                Answer(std::to_string(index), "right"),
+                            false};
+    });
+    (void)Ask("1");
+    const ExchangeResult result = Ask("2");
+    EXPECT_TRUE(std::holds_alternative<ExchangeFailure>(result))
+        << copy.substr(0, size);
+  }
+}
+
 TEST_F(ClientConnectionTest, ClosesWhenBytesArriveWithoutARequest) {
   Open([](int) { return RawLeaf::Reply{Answer("a", "right"), true}; });
   (void)Ask("a");
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -123,11 +123,11 @@
   upstream::ForwardCall call;
   call.request_id = "id-1";
   Response response = MakeAnswer(Status::ok);
-  EXPECT_TRUE(codec_.is_mine(call, response));
+  EXPECT_EQ(codec_.match(call, response), http1::ResponseMatch::kUnknown);
   response.set(kRequestId, "id-0");
-  EXPECT_FALSE(codec_.is_mine(call, response));
+  EXPECT_EQ(codec_.match(call, response), http1::ResponseMatch::kNo);
   response.set(kRequestId, "id-1");
-  EXPECT_TRUE(codec_.is_mine(call, response));
+  EXPECT_EQ(codec_.match(call, response), http1::ResponseMatch::kYes);
 }
 
 TEST_F(LeafCodecTest, SuccessNeedsAProofAndNoEncoding) {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -624,7 +624,9 @@
   request->set("Medlarspread-Deadline-Ms", "800");
   http1::Exchange exchange;
   exchange.request = request;
-  exchange.matches = [](const http1::Response&) { return true; };
+  exchange.match = [](const http1::Response&) {
+    return http1::ResponseMatch::kYes;
+  };
   exchange.done = [this, connection, again,
                    id](const http1::ExchangeResult& result) {
     const auto* response = std::get_if<http1::Response>(&result);
@@ -774,7 +776,9 @@
   request->set("Medlarspread-Deadline-Ms", "800");
   http1::Exchange exchange;
   exchange.request = request;
-  exchange.matches = [](const http1::Response&) { return true; };
+  exchange.match = [](const http1::Response&) {
+    return http1::ResponseMatch::kYes;
+  };
   exchange.done = [this, sent](http1::ExchangeResult result) {
     DidEnd(sent, std::move(result));
   };
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -31,10 +31,11 @@
     codec.set_time_left = [this](http1::Request&, base::Duration left) {
       sent_time_left_.push_back(left);
     };
-    codec.is_mine = [](const ForwardCall& call,
-                       const http1::Response& response) {
+    codec.match = [](const ForwardCall& call, const http1::Response& response) {
       const auto id = response.find(kRequestId);
-      return id == response.end() || id->value() == call.request_id;
+      return id == response.end() || id->value() == call.request_id
+                 ? http1::ResponseMatch::kYes
+                 : http1::ResponseMatch::kNo;
     };
     codec.decode = [](const blackboard::Upstream&, http1::Response response) {
       ForwardReply reply;
