Store: Take a position from complete reads, not from items

What callers would have seen: a daemon that serves by old routes, or sends to a leaf that is gone, after it has switched between peers. Found by reading, after the fault of stale reads; no caller has reported it.

Cause: the same on a related path. EventLog took the revision of its newest item as the position up to which all changes are known, and offered that to others. If that watch is lost, a follower that resumes elsewhere from the position misses them.

Change: Follower reports each set of changes with the position up to which all are known, that of the list's first page or of the watch, and nothing for a stale list. EventLog::Append takes it. So what waits at a peer is answered with the right position as before.

Why this works: the first page's position is the oldest of a current list, and the watch continues from there.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -161,8 +161,9 @@
           [this](const store::Position& position) {
             event_log_.DidList(position);
           },
-          [this](const std::vector<store::Event>& events) {
-            DidChange(events);
+          [this](const std::vector<store::Event>& events,
+                 const store::Position& reached) {
+            DidChange(events, reached);
           },
           [this](const store::Position& position) { DidReach(position); },
           log)) {}
@@ -178,7 +179,8 @@
   verdicts_->Stop();
 }
 
-void StoreControllers::DidChange(const std::vector<store::Event>& events) {
+void StoreControllers::DidChange(const std::vector<store::Event>& events,
+                                 const store::Position& reached) {
   constexpr std::string_view kLeaves = platform::kLeafKeyPrefix;
   constexpr std::string_view kDaemons = membership::kDaemonKeyPrefix;
   constexpr std::string_view kFollowers = membership::kFollowersKeyPrefix;
@@ -201,7 +203,7 @@
   leaves_.Publish();
   registration_->Publish();
   CheckReadiness();
-  event_log_.Append(events);
+  event_log_.Append(events, reached);
   update_server_->DidAppend();
 }
 
--- a/src/daemon/store_controllers.h
+++ b/src/daemon/store_controllers.h
@@ -54,7 +54,8 @@
   // The store was restored from a backup, so what this daemon wrote to it
   // may be lost.
   void DidRestoreStore();
-  void DidChange(const std::vector<store::Event>& events);
+  void DidChange(const std::vector<store::Event>& events,
+                 const store::Position& reached);
   void DidReach(const store::Position& position);
   void DidChangeLeaf(const std::string& id, const store::Event& event);
   void DidChangeConfiguration(const store::Event& event);
--- a/src/store/event_log.cc
+++ b/src/store/event_log.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-void EventLog::Append(const std::vector<Event>& events) {
+void EventLog::Append(const std::vector<Event>& events,
+                      const Position& reached) {
   for (const Event& event : events) {
     if (event.value) {
       SetItem(event);
@@ -29,9 +30,9 @@
       RemoveItem(event.key);
       removals_[event.key] = event.position();
     }
-    DidReach(event.position());
     changes_.emplace_back(++cursor_, event);
   }
+  DidReach(reached);
   while (changes_.size() > kMaxChanges) {
     trimmed_cursor_ = changes_.front().first;
     changes_.pop_front();
--- a/src/store/event_log.h
+++ b/src/store/event_log.h
@@ -24,7 +24,8 @@
   explicit EventLog(std::int64_t first_cursor)
       : trimmed_cursor_(first_cursor), cursor_(first_cursor) {}
 
-  void Append(const std::vector<Event>& events);
+  // With these changes, all changes up to `reached` are known here.
+  void Append(const std::vector<Event>& events, const Position& reached);
   // All keys were listed at that position of the store. Keys that came and went
   // before it may be missing from this log.
   void DidList(const Position& position);
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -140,12 +140,12 @@
                    });
   is_complete_ = true;
   if (is_list_stale_) {
-    Apply(events);
+    Apply(events, Position{});
     Watch();
     return;
   }
   did_list_(*list_position_);
-  Apply(events);
+  Apply(events, *list_position_);
   did_reach_(*list_position_);
   Watch();
 }
@@ -201,12 +201,14 @@
   if (const auto since = changes.value().completes_list_since) {
     did_list_(*since);
   }
-  Apply(changes.value().events);
+  Apply(changes.value().events, changes.value().position);
   did_reach_(changes.value().position);
   Watch();
 }
 
-void Follower::Apply(const std::vector<Event>& events) {
+void Follower::Apply(const std::vector<Event>& events,
+                     const Position& position) {
+  reached_ = std::max(reached_, position);
   std::vector<Event> accepted;
   std::vector<Event> skipped;
   const bool is_delaying_removals = clock_.Now() < delay_removals_until_;
@@ -233,7 +235,7 @@
   }
   LogSkipped(skipped);
   if (!accepted.empty()) {
-    did_change_(accepted);
+    did_change_(accepted, reached_);
   }
 }
 
@@ -320,7 +322,7 @@
                 .step = Step::kWatchStore,
                 .message = std::to_string(removals.size()) +
                            " entries were not written again and are removed"});
-    did_change_(removals);
+    did_change_(removals, reached_);
   }
 }
 
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -49,8 +49,12 @@
 
 class Follower : public std::enable_shared_from_this<Follower> {
  public:
-  // Receives the changes of one response, in the order of their revisions.
-  using DidChange = std::function<void(const std::vector<Event>&)>;
+  // Receives the changes of one response, in the order of their revisions. With
+  // them, all changes up to `reached` have been reported. The changes may be
+  // newer: a later page of a list may contain some, but not all, of the changes
+  // since its first page was read.
+  using DidChange =
+      std::function<void(const std::vector<Event>&, const Position& reached)>;
   // Called when all keys were listed at that position, by a list that is not
   // stale or by changes that complete a stale one; the resulting changes
   // follow.
@@ -90,7 +94,9 @@
   void Watch();
   void DidWatch(base::MonotonicTime began,
                 const base::Result<Changes>& changes);
-  void Apply(const std::vector<Event>& events);
+  // Reports the events that change a known state. Afterwards all changes up to
+  // `position` are known.
+  void Apply(const std::vector<Event>& events, const Position& position);
   static KeyState StateOf(const Event& event);
   // Whether `state` repeats the known value in a later era.
   static bool IsUnchanged(const KeyState& state, const KeyState& known);
@@ -128,6 +134,8 @@
   // The position of its first page; absent before that.
   std::optional<Position> list_position_;
   bool is_list_stale_ = false;
+  // All changes up to this position have been reported.
+  Position reached_;
   // The latest era that was applied.
   std::int64_t era_ = 0;
   // The cursor of the next watch.
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -3,6 +3,7 @@
 
 #include "src/relay/update_reader.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -99,6 +100,15 @@
 
   using Items = std::vector<store::Event>;
 
+  // Appends changes before which no other is missing.
+  void Append(const Items& events) {
+    store::Position reached = log_.position();
+    for (const store::Event& event : events) {
+      reached = std::max(reached, event.position());
+    }
+    log_.Append(events, reached);
+  }
+
   // Lists the pages by a stale read, then adds a peer to follow. The store's
   // revision is far ahead of all pages.
   void ListStalePages(const std::vector<Items>& pages,
@@ -284,14 +294,14 @@
 
 TEST_F(UpdateReaderTest, AsksTheReaderOfItsDomain) {
   AddMembers("n1");
-  log_.Append({{"a", "1", 5}});
+  Append({{"a", "1", 5}});
   const auto page = List();
   ASSERT_TRUE(page.is_ok());
   EXPECT_EQ(page.value().items.size(), 1U);
   EXPECT_EQ(store_calls_, 0);
   // A change answers the pending request.
   runner_.After(Milliseconds(20), [this] {
-    log_.Append({{"b", "1", 6}});
+    Append({{"b", "1", 6}});
     server_->DidAppend();
   });
   const auto changes = Watch(page.value().cursor);
@@ -456,15 +466,15 @@
   EXPECT_TRUE(page.value().is_stale);
   AddMembers("n1");
   log_.DidList({0, 6});
-  log_.Append({{"a", "1", 5}, {"b", "1", 7}});
-  log_.Append({{"a", std::nullopt, 8}, {"c", "1", 9}});
+  Append({{"a", "1", 5}, {"b", "1", 7}});
+  Append({{"a", std::nullopt, 8}, {"c", "1", 9}});
   const auto changes = Watch(page.value().cursor);
   ASSERT_TRUE(changes.is_ok()) << changes.error().ToString();
   EXPECT_EQ(changes.value().events,
             (std::vector<store::Event>{{"a", std::nullopt, 8}, {"c", "1", 9}}));
   EXPECT_EQ(store_calls_, 0);
   // Further changes are read by the peer's cursor.
-  log_.Append({{"d", "1", 10}});
+  Append({{"d", "1", 10}});
   server_->DidAppend();
   const auto more = Watch(changes.value().cursor);
   ASSERT_TRUE(more.is_ok());
@@ -478,8 +488,8 @@
 TEST_F(UpdateReaderTest, StalePagesOfDifferentAgesMissNoChange) {
   ListStalePages({{{"op/config", "old", 5}}, {{"servers/x", "1", 9}}});
   log_.DidList({0, 3});
-  log_.Append({{"op/config", "old", 5}});
-  log_.Append({{"op/config", "new", 8}, {"servers/x", "1", 9}});
+  Append({{"op/config", "old", 5}});
+  Append({{"op/config", "new", 8}, {"servers/x", "1", 9}});
   const auto changes = Watch(0);
   ASSERT_FALSE(changes.is_ok());
   EXPECT_EQ(changes.error().code, ErrorCode::kExpired);
@@ -495,8 +505,8 @@
 TEST_F(UpdateReaderTest, StalePagesOfDifferentAgesMissNoRemoval) {
   ListStalePages({{{"servers/gone", "1", 5}}, {{"servers/x", "1", 9}}});
   log_.DidList({0, 3});
-  log_.Append({{"servers/gone", "1", 5}});
-  log_.Append({{"servers/gone", std::nullopt, 8}, {"servers/x", "1", 9}});
+  Append({{"servers/gone", "1", 5}});
+  Append({{"servers/gone", std::nullopt, 8}, {"servers/x", "1", 9}});
   const auto changes = Watch(0);
   ASSERT_FALSE(changes.is_ok());
   EXPECT_EQ(changes.error().code, ErrorCode::kExpired);
@@ -516,7 +526,7 @@
     const std::vector<store::Event> history = DrawHistory(random);
     ListStalePages(DrawStalePages(history, random));
     for (const store::Event& event : history) {
-      log_.Append({event});
+      Append({event});
     }
     std::map<std::string, std::string> known = listed_;
     const auto changes = Watch(0);
@@ -537,7 +547,7 @@
 TEST_F(UpdateReaderTest, StalePagesOfOneAgeNeedNoFurtherList) {
   ListStalePages({{{"op/config", "old", 5}}, {{"vms/new", "1", 12}}});
   log_.DidList({0, 3});
-  log_.Append({{"op/config", "old", 5}});
+  Append({{"op/config", "old", 5}});
   const auto changes = Watch(0);
   ASSERT_TRUE(changes.is_ok()) << changes.error().ToString();
   EXPECT_EQ(changes.value().completes_list_since, (store::Position{0, 12}));
@@ -564,7 +574,7 @@
   ASSERT_TRUE(List().is_ok());
   AddMembers("n1");
   log_.DidList({0, 6});
-  log_.Append({{"c", "1", 6}});
+  Append({{"c", "1", 6}});
   EXPECT_EQ(Watch(5).error().code, ErrorCode::kExpired);
   const auto page = List();
   ASSERT_TRUE(page.is_ok());
@@ -729,11 +739,11 @@
 // A peer's cursor counts the peer's own changes, so it stays valid across eras.
 TEST_F(UpdateReaderTest, PeerForwardsALaterEra) {
   AddMembers("n1");
-  log_.Append({{"a", "1", 90, 1}});
+  Append({{"a", "1", 90, 1}});
   const auto page = List();
   ASSERT_TRUE(page.is_ok());
   EXPECT_EQ(page.value().era, 1);
-  log_.Append({{"a", "2", 40, 2}});
+  Append({{"a", "2", 40, 2}});
   const auto changes = Watch(page.value().cursor);
   ASSERT_TRUE(changes.is_ok()) << changes.error().ToString();
   EXPECT_EQ(changes.value().events,
@@ -745,7 +755,7 @@
 // noticed the restore yet.
 TEST_F(UpdateReaderTest, PeerInAnEarlierEraIsNotUsed) {
   AddMembers("n1");
-  log_.Append({{"a", "1", 90, 1}});
+  Append({{"a", "1", 90, 1}});
   const auto page = List();
   ASSERT_TRUE(page.is_ok());
   source_->DidSeeEra(2);
@@ -764,7 +774,7 @@
 TEST_F(UpdateReaderTest, UpdatesWithoutAnEraTakeTheKnownOne) {
   AddMembers("n1");
   source_->DidSeeEra(3);
-  log_.Append({{"a", "1", 90}});
+  Append({{"a", "1", 90}});
   const auto page = List();
   ASSERT_TRUE(page.is_ok());
   EXPECT_EQ(page.value().items, (std::vector<store::Event>{{"a", "1", 90, 3}}));
@@ -773,7 +783,7 @@
 // Daemons of an earlier version request the changes since a revision.
 TEST_F(UpdateReaderTest, RevisionAboveTheKnownOneIsGone) {
   log_.DidList({2, 30});
-  log_.Append({{"a", "1", 40, 2}});
+  Append({{"a", "1", 40, 2}});
   const auto status_of = [this](const std::string& target) {
     http1::Request request(boost::beast::http::verb::get, target, 11);
     std::optional<http1::Status> status;
--- a/tests/relay/update_fleet_test.cc
+++ b/tests/relay/update_fleet_test.cc
@@ -64,7 +64,8 @@
   std::string domain() const;
 
  private:
-  void DidChange(const std::vector<store::Event>& events);
+  void DidChange(const std::vector<store::Event>& events,
+                 const store::Position& reached);
   void Renew();
   void Fetch(const std::string& peer,
              const std::string& target,
@@ -227,7 +228,8 @@
       store::FollowerSettings{}, clock, std::make_shared<base::Random>(seed),
       fleet_.runner, source_->source(),
       [this](const store::Position& position) { log_.DidList(position); },
-      [this](const std::vector<store::Event>& events) { DidChange(events); },
+      [this](const std::vector<store::Event>& events,
+             const store::Position& reached) { DidChange(events, reached); },
       [this](const store::Position& position) {
         const bool is_restored = position.era > log_.position().era;
         log_.DidReach(position);
@@ -272,14 +274,15 @@
   });
 }
 
-void FleetDaemon::DidChange(const std::vector<store::Event>& events) {
+void FleetDaemon::DidChange(const std::vector<store::Event>& events,
+                            const store::Position& reached) {
   blackboard_.membership.Write(*fleet_.blackboard.membership.Read());
   for (const store::Event& event : events) {
     if (event.key == kConfiguration && event.value) {
       version_ = std::max(version_, std::stoi(*event.value));
     }
   }
-  log_.Append(events);
+  log_.Append(events, reached);
   server_->DidAppend();
 }
 
--- a/tests/store/follower_test.cc
+++ b/tests/store/follower_test.cc
@@ -35,7 +35,8 @@
         std::make_shared<base::Random>(1), base::TaskRunner(scheduler_),
         std::move(source),
         [this](const Position& position) { listed_at_.push_back(position); },
-        [this](const std::vector<Event>& events) {
+        [this](const std::vector<Event>& events, const Position& reached) {
+          reached_by_change_ = reached;
           for (const Event& event : events) {
             reported_.push_back(event);
             if (event.value) {
@@ -106,6 +107,8 @@
   std::vector<Position> listed_at_;
   // The position up to which all changes have been reported.
   Position reached_;
+  // The same as of the last change.
+  Position reached_by_change_;
   std::map<std::string, std::string> known_;
   std::shared_ptr<Follower> follower_;
 };
@@ -116,6 +119,10 @@
   AnswerList({Write("b", "2", 12)}, 12);
   EXPECT_EQ(known_.size(), 2U);
   EXPECT_EQ(watch_cursor_, 10);
+  // A change at revision 11 may be missing on the first page.
+  EXPECT_EQ(reached_by_change_, (Position{1, 10}));
+  AnswerWatch({Write("a", "2", 11), Write("b", "2", 12)}, 12);
+  EXPECT_EQ(reached_by_change_, (Position{1, 12}));
 }
 
 // Guards against a key that is taken for removed, and whose later changes are
@@ -142,6 +149,7 @@
   EXPECT_EQ(known_.size(), 1U);
   EXPECT_TRUE(listed_at_.empty());
   EXPECT_EQ(reached_, Position{});
+  EXPECT_EQ(reached_by_change_, Position{});
   Changes changes{{{"b", "1", 7, era_}}, 7, {era_, 7}};
   changes.completes_list_since = Position{era_, 3};
   std::exchange(watch_, nullptr)(changes);
--- a/tests/store/restored_store_test.cc
+++ b/tests/store/restored_store_test.cc
@@ -43,7 +43,9 @@
             runner_,
             std::move(source),
             [this](const Position& position) { log_.DidList(position); },
-            [this](const std::vector<Event>& events) { DidChange(events); },
+            [this](const std::vector<Event>& events, const Position& reached) {
+              DidChange(events, reached);
+            },
             [this](const Position& position) { log_.DidReach(position); },
             base::Log())) {
     follower_->Start();
@@ -81,7 +83,7 @@
   const EventLog& log() const { return log_; }
 
  private:
-  void DidChange(const std::vector<Event>& events) {
+  void DidChange(const std::vector<Event>& events, const Position& reached) {
     for (const Event& event : events) {
       if (event.value) {
         known_[event.key] = *event.value;
@@ -89,7 +91,7 @@
         known_.erase(event.key);
       }
     }
-    log_.Append(events);
+    log_.Append(events, reached);
     has_regressed_ = has_regressed_ || log_.position() < reached_;
     reached_ = log_.position();
   }
