Relay: Resume from a list of the store only once it is complete

Found by reading the places that derive a position; no caller has reported it.

Cause: the position of a current list's first page counted as known as soon as that page had arrived. If a later page failed and the daemon listed from a peer that was behind, a later switch between peers resumed from the first page's position and left out the changes in between on the pages that were never read.

Change: the position counts with the list's last page.

--- a/src/relay/update_reader.cc
+++ b/src/relay/update_reader.cc
@@ -246,7 +246,10 @@
            self->stale_copy_.Clear();
            self->DidReachStore();
            if (is_first_page) {
-             self->resume_position_.DidReadStore(page.value().position());
+             self->list_position_ = page.value().position();
+           }
+           if (page.value().is_last) {
+             self->resume_position_.DidReadStore(self->list_position_);
            }
          }
          done(std::move(page));
--- a/src/relay/update_reader.h
+++ b/src/relay/update_reader.h
@@ -173,6 +173,9 @@
   std::string current_source_;
   // The source of the list in progress.
   std::string list_source_;
+  // The position of the first page of the list of the store in progress. All
+  // changes up to it are known once the last page has been read.
+  store::Position list_position_;
   // The source for the next list, if a switch has chosen one.
   std::optional<std::string> next_source_;
   ResumePosition resume_position_;
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -12,6 +12,7 @@
 #include <gtest/gtest.h>
 
 #include "src/base/random.h"
+#include "src/base/rendezvous.h"
 #include "src/http1/caller_listener.h"
 #include "src/relay/update_codec.h"
 #include "src/relay/update_server.h"
@@ -226,6 +227,29 @@
     }
   }
 
+  // Adds two peers of this domain that rank before this daemon, in this order.
+  void AddTwoPeers(const std::string& first, const std::string& second) {
+    blackboard::MembershipView view;
+    view.self = "self";
+    view.members["self"].failure_domain = "n1";
+    for (int number = 0; number < 200; ++number) {
+      blackboard::MembershipView candidate = view;
+      const std::string prefix = std::to_string(number);
+      candidate.members[prefix + "a"].address = first;
+      candidate.members[prefix + "b"].address = second;
+      candidate.members[prefix + "a"].failure_domain = "n1";
+      candidate.members[prefix + "b"].failure_domain = "n1";
+      const auto ranked = base::RankByRendezvous(
+          "store-reader/n1", {prefix + "a", prefix + "b", "self"});
+      if (ranked ==
+          std::vector<std::string>{prefix + "a", prefix + "b", "self"}) {
+        blackboard_.membership.Write(candidate);
+        return;
+      }
+    }
+    FAIL() << "no names rank in this order";
+  }
+
   base::Result<store::Page> List() {
     std::optional<base::Result<store::Page>> page;
     source_->source().list("", "", [&page](base::Result<store::Page> result) {
@@ -563,6 +587,35 @@
   EXPECT_EQ(Watch(0).error().code, ErrorCode::kExpired);
 }
 
+// Guards against changes that are never requested because a list of the store
+// broke off after its first page, whose position was resumed from later.
+TEST_F(UpdateReaderTest, UnfinishedListOfTheStoreIsNotResumedFrom) {
+  std::vector<std::string> targets;
+  // The nearer peer answers once.
+  bool is_nearer_up = true;
+  MakeSource(
+      {}, [&](const std::string& peer, const std::string& target, auto done) {
+        targets.push_back(target);
+        if (peer == "nearer" && !std::exchange(is_nearer_up, false)) {
+          done(base::MakeError(ErrorCode::kTimeout, base::Step::kPeerLink, peer,
+                               ""));
+          return;
+        }
+        done(StoreUpdate{{}, {0, 15}, 1, {}, true});
+      });
+  store_page_ = store::Page{{{"a", "1", 5}}, false, 20, 20};
+  ASSERT_TRUE(List().is_ok());
+  store_page_ = base::MakeError(ErrorCode::kConnectionLost,
+                                base::Step::kReadStore, "store", "");
+  EXPECT_FALSE(List().is_ok());
+  AddTwoPeers("nearer", "farther");
+  ASSERT_TRUE(List().is_ok());
+  EXPECT_FALSE(Watch(1).is_ok());
+  EXPECT_FALSE(Watch(1).is_ok());
+  EXPECT_EQ(targets, (std::vector<std::string>{kNewsTarget, "/news?cursor=1",
+                                               kFreshnessTarget}));
+}
+
 TEST_F(UpdateReaderTest, ListsFromAPeerThatLacksHistory) {
   store_page_ = store::Page{{{"a", "1", 5}}, true, 9, 9};
   store_.list_stale = [this](
