Soak, Emulator: Repeat replies of leaves, and read the store stale

The soak's proxy of a leaf sends a share of the replies again: before the next reply on the link, whole or cut anywhere, with the reply, or on the idle link. HostedLeaf refuses a share of the requests and names the request in refusals, as leaves do. HostedStore has pages and replicas: each page of a stale read has a size and an age of its own. The soak restarts a daemon of each failure domain after the routes have changed, while leaves write their entries.

--- a/emulator/hosted/hosted_leaf.cc
+++ b/emulator/hosted/hosted_leaf.cc
@@ -2,6 +2,7 @@
 
 #include "emulator/hosted/hosted_leaf.h"
 
+#include <functional>
 #include <utility>
 
 #include "src/base/json_string.h"
@@ -16,8 +17,9 @@
 constexpr int kHttpVersion = 11;
 constexpr const char* kRequestId = "Medlarspread-Request-Id";
 
-Response MakeRefusal(Status status) {
+Response MakeRefusal(Status status, const std::string& request_id) {
   Response response(status, kHttpVersion);
+  response.set(kRequestId, request_id);
   response.set("Medlarspread-Not-Executed", "1");
   response.prepare_payload();
   return response;
@@ -32,7 +34,8 @@
     : runner_(context),
       id_(std::move(id)),
       service_(std::move(service)),
-      zone_(std::move(zone)) {
+      zone_(std::move(zone)),
+      random_(std::hash<std::string>{}(id_)) {
   http1::CallerListener::Settings settings;
   settings.address = "127.0.0.1:0";
   settings.limits = [] { return http1::MessageLimits{}; };
@@ -73,18 +76,18 @@
 
 http1::Abandon HostedLeaf::Handle(const http1::Request& request,
                                   http1::Respond respond) {
+  const std::string request_id(request[kRequestId]);
   if (did_arrive_) {
-    did_arrive_(std::string(request[kRequestId]));
+    did_arrive_(request_id);
   }
   if (request["Medlarspread-Expect-Instance"] != id_) {
-    respond(MakeRefusal(Status::misdirected_request));
+    respond(MakeRefusal(Status::misdirected_request, request_id));
     return [] {};
   }
-  if (behavior_ == LeafBehavior::kShed) {
-    respond(MakeRefusal(Status::service_unavailable));
+  if (behavior_ == LeafBehavior::kShed || random_.Unit() < refused_share_) {
+    respond(MakeRefusal(Status::service_unavailable, request_id));
     return [] {};
   }
-  const std::string request_id(request[kRequestId]);
   ++runs_;
   {
     const std::lock_guard lock(mutex_);
--- a/emulator/hosted/hosted_leaf.h
+++ b/emulator/hosted/hosted_leaf.h
@@ -17,6 +17,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/http1/caller_listener.h"
 
@@ -56,6 +57,8 @@
   void set_started(std::int64_t wall_ms) { started_wall_ms_ = wall_ms; }
   void set_behavior(LeafBehavior behavior) { behavior_ = behavior; }
   void set_work(base::Duration work) { work_ = work; }
+  // Refuses this share of the requests, as a leaf whose queue is full at times.
+  void set_refused_share(double share) { refused_share_ = share; }
   // Sets a callback for when a request with kDeadlyWord in its target ends the
   // leaf. It is called on the thread of the context.
   void set_did_end(std::function<void()> did_end) {
@@ -88,6 +91,9 @@
   std::function<void(const std::string&)> did_arrive_;
   std::atomic<LeafBehavior> behavior_ = LeafBehavior::kAnswer;
   std::atomic<base::Duration> work_ = base::Milliseconds(2);
+  std::atomic<double> refused_share_ = 0.0;
+  // Draws the refused requests.
+  base::Random random_;
   std::atomic<std::int64_t> started_wall_ms_ = 0;
   // Number of entries made so far.
   mutable std::atomic<int> entries_ = 0;
--- a/emulator/hosted/hosted_store.cc
+++ b/emulator/hosted/hosted_store.cc
@@ -2,6 +2,7 @@
 
 #include "emulator/hosted/hosted_store.h"
 
+#include <limits>
 #include <utility>
 
 #include <cpprest/asyncrt_utils.h>
@@ -33,6 +34,21 @@
       std::vector<unsigned char>(text.begin(), text.end()));
 }
 
+// An item of a list or an event of a watch. Without a text it is a removal.
+value MakeItem(const std::string& key,
+               std::int64_t revision,
+               const std::optional<std::string>& text) {
+  auto item = value::object();
+  item["key"] = value::string(key);
+  item["rev"] = value::number(revision);
+  if (text) {
+    item["value"] = value::string(*text);
+  } else {
+    item["removed"] = value::boolean(true);
+  }
+  return item;
+}
+
 }  // namespace
 
 HostedStore::HostedStore(boost::asio::io_context& context) : runner_(context) {
@@ -145,12 +161,60 @@
               : MakeJson(Status::not_found, "{}"));
 }
 
+void HostedStore::AddReplicas(base::Duration most_behind,
+                              std::size_t most_items,
+                              std::uint64_t seed) {
+  runner_.Post([this, most_behind, most_items, seed] {
+    most_behind_ = most_behind;
+    most_items_ = most_items;
+    replica_random_ = std::make_unique<base::Random>(seed);
+  });
+}
+
+HostedStore::Rows HostedStore::ReadReplica() {
+  if (replica_random_->Below(2) == 0) {
+    return content_.rows;
+  }
+  const auto behind =
+      base::Duration(static_cast<std::int64_t>(replica_random_->Below(
+          static_cast<std::uint64_t>(most_behind_.count()))));
+  const base::MonotonicTime read_until = clock_.Now() - behind;
+  Rows rows;
+  for (const WrittenRow& written : content_.history) {
+    if (written.at <= read_until) {
+      rows[written.key] = written.row;
+    }
+  }
+  return rows;
+}
+
+std::size_t HostedStore::DrawPageItems() {
+  return most_items_ == 0 ? std::numeric_limits<std::size_t>::max()
+                          : 1 + replica_random_->Below(most_items_);
+}
+
 void HostedStore::Range(const std::string& target,
                         const http1::Respond& respond) {
-  const std::string prefix = ParametersOf(target)["prefix"];
-  respond(MakeJson(Status::ok, R"({"items":)" + RowsAfter(prefix, 0, false) +
-                                   R"(,"truncated":false,"current_rev":)" +
-                                   std::to_string(content_.revision) + "}"));
+  auto parameters = ParametersOf(target);
+  const bool is_stale =
+      parameters["stale_ok"] == "1" && most_behind_ > base::Duration{};
+  const Rows rows = is_stale ? ReadReplica() : content_.rows;
+  const std::size_t most_items = DrawPageItems();
+  auto items = value::array();
+  std::size_t count = 0;
+  bool is_truncated = false;
+  for (const auto& [key, row] : rows) {
+    const bool is_on_page = !row.is_removed && key > parameters["after"] &&
+                            key.starts_with(parameters["prefix"]);
+    is_truncated = is_truncated || (is_on_page && count == most_items);
+    if (is_on_page && !is_truncated) {
+      items[count++] = MakeItem(key, row.revision, TextOf(row));
+    }
+  }
+  respond(MakeJson(
+      Status::ok, R"({"items":)" + items.serialize() + R"(,"truncated":)" +
+                      (is_truncated ? "true" : "false") + R"(,"current_rev":)" +
+                      std::to_string(content_.revision) + "}"));
 }
 
 http1::Abandon HostedStore::StartWatch(const std::string& target,
@@ -197,31 +261,27 @@
 }
 
 std::string HostedStore::RowsAfter(const std::string& prefix,
-                                   std::int64_t after,
-                                   bool with_removed) const {
+                                   std::int64_t after) const {
   auto rows = value::array();
   std::size_t count = 0;
   for (const auto& [key, row] : content_.rows) {
-    if (!key.starts_with(prefix) || row.revision <= after ||
-        (row.is_removed && !with_removed)) {
-      continue;
-    }
-    auto item = value::object();
-    item["key"] = value::string(key);
-    item["rev"] = value::number(row.revision);
-    if (row.is_removed) {
-      item["removed"] = value::boolean(true);
-    } else {
-      item["value"] =
-          value::string(row.is_unreadable ? "?" : Encode(row.value));
+    if (key.starts_with(prefix) && row.revision > after) {
+      rows[count++] = MakeItem(key, row.revision, TextOf(row));
     }
-    rows[count++] = item;
   }
   return rows.serialize();
 }
 
+std::optional<std::string> HostedStore::TextOf(const Row& row) {
+  if (row.is_removed) {
+    return std::nullopt;
+  }
+  return row.is_unreadable ? "?" : Encode(row.value);
+}
+
 void HostedStore::Change(const std::string& key, Row row) {
   row.revision = ++content_.revision;
+  content_.history.push_back({clock_.Now(), key, row});
   {
     const std::lock_guard lock(mutex_);
     content_.rows[key] = std::move(row);
@@ -247,7 +307,7 @@
   }
   std::vector<std::uint64_t> due;
   for (const auto& [id, watch] : watches_) {
-    if (RowsAfter(watch.prefix, watch.after, true) != "[]") {
+    if (RowsAfter(watch.prefix, watch.after) != "[]") {
       due.push_back(id);
     }
   }
@@ -256,9 +316,9 @@
     waiting_ = static_cast<int>(watches_.size());
     const Watch& watch = node.mapped();
     watch.respond(MakeJson(
-        Status::ok,
-        R"({"events":)" + RowsAfter(watch.prefix, watch.after, true) +
-            R"(,"current_rev":)" + std::to_string(content_.revision) + "}"));
+        Status::ok, R"({"events":)" + RowsAfter(watch.prefix, watch.after) +
+                        R"(,"current_rev":)" +
+                        std::to_string(content_.revision) + "}"));
   }
 }
 
--- a/emulator/hosted/hosted_store.h
+++ b/emulator/hosted/hosted_store.h
@@ -11,12 +11,15 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 
+#include "src/base/clock.h"
+#include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/http1/caller_listener.h"
 
@@ -45,6 +48,12 @@
   void RestoreCopy();
   // Assigns the next lease ID to another client.
   void GiveOutLease();
+  // From now on a page of a list has a random number of items up to
+  // `most_items`, and each page of a stale read comes from a random replica.
+  // One in two is current, the others are up to `most_behind` behind.
+  void AddReplicas(base::Duration most_behind,
+                   std::size_t most_items,
+                   std::uint64_t seed);
 
   // Whether the key exists.
   bool Holds(const std::string& key) const;
@@ -64,9 +73,17 @@
     bool is_unreadable = false;
     std::int64_t lease = 0;
   };
+  using Rows = std::map<std::string, Row>;
+  struct WrittenRow {
+    base::MonotonicTime at;
+    std::string key;
+    Row row;
+  };
   // The content that a backup contains.
   struct Content {
-    std::map<std::string, Row> rows;
+    Rows rows;
+    // All changes so far, for replicas that are behind.
+    std::vector<WrittenRow> history;
     std::int64_t revision = 1;
     std::int64_t forgotten = 0;
     std::int64_t next_lease = 1;
@@ -87,13 +104,18 @@
   http1::Abandon StartWatch(const std::string& target, http1::Respond respond);
   void Transact(const std::string& body, const http1::Respond& respond);
   // Returns the rows with a revision later than `after` as a JSON array,
-  // including removed ones if `with_removed` is set.
-  std::string RowsAfter(const std::string& prefix,
-                        std::int64_t after,
-                        bool with_removed) const;
+  // including removed ones.
+  std::string RowsAfter(const std::string& prefix, std::int64_t after) const;
+  // The row's value as it is sent; absent if the row was removed.
+  static std::optional<std::string> TextOf(const Row& row);
+  // The rows as a random replica has them.
+  Rows ReadReplica();
+  std::size_t DrawPageItems();
   void Change(const std::string& key, Row row);
   void AnswerWatches();
 
+  // Changes are kept until the store ends, since no run lasts long.
+  const base::Clock clock_;
   const base::TaskRunner runner_;
   std::shared_ptr<http1::CallerListener> listener_;
   // Guards `content_.rows` against the controls that read it.
@@ -103,6 +125,11 @@
   std::int64_t era_ = 1;
   std::map<std::uint64_t, Watch> watches_;
   std::uint64_t next_watch_ = 1;
+  // Zero without replicas.
+  base::Duration most_behind_{};
+  // Zero: a page has all items.
+  std::size_t most_items_ = 0;
+  std::unique_ptr<base::Random> replica_random_;
   std::atomic<bool> is_silent_ = false;
   std::atomic<int> calls_ = 0;
   std::atomic<int> waiting_ = 0;
--- a/src/relay/stale_copy.h
+++ b/src/relay/stale_copy.h
@@ -46,8 +46,8 @@
   // The position of the newest item.
   const store::Position& latest() const { return latest_; }
 
-  // Whether a peer that knows all changes up to `position` has the same items
-  // up to there. Its digest covers no item that is newer.
+  // Whether a peer that knows all changes up to `position` has the same items.
+  // Newer items are left out: the peer will apply them later.
   bool Matches(std::uint64_t digest, const store::Position& position) const {
     std::uint64_t own = 0;
     for (const auto& [key, item] : items_) {
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -3,6 +3,8 @@
 #include "tests/soak/fault_proxy.h"
 
 #include <chrono>
+#include <functional>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -17,6 +19,8 @@
 using boost::asio::ip::tcp;
 
 constexpr auto kDelay = std::chrono::milliseconds(80);
+// How long after a reply its copy is sent on an idle link.
+constexpr auto kIdleTime = std::chrono::milliseconds(2);
 
 }  // namespace
 
@@ -78,21 +82,55 @@
       // direction is never read again.
       return;
     }
+    const auto delay = fault == LinkFault::kDelay ? kDelay : kDelay * 0;
+    std::string text(bytes.data(), size);
+    const auto resume = [self = shared_from_this(), &from, &to, &bytes,
+                         is_reply] { self->Pump(from, to, bytes, is_reply); };
+    if (!is_reply) {
+      WriteAfter(delay, to, std::move(text), resume);
+      return;
+    }
+    const ReplyCopy copy = proxy_.DrawCopy();
+    std::string sent = std::exchange(copy_before_next_, "") + text;
+    if (copy == ReplyCopy::kBehind) {
+      sent += text;
+    } else if (copy == ReplyCopy::kBeforeNext) {
+      copy_before_next_ = text;
+    } else if (copy == ReplyCopy::kCutBeforeNext) {
+      copy_before_next_ = proxy_.DrawCut(text);
+    }
+    if (copy != ReplyCopy::kIdle) {
+      WriteAfter(delay, to, std::move(sent), resume);
+      return;
+    }
+    WriteAfter(delay, to, std::move(sent),
+               [self = shared_from_this(), &to, text, resume] {
+                 self->WriteAfter(kIdleTime, to, text, resume);
+               });
+  }
+
+  // Calls `done` when the bytes have been written.
+  void WriteAfter(std::chrono::milliseconds delay,
+                  tcp::socket& to,
+                  std::string text,
+                  std::function<void()> done) {
     auto timer = std::make_shared<boost::asio::steady_timer>(proxy_.context_);
-    timer->expires_after(fault == LinkFault::kDelay ? kDelay : kDelay * 0);
-    timer->async_wait([self = shared_from_this(), timer, &from, &to, &bytes,
-                       size, is_reply](const boost::system::error_code&) {
-      boost::asio::async_write(
-          to, boost::asio::buffer(bytes.data(), size),
-          [self, &from, &to, &bytes, is_reply](
-              const boost::system::error_code& error, std::size_t) {
-            if (error) {
-              self->Close();
-              return;
-            }
-            self->Pump(from, to, bytes, is_reply);
-          });
-    });
+    timer->expires_after(delay);
+    const auto kept = std::make_shared<std::string>(std::move(text));
+    timer->async_wait(
+        [self = shared_from_this(), timer, &to, kept,
+         done = std::move(done)](const boost::system::error_code&) {
+          boost::asio::async_write(
+              to, boost::asio::buffer(*kept),
+              [self, kept, done](const boost::system::error_code& error,
+                                 std::size_t) {
+                if (error) {
+                  self->Close();
+                  return;
+                }
+                done();
+              });
+        });
   }
 
   void Close() {
@@ -107,6 +145,7 @@
   tcp::socket target_;
   Bytes to_target_{};
   Bytes to_caller_{};
+  std::string copy_before_next_;
 };
 
 FaultProxy::FaultProxy(boost::asio::io_context& context, std::string target)
@@ -131,6 +170,30 @@
   }
 }
 
+void FaultProxy::RepeatReplies(double share, std::uint64_t seed) {
+  repeated_share_ = share;
+  random_ = std::make_unique<base::Random>(seed);
+}
+
+ReplyCopy FaultProxy::DrawCopy() {
+  // Most copies are whole and come before the next reply: only these can be
+  // taken for it, and all others cost the connection.
+  constexpr ReplyCopy kOtherCopies[] = {ReplyCopy::kBehind, ReplyCopy::kIdle,
+                                        ReplyCopy::kCutBeforeNext};
+  constexpr double kOtherShare = 0.25;
+  if (!random_ || random_->Unit() >= repeated_share_) {
+    return ReplyCopy::kNone;
+  }
+  ++repeated_replies_;
+  return random_->Unit() < kOtherShare
+             ? kOtherCopies[random_->Below(std::size(kOtherCopies))]
+             : ReplyCopy::kBeforeNext;
+}
+
+std::string FaultProxy::DrawCut(const std::string& text) {
+  return text.substr(0, 1 + random_->Below(text.size()));
+}
+
 void FaultProxy::Close() {
   set_fault(LinkFault::kReset);
   boost::system::error_code ignored;
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,5 +1,6 @@
 // A loopback proxy between a daemon and a server that it calls. It injects link
-// faults: delay, reset, loss of all replies, or loss in both directions.
+// faults: delay, reset, loss of all replies, or loss in both directions. It can
+// also repeat replies, as a faulty server does.
 //
 // All members, set_fault() included, must be called on the thread of the I/O
 // context.
@@ -8,6 +9,7 @@
 #define MEDLARSPREAD_TESTS_SOAK_FAULT_PROXY_H_
 
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -17,6 +19,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "src/base/random.h"
+
 namespace medlarspread::soak {
 
 enum class LinkFault {
@@ -31,10 +35,27 @@
   kSilent,
 };
 
+// Where the second copy of a reply is sent.
+enum class ReplyCopy {
+  kNone,
+  // Together with the reply.
+  kBehind,
+  // A moment after the reply, while the link is idle or just in use again.
+  kIdle,
+  // Right before the next reply on the link, whole or cut short.
+  kBeforeNext,
+  kCutBeforeNext,
+};
+
 class FaultProxy {
  public:
   FaultProxy(boost::asio::io_context& context, std::string target);
 
+  // Sends this share of the replies twice, at places drawn with the seed. Each
+  // reply must arrive in one piece.
+  void RepeatReplies(double share, std::uint64_t seed);
+  int repeated_replies() const { return repeated_replies_; }
+
   std::string address() const;
   void set_fault(LinkFault fault);
   // Sends new connections to `target`, for example because another process has
@@ -48,11 +69,17 @@
   class Link;
 
   void Accept();
+  ReplyCopy DrawCopy();
+  // Cuts the text short at a random place.
+  std::string DrawCut(const std::string& text);
 
   boost::asio::io_context& context_;
   std::string target_;
   boost::asio::ip::tcp::acceptor acceptor_;
   LinkFault fault_ = LinkFault::kNone;
+  double repeated_share_ = 0.0;
+  std::unique_ptr<base::Random> random_;
+  int repeated_replies_ = 0;
   std::set<std::shared_ptr<Link>> links_;
 };
 
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -68,6 +68,21 @@
 // only without disturbance.
 constexpr base::Duration kFaultPhase = base::Milliseconds(4'000);
 constexpr base::Duration kQuietPhase = base::Milliseconds(10'000);
+// With has_stale_reads: how far a replica of the store is behind at most, and
+// the size of a page. In each quiet phase one daemon of each of the two failure
+// domains is down for kDowntime, and the routes change kChangeBeforeStart
+// before its start, so that its peers know the change by then.
+constexpr base::Duration kMostBehind = base::Milliseconds(4'000);
+constexpr std::size_t kMostPageItems = 10;
+constexpr base::Duration kDowntime = base::Milliseconds(1'500);
+constexpr base::Duration kChangeBeforeStart = base::Milliseconds(1'200);
+constexpr std::size_t kDomains = 2;
+constexpr base::Duration kFirstRestart = kFaultPhase + kMaxFaultDuration;
+// With has_repeated_replies: the shares of requests that leaves refuse and of
+// replies that they send twice.
+constexpr double kRefusedShare = 0.5;
+constexpr std::uint64_t kMostLeaves = 1'000;
+constexpr double kRepeatedShare = 0.3;
 // The maximum attempts of the route to all shards. Must match Configure().
 constexpr int kMaxAttempts = 2;
 // The pause between two deadly requests, of which each is retried once on
@@ -167,9 +182,14 @@
   void FaultOnLeaf();
   void FaultOnStore();
   void FaultOnDaemon();
+  void RestartAfter(base::Duration delay, std::size_t index);
   void RunAfter(base::Duration delay, std::function<void()> task);
   base::Duration DrawRestoreTime(base::Duration least, base::Duration most);
   void WriteHeartbeat();
+  // A random leaf writes its entry again.
+  void WriteLeafHeartbeat();
+  // Kills a daemon of each failure domain and starts it again.
+  void RestartSome();
   void PlanRestore();
   void BeginRestore(int left);
   void Restore(int left);
@@ -233,6 +253,8 @@
   base::Random deadly_random_;
   // Draws for restores, separate for the same reason.
   base::Random restore_random_;
+  // Draws for stale reads, separate for the same reason.
+  base::Random stale_random_;
   // When all daemons must have quarantined the deadly request; zero until
   // enough leaves have crashed.
   base::MonotonicTime quarantined_by_;
@@ -245,10 +267,14 @@
     : options_(options),
       random_(options.seed),
       deadly_random_(options.seed),
-      restore_random_(options.seed) {
+      restore_random_(options.seed),
+      stale_random_(options.seed) {
   std::string pattern =
       std::filesystem::temp_directory_path().string() + "/soak.XXXXXX";
   folder_ = mkdtemp(pattern.data());
+  if (options_.has_stale_reads) {
+    store_.AddReplicas(kMostBehind, kMostPageItems, options_.seed);
+  }
   for (const std::string& service : kServices) {
     for (const char* zone : {"n1", "n1", "n2"}) {
       AddLeaf(service, zone);
@@ -268,6 +294,12 @@
   leaf->leaf = std::make_unique<HostedLeaf>(
       context_, service + "-" + std::to_string(next_leaf_++), service, zone);
   leaf->proxy = std::make_unique<FaultProxy>(context_, leaf->leaf->address());
+  if (options_.has_repeated_replies) {
+    leaf->leaf->set_refused_share(kRefusedShare);
+    leaf->proxy->RepeatReplies(
+        kRepeatedShare,
+        options_.seed * kMostLeaves + static_cast<std::uint64_t>(next_leaf_));
+  }
   CountArrivals(*leaf->leaf, service);
   WriteEntry(*leaf, "ready");
   leaf->leaf->set_did_end([this, ended = leaf.get()] { DidEndLeaf(*ended); });
@@ -374,6 +406,12 @@
   }
   if (options_.has_restores) {
     WriteHeartbeat();
+  }
+  if (options_.has_stale_reads) {
+    WriteLeafHeartbeat();
+    RunAfter(kFirstRestart, [this] { RestartSome(); });
+  }
+  if (options_.has_restores) {
     PlanRestore();
   }
   if (options_.has_reused_address) {
@@ -386,6 +424,9 @@
   for (const std::string& excess : arrivals_.FindExcess(kExtraSendBound)) {
     AddViolation(excess);
   }
+  for (const auto& leaf : leaves_) {
+    report_.repeated_replies += leaf->proxy->repeated_replies();
+  }
   return report_;
 }
 
@@ -491,6 +532,30 @@
   RunAfter(kHeartbeat, [this] { WriteHeartbeat(); });
 }
 
+void SoakRun::WriteLeafHeartbeat() {
+  const Leaf& leaf = *leaves_[stale_random_.Below(leaves_.size())];
+  if (!leaf.is_ended && leaf.draining_since == base::MonotonicTime{}) {
+    WriteEntry(leaf, "ready");
+  }
+  RunAfter(kHeartbeat, [this] { WriteLeafHeartbeat(); });
+}
+
+void SoakRun::RestartSome() {
+  last_disturbance_ = std::max(last_disturbance_, now() + kDowntime);
+  for (std::size_t domain = 0; domain < kDomains; ++domain) {
+    const std::size_t members =
+        (daemons_.size() + kDomains - 1 - domain) / kDomains;
+    const std::size_t index = domain + kDomains * stale_random_.Below(members);
+    Daemon& daemon = daemons_[index];
+    if (!daemon.is_gone && !daemon.is_paused && !daemon.is_stopping) {
+      daemon.is_gone = true;
+      daemon.process->Signal(SIGKILL);
+      RestartAfter(kDowntime, index);
+    }
+  }
+  RunAfter(kFaultPhase + kQuietPhase, [this] { RestartSome(); });
+}
+
 void SoakRun::PlanRestore() {
   store_.TakeCopy();
   backed_up_at_ = now();
@@ -562,7 +627,6 @@
     return;
   }
   last_disturbance_ = now() + kMaxFaultDuration;
-  const auto restart = [this, index] { StartDaemon(index); };
   switch (DrawBelow(4)) {
     case 0:
       daemon.is_paused = true;
@@ -576,7 +640,7 @@
     case 1:
       daemon.is_gone = true;
       daemon.process->Signal(SIGKILL);
-      RunAfter(base::Milliseconds(400), restart);
+      RestartAfter(base::Milliseconds(400), index);
       return;
     case 2:
       daemon.process->Signal(SIGHUP);
@@ -585,8 +649,16 @@
       daemon.is_stopping = true;
       daemon.process->Signal(SIGTERM);
       // Callers keep using the connection until the process has ended.
-      RunAfter(base::Milliseconds(6'200), restart);
+      RestartAfter(base::Milliseconds(6'200), index);
+  }
+}
+
+void SoakRun::RestartAfter(base::Duration delay, std::size_t index) {
+  if (options_.has_stale_reads) {
+    RunAfter(std::max(base::Duration{}, delay - kChangeBeforeStart),
+             [this] { Configure(); });
   }
+  RunAfter(delay, [this, index] { StartDaemon(index); });
 }
 
 void SoakRun::SendDeadlyRequest(int attempts_left) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,8 +4,9 @@
 //
 // Faults come in series and overlap: leaves refuse requests, stop replying,
 // drain and are replaced; links to leaves and to the store delay, reset, drop
-// bytes one way or in both directions; the store discards its history or is
-// restored from a backup; daemons are paused, killed, stopped as planned,
+// bytes one way or in both directions; leaves send replies twice; the store
+// discards its history, is restored from a backup, or answers stale reads from
+// replicas that are behind; daemons are paused, killed, stopped as planned,
 // signalled to reload their settings, and restarted. Callers keep using open
 // connections until the process has ended.
 
@@ -32,6 +33,11 @@
   // The store is restored from backups, at times twice in a row; operators and
   // leaves then write the lost changes again.
   bool has_restores = false;
+  // Leaves refuse some requests for lack of room, and send some replies twice.
+  bool has_repeated_replies = false;
+  // Stale reads of the store have small pages of different ages, and the routes
+  // change while daemons restart.
+  bool has_stale_reads = false;
 };
 
 struct SoakReport {
@@ -48,6 +54,8 @@
   // leaf.
   int arrivals_at_reused_address = 0;
   int restores = 0;
+  // Replies that leaves sent twice.
+  int repeated_replies = 0;
   // Requests on the newest route, sent when the route had to be in force.
   int checked_routes = 0;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -1,5 +1,5 @@
 // Runs the soak test by hand: medlarspread_soak DAEMON FIRST_SEED SEEDS
-// [SECONDS] [deadly] [reused] [restored]
+// [SECONDS] [deadly] [reused] [restored] [repeated] [stale]
 
 #include <cstdlib>
 #include <iostream>
@@ -10,7 +10,7 @@
 int main(int count, char** arguments) {
   if (count < 4) {
     std::cerr << "usage: medlarspread_soak DAEMON FIRST_SEED SEEDS [SECONDS] "
-                 "[deadly] [reused] [restored]\n";
+                 "[deadly] [reused] [restored] [repeated] [stale]\n";
     return 2;
   }
   medlarspread::soak::SoakOptions options;
@@ -26,6 +26,13 @@
     options.has_deadly_request = options.has_deadly_request || word == "deadly";
     options.has_reused_address = options.has_reused_address || word == "reused";
     options.has_restores = options.has_restores || word == "restored";
+    options.has_repeated_replies =
+        options.has_repeated_replies || word == "repeated";
+    if (word == "stale") {
+      options.has_stale_reads = true;
+      // Several daemons of a failure domain follow another one.
+      options.daemons = 5;
+    }
   }
   bool is_clean = true;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
@@ -37,8 +44,10 @@
               << " faults, " << report.leaves_ended << " leaves ended, "
               << report.arrivals_at_reused_address
               << " arrivals at a reused address, " << report.restores
-              << " restores, " << report.checked_routes << " routes checked, "
-              << report.violations.size() << " violations\n";
+              << " restores, " << report.repeated_replies
+              << " replies sent twice, " << report.checked_routes
+              << " routes checked, " << report.violations.size()
+              << " violations\n";
     for (const std::string& violation : report.violations) {
       std::cout << "  " << violation << "\n";
       is_clean = false;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -92,5 +92,48 @@
                          RestoredStoreSoakTest,
                          testing::Values(1, 11));
 
+// Guards against a repeated rejection that is taken for the reply to another
+// send of the request: the request then runs twice, or its caller is told that
+// it has not run.
+class RepeatedReplySoakTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(RepeatedReplySoakTest, NoReplyIsTakenForAnotherOne) {
+  SoakOptions options;
+  options.daemon_program = DAEMON_PROGRAM;
+  options.seed = GetParam();
+  options.has_repeated_replies = true;
+  const SoakReport report = RunSoak(options);
+  for (const std::string& violation : report.violations) {
+    ADD_FAILURE() << violation;
+  }
+  EXPECT_GT(report.answered, 50);
+  EXPECT_GT(report.repeated_replies, 50);
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds,
+                         RepeatedReplySoakTest,
+                         testing::Values(11, 21));
+
+// Guards against a daemon that serves by old routes after its start, because
+// the pages of its stale read of the store differed in age.
+class StaleReadSoakTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(StaleReadSoakTest, ChangesAreInForceAfterAStart) {
+  SoakOptions options;
+  options.daemon_program = DAEMON_PROGRAM;
+  options.seed = GetParam();
+  options.length = std::chrono::seconds(30);
+  options.daemons = 5;
+  options.has_stale_reads = true;
+  const SoakReport report = RunSoak(options);
+  for (const std::string& violation : report.violations) {
+    ADD_FAILURE() << violation;
+  }
+  EXPECT_GT(report.answered, 50);
+  EXPECT_GT(report.checked_routes, 5);
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, StaleReadSoakTest, testing::Values(12));
+
 }  // namespace
 }  // namespace medlarspread::soak
