--- a/emulator/hosted/hosted_store.h
+++ b/emulator/hosted/hosted_store.h
@@ -82,7 +82,8 @@
   // The content that a backup contains.
   struct Content {
     Rows rows;
-    // All changes so far, for replicas that are behind.
+    // All changes so far, for replicas that are behind. Never trimmed, since no
+    // run lasts long.
     std::vector<WrittenRow> history;
     std::int64_t revision = 1;
     std::int64_t forgotten = 0;
@@ -114,7 +115,6 @@
   void Change(const std::string& key, Row row);
   void AnswerWatches();
 
-  // Changes are kept until the store ends, since no run lasts long.
   const base::Clock clock_;
   const base::TaskRunner runner_;
   std::shared_ptr<http1::CallerListener> listener_;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -79,10 +79,11 @@
 constexpr std::size_t kDomains = 2;
 constexpr base::Duration kFirstRestart = kFaultPhase + kMaxFaultDuration;
 // With has_repeated_replies: the shares of requests that leaves refuse and of
-// replies that they send twice.
+// replies that they send twice. A run has fewer leaves than kSeedsPerRun, so
+// that each draws from a seed of its own.
 constexpr double kRefusedShare = 0.5;
-constexpr std::uint64_t kMostLeaves = 1'000;
 constexpr double kRepeatedShare = 0.3;
+constexpr std::uint64_t kSeedsPerRun = 1'000;
 // The maximum attempts of the route to all shards. Must match Configure().
 constexpr int kMaxAttempts = 2;
 // The pause between two deadly requests, of which each is retried once on
@@ -298,7 +299,7 @@
     leaf->leaf->set_refused_share(kRefusedShare);
     leaf->proxy->RepeatReplies(
         kRepeatedShare,
-        options_.seed * kMostLeaves + static_cast<std::uint64_t>(next_leaf_));
+        options_.seed * kSeedsPerRun + static_cast<std::uint64_t>(next_leaf_));
   }
   CountArrivals(*leaf->leaf, service);
   WriteEntry(*leaf, "ready");
