--- a/review/6/late_removal.cc
+++ b/review/6/late_removal.cc
@@ -32,6 +32,7 @@
 constexpr milliseconds kTrafficLead(10'000);
 constexpr milliseconds kObservation(6'000);
 constexpr milliseconds kCallerPause(20);
+constexpr int kCallersPerDaemon = 4;
 constexpr milliseconds kTimeout(3'200);
 constexpr const char* kHost = "hufi27.example";
 constexpr const char* kService = "kafi81c";
@@ -72,7 +73,9 @@
     std::this_thread::sleep_for(kTrafficLead);
     std::vector<std::thread> clients;
     for (const Daemon& daemon : fleet_.daemons()) {
-      clients.emplace_back([this, daemon] { Ask(daemon); });
+      for (int caller = 0; caller < kCallersPerDaemon; ++caller) {
+        clients.emplace_back([this, daemon] { Ask(daemon); });
+      }
     }
     std::this_thread::sleep_for(milliseconds(2'000));
     AwaitRenewal();
@@ -129,6 +132,7 @@
     settings.service = kService;
     settings.zone = zone;
     settings.ip = "127.47.10." + std::to_string(leaves_.size() + 1);
+    settings.slots = 8;
     settings.work = milliseconds(60);
     leaves_.push_back(std::make_unique<Leaf>(settings));
     store_.Put("servers/" + settings.id, leaves_.back()->MakeEntry());
