--- a/review/6/late_removal.cc
+++ b/review/6/late_removal.cc
@@ -25,14 +25,12 @@
 // The connections go silent at one moment; this much after it counts as part of
 // it.
 constexpr milliseconds kTroubleMargin(50);
-// How much longer than drain_ms the first leaf serves before it exits, and the
-// others.
-constexpr milliseconds kServesLonger(1'200);
-constexpr milliseconds kOthersServeLonger(2'000);
+// How much longer than drain_ms the leaf serves before it exits.
+constexpr milliseconds kServesLonger(1'300);
 constexpr milliseconds kTrafficLead(10'000);
 constexpr milliseconds kObservation(6'000);
 constexpr milliseconds kCallerPause(20);
-constexpr int kCallersPerDaemon = 4;
+constexpr int kCallersPerDaemon = 6;
 constexpr milliseconds kTimeout(3'200);
 constexpr const char* kHost = "hufi27.example";
 constexpr const char* kService = "kafi81c";
@@ -82,24 +80,15 @@
     const Time silent =
         has_trouble ? store_.SilenceOpenConnections() : SteadyClock::now();
     std::this_thread::sleep_for(milliseconds(200));
-    // A leaf of each zone leaves.
-    std::vector<Time> removed;
-    for (const auto& leaf : leaves_) {
-      if (leaf->settings().id.ends_with("-1")) {
-        leaving_.push_back(leaf.get());
-        removed.push_back(store_.Remove("servers/" + leaf->settings().id));
-        record_.Write("store: the removal of " + leaf->settings().id +
-                      " is acknowledged");
-      }
-    }
-    for (std::size_t index = 0; index < leaving_.size(); ++index) {
-      const milliseconds longer =
-          index == 0 ? kServesLonger : kOthersServeLonger;
-      std::this_thread::sleep_until(removed[index] + kDrain + longer);
-      leaving_[index]->End();
-      record_.Write("leaf " + leaving_[index]->settings().id + " exits");
-    }
-    std::this_thread::sleep_until(removed.back() + kObservation);
+    // One leaf of six leaves.
+    Leaf& leaving = *leaves_.front();
+    const Time removed = store_.Remove("servers/" + leaving.settings().id);
+    record_.Write("store: the removal of " + leaving.settings().id +
+                  " is acknowledged");
+    std::this_thread::sleep_until(removed + kDrain + kServesLonger);
+    leaving.End();
+    record_.Write("leaf " + leaving.settings().id + " exits");
+    std::this_thread::sleep_until(removed + kObservation);
     is_over_ = true;
     for (std::thread& client : clients) {
       client.join();
@@ -110,7 +99,7 @@
     }
     const Time in_touch =
         has_trouble ? silent + kTroubleMargin + kStableWindow : silent;
-    return Judge(removed, in_touch);
+    return Judge(leaving, removed, in_touch);
   }
 
  private:
@@ -133,7 +122,7 @@
     settings.zone = zone;
     settings.ip = "127.47.10." + std::to_string(leaves_.size() + 1);
     settings.slots = 8;
-    settings.work = milliseconds(60);
+    settings.work = milliseconds(30);
     leaves_.push_back(std::make_unique<Leaf>(settings));
     store_.Put("servers/" + settings.id, leaves_.back()->MakeEntry());
   }
@@ -170,7 +159,7 @@
     }
   }
 
-  int Judge(const std::vector<Time>& removed, Time in_touch) {
+  int Judge(const Leaf& leaving, Time removed, Time in_touch) {
     int late = 0;
     int lost = 0;
     int counted = 0;
@@ -181,25 +170,22 @@
                     std::to_string(sent.status));
       counted += sent.at > in_touch ? 1 : 0;
     }
-    for (std::size_t index = 0; index < leaving_.size(); ++index) {
-      for (const struct Run& run : leaving_[index]->runs()) {
-        const Sent& sent = sent_[run.request_id];
-        const auto after = std::chrono::duration_cast<milliseconds>(
-            run.arrived - removed[index]);
-        const bool is_late = after > kDrain && sent.at > in_touch;
-        if (after > milliseconds(0)) {
-          record_.Write(
-              "leaf " + leaving_[index]->settings().id + " ran id " +
-              run.request_id + ", which reached it " +
-              std::to_string(after.count()) + " ms after its removal, from " +
-              sent.daemon +
-              (run.is_complete ? "" : "; not completed when it ended") +
-              (is_late ? "; too late" : ""));
-        }
-        late += is_late ? 1 : 0;
-        lost += is_late && !run.is_complete && sent.status >= 500 ? 1 : 0;
-        latest = is_late ? std::max(latest, after) : latest;
+    for (const struct Run& run : leaving.runs()) {
+      const Sent& sent = sent_[run.request_id];
+      const auto after =
+          std::chrono::duration_cast<milliseconds>(run.arrived - removed);
+      const bool is_late = after > kDrain && sent.at > in_touch;
+      if (after > milliseconds(0)) {
+        record_.Write("leaf " + leaving.settings().id + " ran id " +
+                      run.request_id + ", which reached it " +
+                      std::to_string(after.count()) +
+                      " ms after its removal, from " + sent.daemon +
+                      (run.is_complete ? "" : "; not completed when it ended") +
+                      (is_late ? "; too late" : ""));
       }
+      late += is_late ? 1 : 0;
+      lost += is_late && !run.is_complete && sent.status >= 500 ? 1 : 0;
+      latest = is_late ? std::max(latest, after) : latest;
     }
     const std::string result =
         std::to_string(late) + " requests reached a leaf later than " +
@@ -222,7 +208,6 @@
   Store store_;
   Fleet fleet_;
   std::vector<std::unique_ptr<Leaf>> leaves_;
-  std::vector<Leaf*> leaving_;
   std::atomic<bool> is_over_ = false;
   std::atomic<int> ids_ = 0;
   std::mutex mutex_;
