Http1, Platform: Take no answer that is spliced from two

Cause: a response that breaks off and is continued with another one parses as one. Its reason and field values were searched for a status line only on connections that had carried another request; bodies, chunks and trailers never were.

Change: SpliceDetector scans the bytes as received, framing included, for the head of another response; ClientConnection::Judge alone decides what becomes an answer, on new and used connections alike. Why it works: the second response's head is in these bytes whatever part of the message it falls into. It ends the exchange at once. Bytes behind a whole response still end only the connection. Codecs reject answers with two identifiers or proofs, and proofs that no leaf can have written.

--- a/src/http1/client_connection.cc
+++ b/src/http1/client_connection.cc
@@ -27,6 +27,10 @@
 // a request sent shortly before that could be lost.
 constexpr base::Duration kKeepAliveMargin = base::Milliseconds(700);
 
+// The pieces of what a server sends at once arrive within this time of each
+// other.
+constexpr base::Duration kPieceInterval = base::Milliseconds(10);
+
 // The value of `timeout=` in a Keep-Alive field, in whole seconds.
 std::optional<int> KeepAliveSeconds(const Response& response) {
   const auto field = response.find(http::field::keep_alive);
@@ -42,40 +46,9 @@
   return std::atoi(text.c_str() + at + name.size());
 }
 
-// Whether the text contains the begin of a status line, such as "HTTP/1.1 200".
-bool ContainsStatusLine(std::string_view text) {
-  constexpr std::string_view kVersion = "HTTP/1.";
-  constexpr std::string_view kPattern = "d ddd";
-  for (auto at = text.find(kVersion); at != std::string_view::npos;
-       at = text.find(kVersion, at + 1)) {
-    const std::string_view rest = text.substr(at + kVersion.size());
-    const bool is_status_line =
-        rest.size() >= kPattern.size() &&
-        std::equal(
-            kPattern.begin(), kPattern.end(), rest.begin(),
-            [](char expected, char found) {
-              return expected == 'd'
-                         ? std::isdigit(static_cast<unsigned char>(found)) != 0
-                         : expected == found;
-            });
-    if (is_status_line) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// Whether the header contains a status line of its own: a response that was cut
-// short, with another one behind it, parses as one response.
-bool ContainsStatusLine(const Response& response) {
-  const auto view = [](boost::beast::string_view text) {
-    return std::string_view(text.data(), text.size());
-  };
-  return ContainsStatusLine(view(response.reason())) ||
-         std::any_of(response.begin(), response.end(),
-                     [&view](const auto& field) {
-                       return ContainsStatusLine(view(field.value()));
-                     });
+std::string_view View(const boost::beast::flat_buffer& buffer) {
+  const auto bytes = buffer.data();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
 }
 
 }  // namespace
@@ -85,7 +58,8 @@
     : context_(context),
       settings_(std::move(settings)),
       socket_(context),
-      connect_timer_(context) {}
+      connect_timer_(context),
+      judge_timer_(context) {}
 
 void ClientConnection::Preconnect() {
   if (!is_open_ && !is_connecting_ && !is_closed_) {
@@ -121,6 +95,7 @@
   }
   is_closed_ = true;
   connect_timer_.cancel();
+  judge_timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
   if (exchange_) {
@@ -231,6 +206,8 @@
 }
 
 void ClientConnection::StartParser() {
+  parsed_.reset();
+  splices_.Start();
   parser_ = std::make_unique<Parser>();
   parser_->body_limit(settings_.max_response_bytes);
   if (exchange_->request->method() == http::verb::head) {
@@ -240,9 +217,21 @@
 
 void ClientConnection::Parse() {
   while (buffer_.size() > 0 && !is_closed_) {
+    if (parsed_) {
+      if (!CanJudge()) {
+        return;
+      }
+      Judge();
+      continue;
+    }
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
+    splices_.Add(View(buffer_).substr(0, used));
     buffer_.consume(used);
+    if (splices_.is_spliced()) {
+      FailAsSpliced();
+      return;
+    }
     if (error == http::error::need_more) {
       return;
     }
@@ -255,8 +244,7 @@
       return;
     }
     if (error) {
-      Fail(ErrorCode::kMalformed, error.message());
-      Close();
+      FailAsMalformed(error.message());
       return;
     }
     if (parser_->is_done()) {
@@ -272,41 +260,102 @@
 }
 
 void ClientConnection::DidParse() {
-  Response response = parser_->release();
+  parsed_ = parser_->release();
+  if (CanJudge()) {
+    Judge();
+  } else {
+    JudgeLater();
+  }
+}
+
+bool ClientConnection::CanJudge() const {
+  return has_ended_ || IsFinal(splices_.VerdictWith(View(buffer_)));
+}
+
+void ClientConnection::JudgeLater() {
+  judge_timer_.expires_after(kPieceInterval);
+  judge_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && self->parsed_ && !self->is_closed_) {
+          self->Judge();
+          self->Parse();
+        }
+      });
+}
+
+void ClientConnection::Judge() {
+  judge_timer_.cancel();
+  Response response = std::move(*std::exchange(parsed_, std::nullopt));
+  const SpliceVerdict verdict = splices_.VerdictWith(View(buffer_));
+  if (verdict == SpliceVerdict::kSpliced ||
+      verdict == SpliceVerdict::kLikelySpliced) {
+    FailAsSpliced();
+    return;
+  }
   constexpr unsigned kFirstFinalStatus = 200;
   const bool is_interim = response.result_int() < kFirstFinalStatus;
   const ResponseMatch match =
       is_interim ? ResponseMatch::kNo : exchange_->match(response);
-  if (match == ResponseMatch::kNo) {
-    if (++discarded_responses_ > kMaxDiscardedResponses) {
-      FailOverLimit(std::to_string(kMaxDiscardedResponses) +
-                    " responses to discard");
+  const bool is_used = exchanges_ > 1;
+  switch (match) {
+    case ResponseMatch::kYes:
+      Accept(std::move(response), match);
+      return;
+    case ResponseMatch::kNo:
+      Discard();
+      return;
+    case ResponseMatch::kUnknown:
+      if (is_used) {
+        FailAsMalformed("the response may belong to another request");
+      } else {
+        Accept(std::move(response), match);
+      }
+      return;
+    case ResponseMatch::kInvalid:
+      FailAsMalformed("the response contradicts itself");
       return;
-    }
-    StartParser();
-    return;
   }
-  const bool is_used = exchanges_ > 1;
-  if (is_used &&
-      (match == ResponseMatch::kUnknown || ContainsStatusLine(response))) {
-    Fail(ErrorCode::kMalformed, "the response may belong to another request");
-    Close();
+}
+
+void ClientConnection::Discard() {
+  if (++discarded_responses_ > kMaxDiscardedResponses) {
+    FailOverLimit(std::to_string(kMaxDiscardedResponses) +
+                  " responses to discard");
     return;
   }
-  Accept(std::move(response), match);
+  StartParser();
+}
+
+void ClientConnection::FailAsMalformed(const std::string& detail) {
+  Fail(ErrorCode::kMalformed, detail);
+  Close();
+}
+
+void ClientConnection::FailAsSpliced() {
+  FailAsMalformed(
+      "the response is spliced from two: " +
+      (splices_.is_spliced() ? "another one begins at its byte " +
+                                   std::to_string(splices_.splice_offset())
+                             : "another one begins in its last bytes") +
+      (exchanges_ > 1 ? ", on a used connection" : ", on a new connection"));
 }
 
 void ClientConnection::Accept(Response response, ResponseMatch match) {
   // NOTE: bytes after the response belong to no request and could be mistaken
   // for the next response on this connection, as could a second copy of a
   // response that does not name its request.
-  should_close_ = !response.keep_alive() || response.need_eof() ||
+  should_close_ = has_ended_ || !response.keep_alive() || response.need_eof() ||
                   buffer_.size() > 0 || match == ResponseMatch::kUnknown;
   UpdateIdleUntil(response);
   Finish(std::move(response));
 }
 
 void ClientConnection::DidEnd(const boost::system::error_code& error) {
+  has_ended_ = true;
+  if (parsed_) {
+    Judge();
+    Parse();
+  }
   if (exchange_ && error == boost::asio::error::eof && parser_->got_some()) {
     boost::system::error_code ending;
     parser_->put_eof(ending);
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -9,14 +9,18 @@
 // Steps of an exchange:
 //   1. Connect, unless the connection is open.
 //   2. Write the request.
-//   3. Read responses until one belongs to the request (`match`); others are
-//      discarded. A server may send a response a second time, whole or cut
-//      short. So on a connection that has carried another request, a response
-//      that does not say which request it belongs to, or that begins within
-//      another one's header, ends the exchange as malformed.
+//   3. Read responses until one belongs to the request; others are discarded.
+//      Each response is judged in one place (Judge()) before anything of it is
+//      used. One that is spliced from two (SpliceDetector), or that `match`
+//      rejects, ends the exchange as malformed. So does one that does not say
+//      which request it belongs to on a connection that has carried another
+//      request, since a server may send a response a second time.
 //   4. Report the response once. Keep the connection if both sides allow it and
 //      the whole request has been written.
 //
+// Bytes behind a whole response belong to no request. They end the connection,
+// but do not invalidate that response.
+//
 // A server in trouble may send without end, in any part of a message or between
 // messages. What an exchange may receive is counted where the socket is read,
 // so one limit holds for all of it; responses that are discarded are limited in
@@ -42,6 +46,7 @@
 #include "src/base/clock.h"
 #include "src/base/result.h"
 #include "src/http1/message.h"
+#include "src/http1/splice_detector.h"
 
 namespace medlarspread::http1 {
 
@@ -61,6 +66,8 @@
   kNo,
   // It does not say.
   kUnknown,
+  // It contradicts itself or contains what the server cannot have meant.
+  kInvalid,
 };
 
 struct Exchange {
@@ -124,9 +131,21 @@
   void DidRead(const boost::system::error_code& error, std::size_t size);
   void Parse();
   void StartParser();
+  // The last byte of a response has been parsed.
   void DidParse();
+  // Whether no bytes that may still come can change the verdict on the parsed
+  // response.
+  bool CanJudge() const;
+  // Judges the parsed response when nothing has followed it for a while.
+  void JudgeLater();
+  // Decides whether the parsed response is the answer to the request.
+  void Judge();
   void Accept(Response response, ResponseMatch match);
-  // Ends the exchange and the connection.
+  // Goes on with the next response.
+  void Discard();
+  // These end the exchange and the connection.
+  void FailAsMalformed(const std::string& detail);
+  void FailAsSpliced();
   void FailOverLimit(const std::string& limit);
   void DidEnd(const boost::system::error_code& error);
   void UpdateIdleUntil(const Response& response);
@@ -138,13 +157,21 @@
   const Settings settings_;
   boost::asio::ip::tcp::socket socket_;
   base::BootTimer connect_timer_;
+  base::BootTimer judge_timer_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
+  // Covers the bytes that `parser_` has consumed.
+  SpliceDetector splices_;
+  // A response that is parsed but not judged. While it is set, `buffer_` holds
+  // the bytes behind it and nothing is parsed.
+  std::optional<Response> parsed_;
   std::optional<Exchange> exchange_;
   bool is_connecting_ = false;
   // Invariant: an open connection always has exactly one read pending.
   bool is_open_ = false;
   bool is_closed_ = false;
+  // Whether no more bytes can be received.
+  bool has_ended_ = false;
   bool is_writing_ = false;
   bool was_sent_ = false;
   // The number of exchanges that were started.
--- a/src/platform/leaf_codec.cc
+++ b/src/platform/leaf_codec.cc
@@ -8,6 +8,7 @@
 
 #include "src/platform/forwarded_message.h"
 #include "src/platform/header_names.h"
+#include "src/platform/leaf_proof.h"
 
 namespace medlarspread::platform {
 
@@ -29,14 +30,28 @@
   return request;
 }
 
+// Whether the response has at most one proof, which is well-formed. An empty
+// one counts as none.
+bool HasValidProof(const Response& response) {
+  const std::string proof(response[kLeafProof]);
+  return response.count(kLeafProof) <= 1 &&
+         (proof.empty() || IsLeafProof(proof));
+}
+
 ResponseMatch Match(const upstream::ForwardCall& call,
                     const Response& response) {
+  if (response.count(kRequestId) > 1) {
+    return ResponseMatch::kInvalid;
+  }
   const auto field = response.find(kRequestId);
-  if (field == response.end()) {
-    return ResponseMatch::kUnknown;
+  if (field != response.end() && field->value() != call.request_id) {
+    return ResponseMatch::kNo;
+  }
+  if (!HasValidProof(response)) {
+    return ResponseMatch::kInvalid;
   }
-  return field->value() == call.request_id ? ResponseMatch::kYes
-                                           : ResponseMatch::kNo;
+  return field == response.end() ? ResponseMatch::kUnknown
+                                 : ResponseMatch::kYes;
 }
 
 base::Duration DecodeRetryAfter(const Response& response) {
--- a/src/platform/peer_codec.cc
+++ b/src/platform/peer_codec.cc
@@ -11,6 +11,7 @@
 #include "src/platform/caller_codec.h"
 #include "src/platform/forwarded_message.h"
 #include "src/platform/header_names.h"
+#include "src/platform/leaf_proof.h"
 
 namespace medlarspread::platform {
 
@@ -81,11 +82,22 @@
   return request;
 }
 
+std::optional<std::vector<std::string>> DecodeProofs(const Response& response) {
+  const auto text = response[kShardProofs];
+  return ParseLeafProofs({text.data(), text.size()});
+}
+
 // Daemons answer one request at a time on a connection and send no late
 // answers.
 ResponseMatch Match(const upstream::ForwardCall& /*call*/,
-                    const Response& /*response*/) {
-  return ResponseMatch::kYes;
+                    const Response& response) {
+  const bool has_one_of_each =
+      response.count(kShardProofs) <= 1 && response.count(kMissingShards) <= 1;
+  const bool has_valid_missing = response.count(kMissingShards) == 0 ||
+                                 ParseInteger<int>(response[kMissingShards]);
+  return has_one_of_each && has_valid_missing && DecodeProofs(response)
+             ? ResponseMatch::kYes
+             : ResponseMatch::kInvalid;
 }
 
 LeafOutcome OutcomeOf(Status status) {
@@ -100,7 +112,8 @@
 ForwardReply Decode(const blackboard::Upstream& peer, Response response) {
   ForwardReply reply;
   reply.outcome = OutcomeOf(response.result());
-  reply.shard_proofs = Split(response[kShardProofs]);
+  reply.shard_proofs =
+      DecodeProofs(response).value_or(std::vector<std::string>{});
   reply.missing_shards = ParseInteger<int>(response[kMissingShards]);
   reply.did_reach_leaves = response.count(kDidReachLeaves) > 0;
   if (reply.outcome != LeafOutcome::kAnswered) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -130,6 +130,27 @@
   EXPECT_EQ(codec_.match(call, response), http1::ResponseMatch::kYes);
 }
 
+// Guards against an answer that is passed on with the proof of another one, or
+// with a proof that holds what no leaf writes.
+TEST_F(LeafCodecTest, ContradictoryAnswersAreInvalid) {
+  upstream::ForwardCall call;
+  call.request_id = "id-1";
+  for (const char* proof : {"a b", "a,b", "3e1bHTTP/1.1 200 OK", "a\tb"}) {
+    Response response(Status::ok, 11);
+    response.set(kRequestId, "id-1");
+    response.set(kLeafProof, proof);
+    EXPECT_EQ(codec_.match(call, response), http1::ResponseMatch::kInvalid)
+        << proof;
+  }
+  for (const char* name : {kRequestId, kLeafProof}) {
+    Response response = MakeAnswer(Status::ok);
+    response.set(kRequestId, "id-1");
+    response.insert(name, "id-1");
+    EXPECT_EQ(codec_.match(call, response), http1::ResponseMatch::kInvalid)
+        << name;
+  }
+}
+
 TEST_F(LeafCodecTest, SuccessNeedsAProofAndNoEncoding) {
   EXPECT_EQ(Decode(MakeAnswer(Status::ok)).outcome, LeafOutcome::kAnswered);
   EXPECT_EQ(Decode(Response(Status::ok, 11)).outcome, LeafOutcome::kMismatch);
--- a/tests/platform/peer_codec_test.cc
+++ b/tests/platform/peer_codec_test.cc
@@ -109,6 +109,24 @@
   EXPECT_EQ(reply.message.body(), "records");
 }
 
+// Guards against an answer made of two that names what no leaf has signed.
+TEST_F(PeerCodecTest, ContradictoryAnswersAreInvalid) {
+  for (const char* proofs : {"a.1, a.1", "a.1,,b.2", "a.1, b 2", "a.1,"}) {
+    Response response(Status::ok, 11);
+    response.set("Medlarspread-Part-Stamps", proofs);
+    EXPECT_EQ(codec_.match(call_, response), http1::ResponseMatch::kInvalid)
+        << proofs;
+  }
+  for (const char* name :
+       {"Medlarspread-Part-Stamps", "Medlarspread-Missing-Parts"}) {
+    Response response(Status::ok, 11);
+    response.insert(name, "1");
+    EXPECT_EQ(codec_.match(call_, response), http1::ResponseMatch::kYes);
+    response.insert(name, "1");
+    EXPECT_EQ(codec_.match(call_, response), http1::ResponseMatch::kInvalid);
+  }
+}
+
 TEST_F(PeerCodecTest, ARefusalDidNotRunAndAFailureMayHave) {
   for (const Status status :
        {Status::service_unavailable, Status::too_many_requests}) {
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -136,7 +136,9 @@
       return;
     }
     const ReplyCopy copy = proxy_.DrawCopy();
-    std::string sent = std::exchange(copy_before_next_, "") + text;
+    std::string sent =
+        std::exchange(copy_before_next_, "") +
+        proxy_.DrawSplice(text, std::exchange(earlier_reply_, text));
     if (copy == ReplyCopy::kBehind) {
       sent += text;
     } else if (copy == ReplyCopy::kBeforeNext) {
@@ -205,6 +207,7 @@
   Bytes to_target_{};
   Bytes to_caller_{};
   std::string copy_before_next_;
+  std::string earlier_reply_;
   std::size_t endless_bytes_ = 0;
 };
 
@@ -267,6 +270,34 @@
   return kForms[random_->Below(std::size(kForms))];
 }
 
+void FaultProxy::SpliceReplies(double share, std::uint64_t seed) {
+  spliced_share_ = share;
+  random_ = std::make_unique<base::Random>(seed);
+}
+
+std::string FaultProxy::DrawSplice(const std::string& reply,
+                                   const std::string& earlier) {
+  constexpr ReplyContinuation kForms[] = {
+      ReplyContinuation::kWhole, ReplyContinuation::kEarlier,
+      ReplyContinuation::kCutAndWhole, ReplyContinuation::kNextReply};
+  if (spliced_share_ == 0.0 || random_->Unit() >= spliced_share_) {
+    return reply;
+  }
+  ++spliced_replies_;
+  const std::string cut = reply.substr(0, 1 + random_->Below(reply.size() - 1));
+  switch (kForms[random_->Below(std::size(kForms))]) {
+    case ReplyContinuation::kWhole:
+      return cut + reply;
+    case ReplyContinuation::kEarlier:
+      return cut + earlier;
+    case ReplyContinuation::kCutAndWhole:
+      return cut + DrawCut(reply) + reply;
+    case ReplyContinuation::kNextReply:
+      return cut;
+  }
+  return reply;
+}
+
 std::string FaultProxy::DrawCut(const std::string& text) {
   return text.substr(0, 1 + random_->Below(text.size()));
 }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,7 +1,7 @@
 // A loopback proxy between a daemon and a server that it calls. It injects link
 // faults: delay, reset, loss of all replies, or loss in both directions. It can
-// also repeat replies or replace them by bytes without end, as a faulty server
-// does.
+// also repeat replies, break them off and go on with another one, or replace
+// them by bytes without end, as a faulty server does.
 //
 // All members, set_fault() included, must be called on the thread of the I/O
 // context.
@@ -49,6 +49,18 @@
   kCutBeforeNext,
 };
 
+// What follows a reply that breaks off, on the same link.
+enum class ReplyContinuation {
+  // The whole reply.
+  kWhole,
+  // The reply before it on the link, if there was one.
+  kEarlier,
+  // The reply broken off a second time, then the whole one.
+  kCutAndWhole,
+  // Nothing until the next reply on the link.
+  kNextReply,
+};
+
 // What is sent without end in place of a reply.
 enum class EndlessReply {
   kNotHttp,
@@ -71,6 +83,9 @@
   // Replaces this share of the replies by bytes without end.
   void SendEndlessReplies(double share, std::uint64_t seed);
   int endless_replies() const { return endless_replies_; }
+  // Breaks this share of the replies off and goes on with another one.
+  void SpliceReplies(double share, std::uint64_t seed);
+  int spliced_replies() const { return spliced_replies_; }
   // How many of these the caller still read after kMostEndlessBytes.
   int unlimited_replies() const { return unlimited_replies_; }
 
@@ -92,6 +107,8 @@
   void Accept();
   ReplyCopy DrawCopy();
   std::optional<EndlessReply> DrawEndlessReply();
+  // The bytes to send in place of a reply; `earlier` is the one before it.
+  std::string DrawSplice(const std::string& reply, const std::string& earlier);
   // Cuts the text short at a random place.
   std::string DrawCut(const std::string& text);
 
@@ -105,6 +122,8 @@
   double endless_share_ = 0.0;
   int endless_replies_ = 0;
   int unlimited_replies_ = 0;
+  double spliced_share_ = 0.0;
+  int spliced_replies_ = 0;
   std::set<std::shared_ptr<Link>> links_;
 };
 
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -86,6 +86,8 @@
 constexpr std::uint64_t kSeedsPerRun = 1'000;
 // With has_endless_replies: the share of replies that are replaced.
 constexpr double kEndlessShare = 0.1;
+// With has_spliced_replies: the share of replies that break off.
+constexpr double kSplicedShare = 0.05;
 // What a daemon may use, see "The size to design for" in DEVELOPERS.md.
 constexpr std::size_t kMaxResidentBytes = std::size_t{64} << 20;
 // The maximum attempts of the route to all shards. Must match Configure().
@@ -222,6 +224,8 @@
   void CheckDrains();
   void CheckRuns();
   int RunsOf(const std::string& id) const;
+  // Whether a leaf signs its replies with this text.
+  bool IsStamp(const std::string& text) const;
 
   const SoakOptions options_;
   const base::Clock clock_;
@@ -311,6 +315,11 @@
         kEndlessShare,
         options_.seed * kSeedsPerRun + static_cast<std::uint64_t>(next_leaf_));
   }
+  if (options_.has_spliced_replies) {
+    leaf->proxy->SpliceReplies(
+        kSplicedShare,
+        options_.seed * kSeedsPerRun + static_cast<std::uint64_t>(next_leaf_));
+  }
   CountArrivals(*leaf->leaf, service);
   WriteEntry(*leaf, "ready");
   leaf->leaf->set_did_end([this, ended = leaf.get()] { DidEndLeaf(*ended); });
@@ -438,6 +447,7 @@
   for (const auto& leaf : leaves_) {
     report_.repeated_replies += leaf->proxy->repeated_replies();
     report_.endless_replies += leaf->proxy->endless_replies();
+    report_.spliced_replies += leaf->proxy->spliced_replies();
     if (leaf->proxy->unlimited_replies() > 0) {
       AddViolation("a reply without end was read beyond " +
                    std::to_string(FaultProxy::kMostEndlessBytes) + " bytes");
@@ -931,17 +941,29 @@
     return;
   }
   const std::string stamp(response["Medlarspread-Leaf-Stamp"]);
-  if (stamp.find("s1-") == std::string::npos ||
+  if (stamp.find("s1-") == std::string::npos || !IsStamp(stamp) ||
       response.body() != HostedLeaf::RecordOf("s1") ||
       response["Medlarspread-Request-Id"] != sent.id) {
     AddViolation(sent.id + ": not the reply of a leaf of its service");
   }
 }
 
+bool SoakRun::IsStamp(const std::string& text) const {
+  return std::any_of(leaves_.begin(), leaves_.end(), [&](const auto& leaf) {
+    return text == "stamp-" + leaf->leaf->id();
+  });
+}
+
 void SoakRun::CheckMergedAnswer(const SentRequest& sent,
                                 const http1::Response& response) {
   const std::string stamps(response["Medlarspread-Part-Stamps"]);
   const std::string missing(response["Medlarspread-Missing-Parts"]);
+  std::istringstream list(stamps);
+  for (std::string stamp; std::getline(list >> std::ws, stamp, ',');) {
+    if (!IsStamp(stamp)) {
+      AddViolation(sent.id + ": no leaf has the stamp " + stamp);
+    }
+  }
   std::vector<std::string> records;
   for (const std::string& service : kServices) {
     const auto first = stamps.find("stamp-" + service + "-");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,8 +4,8 @@
 //
 // Faults come in series and overlap: leaves refuse requests, stop replying,
 // drain and are replaced; links to leaves and to the store delay, reset, drop
-// bytes one way or in both directions; leaves send replies twice, or bytes
-// without end; the store
+// bytes one way or in both directions; leaves send replies twice, break them
+// off and go on with another one, or send bytes without end; the store
 // discards its history, is restored from a backup, or answers stale reads from
 // replicas that are behind; daemons are paused, killed, stopped as planned,
 // signalled to reload their settings, and restarted. Callers keep using open
@@ -36,6 +36,8 @@
   bool has_restores = false;
   // Leaves refuse some requests for lack of room, and send some replies twice.
   bool has_repeated_replies = false;
+  // Leaves break off some replies and go on with another one.
+  bool has_spliced_replies = false;
   // Leaves send bytes without end in place of some replies.
   bool has_endless_replies = false;
   // Stale reads of the store have small pages of different ages, and the routes
@@ -59,6 +61,8 @@
   int restores = 0;
   // Replies that leaves sent twice.
   int repeated_replies = 0;
+  // Replies that broke off and were continued with another one.
+  int spliced_replies = 0;
   // Replies that were replaced by bytes without end.
   int endless_replies = 0;
   // The largest resident set of a daemon, in bytes.
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -1,5 +1,5 @@
 // Runs the soak test by hand: medlarspread_soak DAEMON FIRST_SEED SEEDS
-// [SECONDS] [deadly] [reused] [restored] [repeated] [stale] [endless]
+// [SECONDS] [deadly] [reused] [restored] [repeated] [stale] [endless] [spliced]
 
 #include <cstdlib>
 #include <iostream>
@@ -10,7 +10,8 @@
 int main(int count, char** arguments) {
   if (count < 4) {
     std::cerr << "usage: medlarspread_soak DAEMON FIRST_SEED SEEDS [SECONDS] "
-                 "[deadly] [reused] [restored] [repeated] [stale] [endless]\n";
+                 "[deadly] [reused] [restored] [repeated] [stale] [endless] "
+                 "[spliced]\n";
     return 2;
   }
   medlarspread::soak::SoakOptions options;
@@ -30,6 +31,8 @@
         options.has_repeated_replies || word == "repeated";
     options.has_endless_replies =
         options.has_endless_replies || word == "endless";
+    options.has_spliced_replies =
+        options.has_spliced_replies || word == "spliced";
     if (word == "stale") {
       options.has_stale_reads = true;
       // Several daemons of a failure domain follow another one.
@@ -48,8 +51,9 @@
               << " arrivals at a reused address, " << report.restores
               << " restores, " << report.repeated_replies
               << " replies sent twice, " << report.endless_replies
-              << " endless, " << (report.peak_resident_bytes >> 20)
-              << " MB at most, " << report.checked_routes << " routes checked, "
+              << " endless, " << report.spliced_replies << " spliced, "
+              << (report.peak_resident_bytes >> 20) << " MB at most, "
+              << report.checked_routes << " routes checked, "
               << report.violations.size() << " violations\n";
     for (const std::string& violation : report.violations) {
       std::cout << "  " << violation << "\n";
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -135,6 +135,27 @@
                          EndlessReplySoakTest,
                          testing::Values(1, 2));
 
+// Guards against an answer that is made of two: a leaf breaks off a reply and
+// goes on with another one on the same connection.
+class SplicedReplySoakTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(SplicedReplySoakTest, NoAnswerIsMadeOfTwoReplies) {
+  SoakOptions options;
+  options.daemon_program = DAEMON_PROGRAM;
+  options.seed = GetParam();
+  options.has_spliced_replies = true;
+  const SoakReport report = RunSoak(options);
+  for (const std::string& violation : report.violations) {
+    ADD_FAILURE() << violation;
+  }
+  EXPECT_GT(report.answered, 50);
+  EXPECT_GT(report.spliced_replies, 20);
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds,
+                         SplicedReplySoakTest,
+                         testing::Values(1, 2));
+
 // Guards against a daemon that serves by old routes after its start, because
 // the pages of its stale read of the store differed in age.
 class StaleReadSoakTest : public testing::TestWithParam<std::uint64_t> {};
--- a/tests/upstream/forward_client_test.cc
+++ b/tests/upstream/forward_client_test.cc
@@ -137,6 +137,25 @@
   EXPECT_LE(sent_time_left_.front(), Milliseconds(20'000 - 30));
 }
 
+// Guards against a call that waits for its deadline, or gets an answer made of
+// two, when a leaf breaks off its answer and sends another one.
+TEST_F(ForwardClientTest, ASplicedAnswerEndsTheCallAsLostAtOnce) {
+  Open([](int) {
+    const std::string whole = std::string("HTTP/1.1 200 OK\r\n") + kRequestId +
+                              ": r1\r\nContent-Length: 900\r\n\r\n" +
+                              std::string(900, 'x');
+    return RawLeaf::Reply{whole.substr(0, 100) + RejectFirst(1, "r1").bytes,
+                          false};
+  });
+  std::optional<ForwardReply> reply;
+  (void)Send(reply);
+  const base::MonotonicTime sent = clock_.Now();
+  RunUntil([&reply] { return reply.has_value(); });
+  EXPECT_EQ(reply->outcome, LeafOutcome::kLost);
+  EXPECT_EQ(reply->error.code, base::ErrorCode::kMalformed);
+  EXPECT_LT(clock_.Now() - sent, Milliseconds(2'000));
+}
+
 TEST_F(ForwardClientTest, CancelClosesTheConnectionAndCallsNobody) {
   Open([](int) { return RawLeaf::Reply{"", false}; });
   std::optional<ForwardReply> reply;
--- a/tests/upstream/raw_leaf.h
+++ b/tests/upstream/raw_leaf.h
@@ -34,6 +34,8 @@
     std::string endless = {};
     // The pause before each of these; zero sends as fast as they are read.
     std::chrono::milliseconds pause{};
+    // If positive, `bytes` are sent in pieces of this size.
+    std::size_t piece_bytes = 0;
   };
   // `index` counts the requests on all connections, starting at 1.
   using Script = std::function<Reply(int index)>;
@@ -87,6 +89,8 @@
     acceptor_.async_accept(
         [this](const boost::system::error_code& error, Socket socket) {
           if (!error) {
+            boost::system::error_code ignored;
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
             most_ = std::max(most_.load(), ++open_);
             Read(std::make_shared<Connection>(std::move(socket)));
             Accept();
@@ -112,11 +116,23 @@
               const Reply& reply) {
     const std::string last = std::exchange(connection->last, reply.bytes);
     connection->reply = (repeats_responses_ ? last : "") + reply.bytes;
+    SendPieces(connection, reply, 0);
+  }
+
+  void SendPieces(const std::shared_ptr<Connection>& connection,
+                  const Reply& reply,
+                  std::size_t sent) {
+    const std::size_t left = connection->reply.size() - sent;
+    const std::size_t size =
+        reply.piece_bytes > 0 ? std::min(reply.piece_bytes, left) : left;
     boost::asio::async_write(
-        connection->socket, boost::asio::buffer(connection->reply),
-        [this, connection, reply](const boost::system::error_code& error,
-                                  std::size_t) {
-          if (error || reply.should_close) {
+        connection->socket,
+        boost::asio::buffer(connection->reply.data() + sent, size),
+        [this, connection, reply, sent](const boost::system::error_code& error,
+                                        std::size_t written) {
+          if (!error && sent + written < connection->reply.size()) {
+            SendPieces(connection, reply, sent + written);
+          } else if (error || reply.should_close) {
             --open_;
           } else if (!reply.endless.empty()) {
             SendEndlessly(connection, reply);
