Store, Platform, Relay: Tell an outage of the store from a lost connection

The open connections to the store had gone silent.

Cause: Follower took the time since a lost watch began for an outage of the store, and delayed removals by 2.5 s as for entries that expired in one.

Evidence: a reader's log: watch given up at 51.391 s, "answers again after 2211 ms" at 51.521 s (the removal has been read, 1.9 s after it was made), applied at 54.021 s. Ruled out: a late notice (1.9 s), and the way to the followers (same millisecond).

Change: store::OutageDetector observes all calls and draws the conclusions in one place. An answer shows that the store was up; silence of a connection that carried other calls shows nothing; only a call on a new connection without an answer, or status 503, shows an outage. Peers' updates tell when the store was up. The errors of EventSource say which it was; StoreCalls uses new connections after a call without an answer, and none that was idle for 1.5 s. Why it works: a removal made while the store was up is a change like any other; its time is a sum checked at compile time (kSilentConnectionDelay, 2.35 s of a budget of 2.4 s).

Tests: relay.RemovalFleetTest failed in 106 of 300 runs before; none now. The other side, relay.ExpiryFleetTest (entries expire in outages of 2.4 to 10 s and are written again): 58 of 120 runs took live leaves out of service before, none now. store.FollowerTest.TimedOutWatchCountsAsAnOutageSinceItsStart demanded the fault; two tests replace it, one for each side. store.OutageDetectorTest, platform.StoreCallsTest. Passed: store 155, platform 35.

--- a/src/daemon/store_controllers.cc
+++ b/src/daemon/store_controllers.cc
@@ -97,12 +97,17 @@
       regions_(ParseRegions(settings.vm.regions)),
       leaves_(blackboard, log),
       routes_(blackboard, log),
+      outages_(std::make_shared<store::OutageDetector>(
+          store::OutageDetectorSettings{},
+          clock,
+          log)),
+      store_(outages_->Observe(std::move(store))),
       verdicts_(std::make_shared<quarantine::VerdictController>(
           control,
           random,
-          [put = store.put](const std::string& key,
-                            const std::string& value,
-                            std::function<void(base::Status)> done) {
+          [put = store_.put](const std::string& key,
+                             const std::string& value,
+                             std::function<void(base::Status)> done) {
             put(key, value, kNoLease, std::move(done));
           },
           blackboard,
@@ -115,7 +120,8 @@
               InitialRereadDelay(settings.vm)},
           clock,
           control,
-          store,
+          store_,
+          outages_,
           std::make_shared<relay::PeerClient>(
               context,
               control,
@@ -142,7 +148,7 @@
           MakeSelf(settings),
           clock,
           control,
-          store,
+          store_,
           blackboard,
           [update_reader = update_reader_] {
             return update_reader->is_reading_store();
@@ -166,6 +172,7 @@
           std::move(random),
           control,
           update_reader_->source(),
+          outages_,
           [this](const store::Position& position) {
             event_log_.DidList(position);
           },
--- a/src/daemon/store_controllers.h
+++ b/src/daemon/store_controllers.h
@@ -70,6 +70,9 @@
   const std::map<std::string, std::string> regions_;
   upstream::LeafDirectory leaves_;
   targets::RouteController routes_;
+  const std::shared_ptr<store::OutageDetector> outages_;
+  // Observed by `outages_`.
+  const store::EventSource store_;
   const std::shared_ptr<quarantine::VerdictController> verdicts_;
   // The changes that this daemon has seen, for the peers that follow it.
   store::EventLog event_log_;
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -2,6 +2,7 @@
 
 #include "src/platform/store_calls.h"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <list>
@@ -44,6 +45,12 @@
 constexpr const char* kEraHeader = "Store-Era";
 // An unresponsive store is detected within this time, also during a watch.
 constexpr base::Duration kAckTimeout = base::Milliseconds(2'000);
+// A connection without an answer for this time is not used again: it may have
+// gone silent, which would cost the next call its timeout. Longer than the
+// interval of a reader's renewals.
+constexpr base::Duration kMaxIdle = base::Milliseconds(1'500);
+// A call that may wait no longer than this shows whether the store is there.
+constexpr base::Duration kMaxPromptWait = base::Milliseconds(100);
 
 std::int64_t ToWholeMilliseconds(base::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -153,10 +160,11 @@
         did_see_era_(std::move(did_see_era)),
         log_(std::move(log)) {}
 
+  // The store may wait for `wait` before it answers.
   void Call(http::verb method,
             const std::string& target,
             const std::string& body,
-            base::Duration timeout,
+            base::Duration wait,
             AnswerCallback done);
 
   Result<store::Page> DecodePage(const Result<Answer>& answer) const;
@@ -165,7 +173,24 @@
   const base::Log& log() const { return log_; }
 
  private:
-  std::shared_ptr<http1::ClientConnection> Connect();
+  struct PooledConnection {
+    std::shared_ptr<http1::ClientConnection> connection;
+    // When it was opened or its last answer came.
+    base::MonotonicTime last_answer;
+    bool has_answered = false;
+  };
+
+  // A connection for the next call, free and not idle for too long; null if the
+  // store's address is invalid.
+  PooledConnection* Acquire();
+  PooledConnection* Find(const http1::ClientConnection* connection);
+  void DidAnswer(const http1::ClientConnection* connection);
+  // Closes the free connections for which the condition holds.
+  void CloseFree(
+      const std::function<bool(const PooledConnection&)>& should_close);
+  // Tells the failure of a new connection from that of an open one; see
+  // store::EventSource.
+  static Error Classify(Error error, bool is_new, base::Duration wait);
   Result<Answer> Decode(const Response& response) const;
 
   boost::asio::io_context& context_;
@@ -173,13 +198,18 @@
   const StoreCallsSettings settings_;
   const std::function<void(std::int64_t era)> did_see_era_;
   const base::Log log_;
-  std::list<std::shared_ptr<http1::ClientConnection>> connections_;
+  const base::Clock clock_;
+  std::list<PooledConnection> connections_;
 };
 
-std::shared_ptr<http1::ClientConnection> StoreCalls::Impl::Connect() {
-  for (const auto& connection : connections_) {
-    if (connection->is_free()) {
-      return connection;
+StoreCalls::Impl::PooledConnection* StoreCalls::Impl::Acquire() {
+  const base::MonotonicTime now = clock_.Now();
+  CloseFree([now](const PooledConnection& pooled) {
+    return now - pooled.last_answer > kMaxIdle;
+  });
+  for (PooledConnection& pooled : connections_) {
+    if (pooled.connection->is_free()) {
+      return &pooled;
     }
   }
   const auto endpoint = http1::ParseEndpoint(settings_.address);
@@ -194,18 +224,61 @@
       [self = weak_from_this()](http1::ClientConnection& connection) {
         const auto calls = self.lock();
         if (calls && connection.is_closed()) {
-          calls->connections_.remove(connection.shared_from_this());
+          calls->connections_.remove_if([&](const PooledConnection& pooled) {
+            return pooled.connection.get() == &connection;
+          });
         }
       };
   connections_.push_back(
-      std::make_shared<http1::ClientConnection>(context_, std::move(settings)));
-  return connections_.back();
+      {std::make_shared<http1::ClientConnection>(context_, std::move(settings)),
+       now});
+  return &connections_.back();
+}
+
+StoreCalls::Impl::PooledConnection* StoreCalls::Impl::Find(
+    const http1::ClientConnection* connection) {
+  const auto row = std::find_if(connections_.begin(), connections_.end(),
+                                [&](const PooledConnection& pooled) {
+                                  return pooled.connection.get() == connection;
+                                });
+  return row == connections_.end() ? nullptr : &*row;
+}
+
+void StoreCalls::Impl::DidAnswer(const http1::ClientConnection* connection) {
+  if (PooledConnection* pooled = Find(connection)) {
+    pooled->last_answer = clock_.Now();
+    pooled->has_answered = true;
+  }
+}
+
+void StoreCalls::Impl::CloseFree(
+    const std::function<bool(const PooledConnection&)>& should_close) {
+  std::vector<std::shared_ptr<http1::ClientConnection>> closed;
+  for (const PooledConnection& pooled : connections_) {
+    if (pooled.connection->is_free() && should_close(pooled)) {
+      closed.push_back(pooled.connection);
+    }
+  }
+  for (const auto& connection : closed) {
+    connection->Close();
+  }
+}
+
+Error StoreCalls::Impl::Classify(Error error,
+                                 bool is_new,
+                                 base::Duration wait) {
+  const bool has_no_answer = error.code == ErrorCode::kTimeout ||
+                             error.code == ErrorCode::kConnectionLost;
+  if (has_no_answer && is_new && wait <= kMaxPromptWait) {
+    error.code = ErrorCode::kUnreachable;
+  }
+  return error;
 }
 
 void StoreCalls::Impl::Call(http::verb method,
                             const std::string& target,
                             const std::string& body,
-                            base::Duration timeout,
+                            base::Duration wait,
                             AnswerCallback done) {
   log_.Write({.level = base::LogLevel::kDebug,
               .step = Step::kReadStore,
@@ -220,21 +293,28 @@
   }
   http1::TimedExchange exchange;
   exchange.request = std::move(request);
-  exchange.timeout = timeout;
+  exchange.timeout = wait + settings_.timeout;
   exchange.step = Step::kReadStore;
   exchange.peer = settings_.address;
-  exchange.done = [self = shared_from_this(),
+  const PooledConnection* pooled = Acquire();
+  const auto connection = pooled == nullptr ? nullptr : pooled->connection;
+  const bool is_new = pooled != nullptr && !pooled->has_answered;
+  exchange.done = [self = shared_from_this(), wait, is_new,
+                   used = connection.get(),
                    done = std::move(done)](Result<Response> response) {
     if (!response.is_ok()) {
-      done(response.error());
+      // The other open connections may be silent too.
+      self->CloseFree([](const PooledConnection&) { return true; });
+      done(Classify(response.error(), is_new, wait));
       return;
     }
+    self->DidAnswer(used);
     if (const std::int64_t era = DecodeEra(response.value()); era != 0) {
       self->did_see_era_(era);
     }
     done(self->Decode(response.value()));
   };
-  http1::StartTimedExchange(Connect(), control_, std::move(exchange));
+  http1::StartTimedExchange(connection, control_, std::move(exchange));
 }
 
 Result<Answer> StoreCalls::Impl::Decode(const Response& response) const {
@@ -294,7 +374,7 @@
       impl->Call(http::verb::get,
                  "/kv-range?prefix=" + encode(prefix) +
                      (after.empty() ? "" : "&after=" + encode(after)) + options,
-                 "", impl->settings().timeout,
+                 "", base::Duration{},
                  [impl, done](const Result<Answer>& answer) {
                    done(impl->DecodePage(answer));
                  });
@@ -310,8 +390,7 @@
         "/kv-watch?prefix=" + encode(prefix) +
             "&after=" + std::to_string(after) +
             "&wait_ms=" + std::to_string(ToWholeMilliseconds(wait)),
-        "", wait + impl->settings().timeout,
-        [impl, done](const Result<Answer>& answer) {
+        "", wait, [impl, done](const Result<Answer>& answer) {
           if (!answer.is_ok()) {
             done(answer.error());
             return;
@@ -331,8 +410,7 @@
     auto body = value::object();
     body["ttl_ms"] = value::number(ToWholeMilliseconds(time_to_live));
     impl->Call(http::verb::post, "/kv-lease", body.serialize(),
-               impl->settings().timeout,
-               [impl, done](const Result<Answer>& answer) {
+               base::Duration{}, [impl, done](const Result<Answer>& answer) {
                  if (!answer.is_ok()) {
                    done(answer.error());
                    return;
@@ -358,7 +436,7 @@
   };
   source.keep_lease = [impl = impl_, to_status](std::int64_t lease, auto done) {
     impl->Call(http::verb::post, "/kv-keep/" + std::to_string(lease), "",
-               impl->settings().timeout, to_status(done));
+               base::Duration{}, to_status(done));
   };
   source.put = [impl = impl_, to_status](const std::string& key,
                                          const std::string& text,
@@ -372,8 +450,8 @@
     body["expect_rev"] = value::array();
     body["writes"] = value::array({write});
     body["remove"] = value::array();
-    impl->Call(http::verb::post, "/kv-txn", body.serialize(),
-               impl->settings().timeout, to_status(done));
+    impl->Call(http::verb::post, "/kv-txn", body.serialize(), base::Duration{},
+               to_status(done));
   };
   return source;
 }
--- a/src/platform/store_calls.h
+++ b/src/platform/store_calls.h
@@ -19,14 +19,14 @@
 struct StoreCallsSettings {
   // "ip:port" of the store.
   std::string address;
-  // Timeout of a call, in addition to the time that a watch waits. The store
-  // normally answers in 4 ms, and takes 60 times as long on a slow day.
-  base::Duration timeout = base::Milliseconds(1'000);
+  // Timeout of a call, in addition to the time that a watch waits.
+  base::Duration timeout = store::kCallTimeout;
 };
 
-// Calls share persistent connections, and no call is sent twice. `did_see_era`
-// is called for each answer that names the store's era, error responses
-// included, before the call's own callback. Runs on the control thread.
+// Calls share persistent connections, and no call is sent twice. After a call
+// without an answer the next ones use new connections. `did_see_era` is called
+// for each answer that names the store's era, error responses included, before
+// the call's own callback. Runs on the control thread.
 class StoreCalls {
  public:
   StoreCalls(boost::asio::io_context& context,
--- a/src/relay/propagation_delays.h
+++ b/src/relay/propagation_delays.h
@@ -6,11 +6,16 @@
 // contains all changes acknowledged before that. At kMaxUpdateAge the daemon
 // starts to look for a fresher source (SourceSearch), and at kMaxCopyAge it
 // reads the store, whatever else it is waiting for.
+//
+// The removal of a leaf propagates like any other change, unless the store was
+// unavailable (store::OutageDetector).
 
 #ifndef MEDLARSPREAD_RELAY_PROPAGATION_DELAYS_H_
 #define MEDLARSPREAD_RELAY_PROPAGATION_DELAYS_H_
 
 #include "src/base/clock.h"
+#include "src/store/event_source.h"
+#include "src/store/follower.h"
 
 namespace medlarspread::relay {
 
@@ -66,9 +71,26 @@
     kMaxCopyAge + kStoreSpread + kSourceSwitchDelay + kSearchTick +
     kStoreCheckDelay + kSourceSwitchDelay;
 
+// The same at a store reader whose open connections to the store have gone
+// silent, and at its followers: the next renewal, its timeout, and the first
+// retry, which uses a new connection.
+constexpr base::Duration kSilentConnectionDelay =
+    kStoreContactInterval + store::kCallTimeout + store::kMaxFirstBackoff +
+    kSourceSwitchDelay + kSourceSwitchDelay;
+
 // A fifth of the bound is reserved for processor time and slow links.
 constexpr base::Duration kPropagationBudget = kPropagationBound * 4 / 5;
 static_assert(kMaxPropagationDelay <= kPropagationBudget);
+static_assert(kSilentConnectionDelay <= kPropagationBudget);
+
+// The bounds of operators hold again this long after the store has returned.
+constexpr base::Duration kStoreStabilization = base::Milliseconds(4'000);
+// Until when removals are delayed after the return: the call that was lost with
+// the outage, the pause before the next one, and the delay itself.
+constexpr base::Duration kMaxRemovalDelay =
+    store::kCallTimeout + store::kMaxBackoff +
+    store::FollowerSettings{}.removal_delay;
+static_assert(kMaxRemovalDelay <= kStoreStabilization + kPropagationBudget);
 // Each peer has had the time to answer by then.
 static_assert(kMaxUpdateAge + 2 * kProbeInterval + kSourceSwitchDelay <=
               kMaxCopyAge);
--- a/src/relay/update_reader.h
+++ b/src/relay/update_reader.h
@@ -57,6 +57,7 @@
 #include "src/relay/update_codec.h"
 #include "src/relay/update_server.h"
 #include "src/store/event_source.h"
+#include "src/store/outage_detector.h"
 
 namespace medlarspread::relay {
 
@@ -71,10 +72,12 @@
 // Runs on the control thread.
 class UpdateReader : public std::enable_shared_from_this<UpdateReader> {
  public:
+  // `outages` observes the calls of `store`.
   UpdateReader(UpdateReaderSettings settings,
                base::Clock clock,
                base::TaskRunner control,
                store::EventSource store,
+               std::shared_ptr<store::OutageDetector> outages,
                FetchFromPeer fetch_from_peer,
                const blackboard::Blackboard& blackboard,
                std::function<void()> did_restore_store,
@@ -250,6 +253,8 @@
   const std::function<void(std::string, std::string, ListCallback)>
       check_store_;
   const store::EventSource store_;
+  // Learns from peers when the store was up.
+  const std::shared_ptr<store::OutageDetector> outages_;
   const FetchFromPeer fetch_from_peer_;
   // Called when the store turns out to be in a later era than before.
   const std::function<void()> did_restore_store_;
--- a/src/relay/update_reader_search.cc
+++ b/src/relay/update_reader_search.cc
@@ -42,6 +42,7 @@
 
 void UpdateReader::SetStoreContact(base::MonotonicTime contact) {
   last_store_contact_ = contact;
+  outages_->DidSeeUp(contact);
   adoption_.reset();
   if (copy_age() <= kMaxUpdateAge) {
     search_->Stop();
--- a/src/store/event_source.h
+++ b/src/store/event_source.h
@@ -20,6 +20,10 @@
 
 namespace medlarspread::store {
 
+// How long a call may take beyond the time that it asks the store to wait. The
+// store normally answers in 4 ms, and takes 60 times as long on a slow day.
+constexpr base::Duration kCallTimeout = base::Milliseconds(1'000);
+
 // A write or removal of a key.
 struct Event {
   std::string key;
@@ -74,10 +78,12 @@
 };
 
 struct EventSource {
-  // Lists the keys after `after`, in order. kUnreachable, kConnectionLost and
-  // kTimeout: the store did not answer; kUnavailable and kOverloaded: it
-  // rejected the call; kExpired: the store was restored since the first page
-  // was read.
+  // Lists the keys after `after`, in order. Without an answer: kUnreachable if
+  // the call had a connection of its own, kConnectionLost and kTimeout if only
+  // its connection, which has carried other calls, is known to have failed.
+  // kUnavailable and kOverloaded: the store rejected the call; kExpired: the
+  // store was restored since the first page was read. The same errors, but for
+  // the last one, come from all other calls.
   std::function<void(std::string prefix,
                      std::string after,
                      std::function<void(base::Result<Page>)>)>
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -19,8 +19,6 @@
 // random jitter, so that the daemons do not return at the same moment. Each
 // call is paid for, even a rejected one; the maximum bounds how old the copy
 // still is after the store's return.
-constexpr base::Duration kInitialBackoff = base::Milliseconds(150);
-constexpr base::Duration kMaxBackoff = base::Milliseconds(1'000);
 // A daemon without data cannot serve any request, so it retries sooner.
 constexpr base::Duration kMaxInitialListBackoff = base::Milliseconds(300);
 constexpr int kMaxDoublings = 4;
@@ -33,7 +31,7 @@
   }
   const int doublings = std::min(failures - 1, kMaxDoublings);
   const base::Duration pause =
-      std::min(longest, kInitialBackoff * (1 << doublings));
+      std::min(longest, kMaxFirstBackoff * (1 << doublings));
   const double jitter =
       random.Unit() * 0.5 * static_cast<double>(pause.count());
   return pause / 2 + base::Duration(static_cast<std::int64_t>(jitter));
@@ -46,6 +44,7 @@
                    std::shared_ptr<base::Random> random,
                    base::TaskRunner control,
                    EventSource source,
+                   std::shared_ptr<const OutageDetector> outages,
                    DidListAt did_list,
                    DidChange did_change,
                    DidReach did_reach,
@@ -55,6 +54,7 @@
       random_(std::move(random)),
       control_(std::move(control)),
       source_(std::move(source)),
+      outages_(std::move(outages)),
       did_list_(std::move(did_list)),
       did_change_(std::move(did_change)),
       did_reach_(std::move(did_reach)),
@@ -89,14 +89,14 @@
     return;
   }
   if (!page.is_ok() && page.error().code != ErrorCode::kExpired) {
-    DidFail(page.error(), clock_.Now());
+    DidFail(page.error());
     Retry(base::Duration{}, &Follower::ListFromStart);
     return;
   }
   DidSucceed();
   if (!page.is_ok()) {
     log_.DidFail(page.error(), "listing the store from the start");
-    Retry(kInitialBackoff, &Follower::ListFromStart);
+    Retry(kMaxFirstBackoff, &Follower::ListFromStart);
     return;
   }
   if (page.value().era < era_) {
@@ -105,7 +105,7 @@
                 .message = "ignored a list at " +
                            ToString(page.value().position()) + ", since era " +
                            std::to_string(era_) + " is known already"});
-    Retry(kInitialBackoff, &Follower::ListFromStart);
+    Retry(kMaxFirstBackoff, &Follower::ListFromStart);
     return;
   }
   if (!list_position_) {
@@ -169,15 +169,14 @@
   if (is_stopped_) {
     return;
   }
-  source_.watch(kAllKeys, cursor_, settings_.watch_wait,
-                [self = shared_from_this(),
-                 began = clock_.Now()](const base::Result<Changes>& changes) {
-                  self->DidWatch(began, changes);
-                });
+  source_.watch(
+      kAllKeys, cursor_, settings_.watch_wait,
+      [self = shared_from_this()](const base::Result<Changes>& changes) {
+        self->DidWatch(changes);
+      });
 }
 
-void Follower::DidWatch(MonotonicTime began,
-                        const base::Result<Changes>& changes) {
+void Follower::DidWatch(const base::Result<Changes>& changes) {
   if (is_stopped_) {
     return;
   }
@@ -188,10 +187,7 @@
       ListFromStart();
       return;
     }
-    // A watch that timed out shows that the store has been silent since the
-    // watch began; any other failure tells only about the present.
-    const bool was_silent = changes.error().code == ErrorCode::kTimeout;
-    DidFail(changes.error(), was_silent ? began : clock_.Now());
+    DidFail(changes.error());
     Retry(base::Duration{}, &Follower::Watch);
     return;
   }
@@ -211,7 +207,8 @@
   reached_ = std::max(reached_, position);
   std::vector<Event> accepted;
   std::vector<Event> skipped;
-  const bool is_delaying_removals = clock_.Now() < delay_removals_until_;
+  std::size_t delayed = 0;
+  const bool is_delaying_removals = clock_.Now() < removals_due();
   for (const Event& event : events) {
     KeyState& state = key_states_[event.key];
     const bool is_removal = !event.value.has_value();
@@ -228,12 +225,14 @@
       continue;
     }
     if (is_removal && is_delaying_removals) {
+      ++delayed;
       DelayRemoval(event);
       continue;
     }
     accepted.push_back(event);
   }
   LogSkipped(skipped);
+  LogDelayed(delayed);
   if (!accepted.empty()) {
     did_change_(accepted, reached_);
   }
@@ -273,6 +272,19 @@
                   ", known at " + ToString(key_states_.at(last.key).position)});
 }
 
+void Follower::LogDelayed(std::size_t removals) const {
+  if (removals == 0) {
+    return;
+  }
+  log_.Write({.level = base::LogLevel::kInfo,
+              .step = Step::kWatchStore,
+              .message = "delays " + std::to_string(removals) +
+                         " removals up to " + ToString(reached_) + " by " +
+                         std::to_string(
+                             (removals_due() - clock_.Now()).count() / 1000) +
+                         " ms, since the store was unavailable or restored"});
+}
+
 void Follower::EnterEra(std::int64_t era) {
   if (era <= era_) {
     return;
@@ -287,12 +299,12 @@
        .message = "continues with the restored store and delays removals: "
                   "era " +
                   std::to_string(era) + " after " + std::to_string(before)});
-  DelayRemovals();
+  restored_at_ = clock_.Now();
 }
 
-void Follower::DelayRemovals() {
-  delay_removals_until_ =
-      std::max(delay_removals_until_, clock_.Now() + settings_.removal_delay);
+MonotonicTime Follower::removals_due() const {
+  const auto last_event = std::max(restored_at_, outages_->last_outage_end());
+  return last_event ? *last_event + settings_.removal_delay : MonotonicTime{};
 }
 
 void Follower::DelayRemoval(Event event) {
@@ -303,12 +315,12 @@
 }
 
 void Follower::ScheduleRelease() {
-  control_.After(delay_removals_until_ - clock_.Now(),
+  control_.After(removals_due() - clock_.Now(),
                  [self = shared_from_this()] { self->ReleaseRemovals(); });
 }
 
 void Follower::ReleaseRemovals() {
-  if (clock_.Now() < delay_removals_until_) {
+  if (clock_.Now() < removals_due()) {
     ScheduleRelease();
     return;
   }
@@ -327,29 +339,14 @@
 }
 
 void Follower::DidSucceed() {
-  const MonotonicTime now = clock_.Now();
-  if (unavailable_since_ == MonotonicTime{}) {
-    return;
-  }
-  const base::Duration outage = now - unavailable_since_;
-  unavailable_since_ = {};
   failures_ = 0;
-  if (outage >= settings_.min_outage) {
-    DelayRemovals();
-  }
-  log_.Write({.level = base::LogLevel::kInfo,
-              .step = Step::kWatchStore,
-              .message = "the store answers again after " +
-                         std::to_string(outage.count() / 1000) + " ms"});
 }
 
-void Follower::DidFail(const base::Error& error, MonotonicTime silent_since) {
-  if (unavailable_since_ == MonotonicTime{}) {
-    unavailable_since_ = silent_since;
-    log_.DidFail(error, "the store does not answer; continuing with " +
+void Follower::DidFail(const base::Error& error) {
+  if (++failures_ == 1) {
+    log_.DidFail(error, "no updates of the store; continuing with " +
                             std::to_string(key_states_.size()) + " known keys");
   }
-  ++failures_;
 }
 
 void Follower::Retry(base::Duration delay, void (Follower::*step)()) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -11,10 +11,10 @@
 // come in. After a restore of the store (see Position) all keys are listed
 // again; its revisions may then be lower than those of the era before.
 //
-// Entries that expired during an outage of the store, or that were lost when it
-// was restored, are written again shortly after its return if their owner is
-// alive. Removals are delayed for that time, so that neither event takes leaves
-// out of service.
+// Entries that expired during an outage of the store (OutageDetector), or that
+// were lost when it was restored, are written again shortly after its return if
+// their owner is alive. Removals are delayed for that time, so that neither
+// event takes leaves out of service. All other removals are reported at once.
 //
 // Runs on the control thread.
 
@@ -33,9 +33,15 @@
 #include "src/base/random.h"
 #include "src/base/task_runner.h"
 #include "src/store/event_source.h"
+#include "src/store/outage_detector.h"
 
 namespace medlarspread::store {
 
+// The pause before the first retry after a failure, at most.
+constexpr base::Duration kMaxFirstBackoff = base::Milliseconds(150);
+// The pause between two attempts to read an unavailable store, at most.
+constexpr base::Duration kMaxBackoff = base::Milliseconds(1'000);
+
 struct FollowerSettings {
   // How long one watch waits. A watch that the store has lost is detected only
   // when this time is over, so it bounds how old the copy can be; on the other
@@ -43,8 +49,6 @@
   base::Duration watch_wait = base::Milliseconds(5'000);
   // How long removals are delayed after an outage or a restore.
   base::Duration removal_delay = base::Milliseconds(2'500);
-  // No entries expire in an outage shorter than this.
-  base::Duration min_outage = base::Milliseconds(2'000);
 };
 
 class Follower : public std::enable_shared_from_this<Follower> {
@@ -67,6 +71,7 @@
            std::shared_ptr<base::Random> random,
            base::TaskRunner control,
            EventSource source,
+           std::shared_ptr<const OutageDetector> outages,
            DidListAt did_list,
            DidChange did_change,
            DidReach did_reach,
@@ -92,8 +97,7 @@
   // Removals for the known keys that the list does not contain.
   std::vector<Event> MissingFromList() const;
   void Watch();
-  void DidWatch(base::MonotonicTime began,
-                const base::Result<Changes>& changes);
+  void DidWatch(const base::Result<Changes>& changes);
   // Reports the events that change a known state. Afterwards all changes up to
   // `position` are known.
   void Apply(const std::vector<Event>& events, const Position& position);
@@ -103,15 +107,16 @@
   void LogList(std::size_t keys) const;
   // Logs the changes of one response that were skipped, in a single line.
   void LogSkipped(const std::vector<Event>& events) const;
+  void LogDelayed(std::size_t removals) const;
   // Moves to that era if it is later than the current one.
   void EnterEra(std::int64_t era);
-  // Starts or extends the time during which removals are delayed.
-  void DelayRemovals();
+  // Until when removals are delayed; in the past if they are not.
+  base::MonotonicTime removals_due() const;
   void DelayRemoval(Event event);
   void ScheduleRelease();
   void ReleaseRemovals();
   void DidSucceed();
-  void DidFail(const base::Error& error, base::MonotonicTime silent_since);
+  void DidFail(const base::Error& error);
   void Retry(base::Duration delay, void (Follower::*step)());
   void ListFromStart();
 
@@ -120,6 +125,7 @@
   const std::shared_ptr<base::Random> random_;
   const base::TaskRunner control_;
   const EventSource source_;
+  const std::shared_ptr<const OutageDetector> outages_;
   const DidListAt did_list_;
   const DidChange did_change_;
   const DidReach did_reach_;
@@ -142,10 +148,10 @@
   std::int64_t cursor_ = 0;
   bool is_complete_ = false;
   bool is_stopped_ = false;
+  // The number of failures since the last success.
   int failures_ = 0;
-  // When the store stopped answering; zero while it answers.
-  base::MonotonicTime unavailable_since_;
-  base::MonotonicTime delay_removals_until_;
+  // When the store was found to be restored; absent if it never was.
+  std::optional<base::MonotonicTime> restored_at_;
 };
 
 }  // namespace medlarspread::store
--- a/tests/relay/update_fleet.h
+++ b/tests/relay/update_fleet.h
@@ -18,6 +18,7 @@
 #include "src/relay/update_server.h"
 #include "src/store/event_log.h"
 #include "src/store/follower.h"
+#include "src/store/outage_detector.h"
 #include "tests/support/model_store.h"
 
 namespace medlarspread::relay {
@@ -75,6 +76,10 @@
   const std::string& name() const { return name_; }
   // The highest version received so far.
   int version() const { return version_; }
+  // Whether it takes the leaf to be there.
+  bool has_leaf(const std::string& key) const { return leaves_.contains(key); }
+  // How often a leaf was taken to be gone.
+  int removals() const { return removals_; }
   // When that version or a later one was received; absent if none was.
   std::optional<base::MonotonicTime> received(int version) const;
   std::string domain() const;
@@ -115,10 +120,13 @@
   bool is_isolated_ = false;
   int version_ = 0;
   std::map<int, base::MonotonicTime> received_;
+  std::set<std::string> leaves_;
+  int removals_ = 0;
   // The processes to which a connection is open.
   std::set<const FleetDaemon*> connected_to_;
   std::vector<std::function<void()>> frozen_tasks_;
   base::MonotonicTime renewed_;
+  const std::shared_ptr<store::OutageDetector> outages_;
   store::EventSource store_;
   store::EventLog log_;
   std::shared_ptr<UpdateReader> source_;
@@ -154,6 +162,9 @@
   base::Duration AwaitInForceButFor(const FleetDaemon& left_out) {
     return AwaitInForceAt(&left_out);
   }
+  // Removes a leaf that all daemons know. Returns the time until the last
+  // daemon takes it to be gone; kNever if that takes much longer.
+  base::Duration RemoveLeaf();
   // The longest time from the acknowledgement of a version until that daemon
   // had it; kNever if it does not have it yet.
   base::Duration LongestDelayAt(const FleetDaemon& daemon) const;
--- a/tests/upstream/raw_leaf.h
+++ b/tests/upstream/raw_leaf.h
@@ -63,6 +63,8 @@
   // The bytes that were sent without end, on all connections.
   std::size_t endless_bytes() const { return endless_bytes_; }
   int open_connections() const { return open_; }
+  // All connections so far.
+  int connections() const { return accepted_; }
   int most_connections() const { return most_; }
 
   // A complete 200 response with the body.
@@ -91,6 +93,7 @@
           if (!error) {
             boost::system::error_code ignored;
             socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            ++accepted_;
             most_ = std::max(most_.load(), ++open_);
             Read(std::make_shared<Connection>(std::move(socket)));
             Accept();
@@ -169,6 +172,7 @@
   std::atomic<bool> repeats_responses_ = false;
   std::atomic<int> requests_ = 0;
   std::atomic<std::size_t> endless_bytes_ = 0;
+  std::atomic<int> accepted_ = 0;
   std::atomic<int> open_ = 0;
   std::atomic<int> most_ = 0;
   std::thread thread_;
