Relay: Find out from other readers that an answer to a watch was lost

The store had lost one answer to a watch. A removal in such an answer came late alike.

Cause: a lease renewal counted as proof that the pending watch has missed nothing. It goes over another connection and shows only that the store is up.

Change: with each renewal a reader asks another domain's reader for its position. If that is beyond the pending watch's own, and the answer does not follow within 0.1 s, the watch is started again. Why it works: one counter numbers all changes of the store, so the watch must have had an answer; no store call is needed to know it.

Left: answers lost to all readers at once, or a single failure domain, are bounded by the watch's own timeout as before.

--- a/src/relay/propagation_delays.h
+++ b/src/relay/propagation_delays.h
@@ -30,6 +30,9 @@
 // A lease renewal that is answered while a watch is pending shows that the
 // watch has missed nothing. Such a renewal is sent this long after the watch.
 constexpr base::Duration kRenewalAfterWatch = base::Milliseconds(50);
+// How much later than another reader a store reader may get the answer to its
+// watch.
+constexpr base::Duration kWatchAnswerSpread = base::Milliseconds(100);
 // How often a store reader renews its lease.
 constexpr base::Duration kStoreContactInterval = base::Milliseconds(1'000);
 // What a store reader's renewal may take, and a daemon's task queue delay it.
@@ -78,10 +81,19 @@
     kStoreContactInterval + store::kCallTimeout + store::kMaxFirstBackoff +
     kSourceSwitchDelay + kSourceSwitchDelay;
 
+// The same at a store reader, and at its followers, if the answer to its watch
+// was lost and another reader has got it: that one's pause, the next check of
+// the watch, the first retry, and the way to the followers.
+constexpr base::Duration kLostAnswerDelay =
+    kWatchPause + kStoreContactInterval + kSourceSwitchDelay +
+    kWatchAnswerSpread + store::kMaxFirstBackoff + kSourceSwitchDelay +
+    kSourceSwitchDelay;
+
 // A fifth of the bound is reserved for processor time and slow links.
 constexpr base::Duration kPropagationBudget = kPropagationBound * 4 / 5;
 static_assert(kMaxPropagationDelay <= kPropagationBudget);
 static_assert(kSilentConnectionDelay <= kPropagationBudget);
+static_assert(kLostAnswerDelay <= kPropagationBudget);
 
 // The bounds of operators hold again this long after the store has returned.
 constexpr base::Duration kStoreStabilization = base::Milliseconds(4'000);
--- a/src/relay/source_selector.h
+++ b/src/relay/source_selector.h
@@ -87,6 +87,8 @@
   // The peers that come before `source` in the order of preference, and may be
   // asked now.
   std::vector<std::string> PeersPreferredTo(const std::string& source) const;
+  // The first daemons of the other failure domains, which read the store.
+  std::vector<std::string> ReadersOfOtherDomains() const;
   // Whether the source failed or was stale, and the backoff has not ended.
   bool is_backing_off(const std::string& source) const;
   // The rest of the backoff, or zero.
@@ -103,7 +105,6 @@
 
   // All sources, in order of preference.
   std::vector<std::string> Sources() const;
-  std::vector<std::string> ReadersOfOtherDomains() const;
   static bool asks_store(std::size_t rank);
   bool is_answering(const std::string& source) const;
 
--- a/src/relay/update_reader.cc
+++ b/src/relay/update_reader.cc
@@ -78,9 +78,46 @@
 void UpdateReader::DidRenew() {
   if (is_reading_store() && pending_watch_ && selector_.store_failures() == 0) {
     DidReachStore();
+    CheckWatch();
   }
 }
 
+void UpdateReader::CheckWatch() {
+  const std::vector<std::string> readers = selector_.ReadersOfOtherDomains();
+  if (readers.empty()) {
+    return;
+  }
+  const std::string& peer = readers[++watch_checks_ % readers.size()];
+  fetch_from_peer_(
+      peer, kFreshnessTarget,
+      [self = shared_from_this(), peer,
+       watch = pending_watch_](const base::Result<StoreUpdate>& update) {
+        if (update.is_ok()) {
+          self->DidCheckWatch(peer, watch, update.value().position);
+        }
+      });
+}
+
+void UpdateReader::DidCheckWatch(const std::string& peer,
+                                 const std::shared_ptr<WatchCallback>& watch,
+                                 const store::Position& position) {
+  if (pending_watch_ != watch || position.era != era_ ||
+      position.revision <= pending_cursor_) {
+    return;
+  }
+  control_.After(kWatchAnswerSpread, [self = shared_from_this(), peer, watch,
+                                      position] {
+    if (self->pending_watch_ == watch) {
+      self->AbortWatch(base::MakeError(
+          ErrorCode::kConnectionLost, Step::kWatchStore, peer,
+          "started the watch again, since its answer was lost: the peer knows "
+          "the store up to " +
+              store::ToString(position) + ", the watch began at revision " +
+              std::to_string(self->pending_cursor_)));
+    }
+  });
+}
+
 void UpdateReader::DidReachStore() {
   selector_.DidAnswer(kStore);
   SetStoreContact(clock_.Now());
@@ -587,6 +624,7 @@
         self->FinishWatch(std::move(changes));
       });
   pending_watch_ = pending;
+  pending_cursor_ = cursor;
   store_.watch(prefix, cursor, wait,
                [self = shared_from_this(), attempt = attempt_,
                 pending](base::Result<store::Changes> changes) {
--- a/src/relay/update_reader.h
+++ b/src/relay/update_reader.h
@@ -24,6 +24,10 @@
 //      do once the copy reaches kMaxCopyAge. If peers answer then, but have
 //      lost the store too, a stale read shows first whether this daemon reaches
 //      it, so that an outage costs no fleet of calls.
+//   5. A watch of the store whose answer was lost looks like one without
+//      changes. So a daemon that reads the store asks another reader now and
+//      then how far it knows the store. If that is farther than the pending
+//      watch should have let through, the watch is started again.
 //
 // The store may be restored from a backup and is then in a later era
 // (store::Position). Any response of the store or of a peer may be the first to
@@ -37,6 +41,8 @@
 #ifndef MEDLARSPREAD_RELAY_UPDATE_READER_H_
 #define MEDLARSPREAD_RELAY_UPDATE_READER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -95,9 +101,9 @@
   // pending.
   base::Duration renewal_delay() const;
   // A lease renewal succeeded. If a watch of the store is pending, the copy is
-  // current. Otherwise this is ignored: in the pause between watches changes
-  // may have been missed, and the age of a peer's updates is independent of the
-  // renewal.
+  // taken to be current, and compared with that of another reader. Otherwise
+  // this is ignored: in the pause between watches changes may have been missed,
+  // and the age of a peer's updates is independent of the renewal.
   void DidRenew();
   // A lease renewal got no answer. The pending watch may be lost too, and would
   // stay silent even after the store is back, so it is aborted.
@@ -141,6 +147,12 @@
   void DidFail(const std::string& source, const base::Error& error);
   // The peer answered with updates that are too old or of an earlier era.
   void DidBecomeStale(const std::string& peer, const base::Error& error);
+  // Asks another store reader for its position, to find out whether the answer
+  // to the pending watch was lost.
+  void CheckWatch();
+  void DidCheckWatch(const std::string& peer,
+                     const std::shared_ptr<WatchCallback>& watch,
+                     const store::Position& position);
   // Ends the pending watch of the store with the error, if there is one.
   void AbortWatch(const base::Error& error);
   // Returns an error if the peer is still in an earlier era, that is, has not
@@ -280,6 +292,10 @@
   // The callback of the pending watch of the store; reset when the watch ends
   // for the first time.
   std::shared_ptr<WatchCallback> pending_watch_;
+  // Valid while `pending_watch_` is set.
+  std::int64_t pending_cursor_ = 0;
+  // Counts the checks of pending watches, so that each asks the next reader.
+  std::size_t watch_checks_ = 0;
   // The store is not watched again before this time.
   base::MonotonicTime watch_pause_until_;
   // The source of the last list or watch; kStaleStore after a stale read.
--- a/tests/relay/removal_fleet_test.cc
+++ b/tests/relay/removal_fleet_test.cc
@@ -66,6 +66,27 @@
       kPropagationBudget);
 }
 
+// Guards against a lease renewal that counts as proof that the answer to a
+// watch, which holds the removal, was not lost.
+TEST_P(RemovalFleetTest, RemovalIsKnownInTimeAfterTheAnswerWithItWasLost) {
+  PlayAtEachPhase(
+      [](Fleet& fleet) {
+        fleet.store.LoseWatchAnswers(1);
+        return fleet.RemoveLeaf();
+      },
+      kPropagationBudget);
+}
+
+TEST_P(RemovalFleetTest, ChangeIsKnownInTimeAfterTheAnswerWithItWasLost) {
+  PlayAtEachPhase(
+      [](Fleet& fleet) {
+        fleet.store.LoseWatchAnswers(1);
+        fleet.Change();
+        return fleet.AwaitInForce();
+      },
+      kPropagationBudget);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes,
                          RemovalFleetTest,
                          testing::Values(kSmall, kGrown),
