Relay: Name the bound of delayed removals apart from ResumePosition's delay

Reading the diff: two constants of one namespace and its class had the same name and different values. No change of behaviour; the static_asserts hold.

--- a/src/relay/propagation_delays.h
+++ b/src/relay/propagation_delays.h
@@ -99,10 +99,10 @@
 constexpr base::Duration kStoreStabilization = base::Milliseconds(4'000);
 // Until when removals are delayed after the return: the call that was lost with
 // the outage, the pause before the next one, and the delay itself.
-constexpr base::Duration kMaxRemovalDelay =
+constexpr base::Duration kDelayedRemovalBound =
     store::kCallTimeout + store::kMaxBackoff +
     store::FollowerSettings{}.removal_delay;
-static_assert(kMaxRemovalDelay <= kStoreStabilization + kPropagationBudget);
+static_assert(kDelayedRemovalBound <= kStoreStabilization + kPropagationBudget);
 // Each peer has had the time to answer by then.
 static_assert(kMaxUpdateAge + 2 * kProbeInterval + kSourceSwitchDelay <=
               kMaxCopyAge);
